--- /dev/null
+++ b/crates/entry/src/admission.rs
@@ -0,0 +1,176 @@
+//! Reserving tokens of a client account, and giving the rest back.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use fleet::Name;
+use quota::{
+    pool::{Part, Reservation},
+    share::{self, Limits},
+};
+use wire::{
+    frame::{Call, Draw, Grant, Reply, Settlement},
+    identity::Role,
+};
+
+use crate::{Entry, holder, refusal::Kind, refusal::Refusal};
+
+/// How often unspent grants are given back.
+const IDLE_INTERVAL: Duration = Duration::from_millis(100);
+/// When to come back while a shard's holder is being replaced.
+const NO_HOLDER_WAIT: Duration = Duration::from_secs(1);
+
+/// Reserves `cost` tokens, or refuses.
+///
+/// # Errors
+///
+/// A refusal that says when to come back, or that the request can never fit.
+pub(crate) async fn reserve(
+    entry: &Entry,
+    account: &Name,
+    limits: Limits,
+    cost: u64,
+) -> Result<Reservation, Refusal> {
+    let largest = limits.largest_reservation(entry.settings.shards);
+    if largest < cost {
+        let message = format!(
+            "the request reserves {cost} tokens and the account's burst allows {largest}; \
+             lower max_tokens or ask for a higher burst"
+        );
+        return Err(Refusal::not_run(Kind::BeyondBurst, message));
+    }
+    let mut wait = None;
+    for shard in shard_order(entry) {
+        let now = entry.node.now();
+        let reserved = with_pool(entry, account, |pool| pool.reserve(now, cost));
+        if let Some(reservation) = reserved {
+            return Ok(reservation);
+        }
+        let drawn = draw(entry, account, limits, shard, cost).await;
+        wait = shorter(wait, drawn);
+    }
+    let now = entry.node.now();
+    let reserved = with_pool(entry, account, |pool| pool.reserve(now, cost));
+    reserved.ok_or_else(|| {
+        metrics::counter!("chivelatch_rate_refusals_total", "account" => account.to_string())
+            .increment(1);
+        let message = "the account's rate is used up; come back later or ask for a higher rate";
+        Refusal::not_run(Kind::RateLimited, message).retry_after(wait.unwrap_or(NO_HOLDER_WAIT))
+    })
+}
+
+/// Corrects a reservation once the tokens really used are known.
+pub(crate) async fn settle(entry: &Entry, account: &Name, reservation: &Reservation, used: u64) {
+    let unused = reservation.unused(used);
+    let excess = used.saturating_sub(reservation.amount());
+    if !unused.is_empty() || 0 < excess {
+        give_back(entry, account, &unused, excess).await;
+    }
+}
+
+/// Gives back grants that nobody spent, as long as the process runs.
+pub(crate) async fn return_idle(entry: Arc<Entry>) {
+    loop {
+        entry.node.kernel.clock.sleep(IDLE_INTERVAL).await;
+        let now = entry.node.now();
+        let mut idle = Vec::new();
+        entry.pools.for_each_shard(|pools| {
+            for (account, pool) in pools {
+                let parts = pool.take_idle(now);
+                if !parts.is_empty() {
+                    idle.push((Arc::clone(account), parts));
+                }
+            }
+        });
+        for (account, parts) in idle {
+            give_back(&entry, &account, &parts, 0).await;
+        }
+    }
+}
+
+/// Draws from one shard; returns when its holder expects to have enough.
+async fn draw(
+    entry: &Entry,
+    account: &Name,
+    limits: Limits,
+    shard: u64,
+    cost: u64,
+) -> Option<Duration> {
+    let asked = entry.node.now();
+    let lifetime = limits.spend_lifetime();
+    let want = with_pool(entry, account, |pool| pool.draw_size(asked, cost, lifetime));
+    let draw = Draw { account: Arc::clone(account), shard, want };
+    let Grant::Tokens { part, refill } = ask_holder(entry, &draw).await? else { return None };
+    with_pool(entry, account, |pool| pool.deposit(asked, lifetime, part));
+    Some(refill)
+}
+
+async fn ask_holder(entry: &Entry, draw: &Draw) -> Option<Grant> {
+    let resource = share::resource(&draw.account, draw.shard);
+    let local = holder::draw(entry, draw);
+    if local != Grant::NotHolder {
+        return Some(local);
+    }
+    let address = entry.node.holder_address(&resource)?;
+    let call = Call::Draw(draw.clone());
+    match entry.node.link.ask(address, Role::Entry, &call, node::CALL_TIMEOUT).await {
+        Ok(Reply::Grant(grant)) => Some(grant),
+        Ok(_) => None,
+        Err(error) => {
+            log::debug!("the holder of {resource} did not answer: {error}");
+            None
+        }
+    }
+}
+
+/// Every part goes to the holder of its shard. What is lost on the way is lost.
+async fn give_back(entry: &Entry, account: &Name, parts: &[Part], excess: u64) {
+    let mut by_shard: BTreeMap<u64, Vec<Part>> = BTreeMap::new();
+    for part in parts {
+        by_shard.entry(part.source.shard).or_default().push(*part);
+    }
+    if by_shard.is_empty() {
+        by_shard.insert(0, Vec::new());
+    }
+    let mut excess = excess;
+    for (shard, unused) in by_shard {
+        let account = Arc::clone(account);
+        let settlement = Settlement { account, unused, excess: std::mem::take(&mut excess) };
+        tell_holder(entry, shard, settlement).await;
+    }
+}
+
+async fn tell_holder(entry: &Entry, shard: u64, settlement: Settlement) {
+    let resource = share::resource(&settlement.account, shard);
+    let now = entry.node.now();
+    if entry.node.with_seat(|seat| seat.holds(now, &resource)).is_some() {
+        return holder::settle(entry, &settlement);
+    }
+    let Some(address) = entry.node.holder_address(&resource) else { return };
+    let call = Call::Settle(settlement);
+    let told = entry.node.link.ask(address, Role::Entry, &call, node::CALL_TIMEOUT).await;
+    if let Err(error) = told {
+        log::debug!("tokens were not given back: {error}");
+    }
+}
+
+fn with_pool<T>(
+    entry: &Entry,
+    account: &Name,
+    use_pool: impl FnOnce(&mut quota::pool::Pool) -> T,
+) -> T {
+    entry.pools.with(account, |pools| use_pool(pools.entry(Arc::clone(account)).or_default()))
+}
+
+/// Every shard once, beginning at a random one, so that the shards share the demand.
+fn shard_order(entry: &Entry) -> impl Iterator<Item = u64> + use<> {
+    let shards = entry.settings.shards;
+    let first = rand::random_range(0..shards);
+    (0..shards).map(move |index| (first + index) % shards)
+}
+
+fn shorter(a: Option<Duration>, b: Option<Duration>) -> Option<Duration> {
+    match (a, b) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/attempt.rs
@@ -0,0 +1,329 @@
+//! Trying a request until it has begun to answer, or is given up.
+
+use std::{sync::Arc, time::Duration};
+
+use async_channel::{Receiver, Sender};
+use fleet::{
+    Name,
+    change::Repeat,
+    member::Role,
+    suspect::{Report, Verdict},
+};
+use kernel::clock::Clock;
+use schedule::retry;
+use smallvec::SmallVec;
+use wire::{
+    codec,
+    frame::{AttemptId, Broken, Call, Exposure, Head, NotBegun, Reply},
+    identity,
+    link::Exchange,
+};
+
+use crate::{
+    Entry, caller,
+    job::Job,
+    refusal::{Kind, Refusal},
+    routing::{self, Choice},
+};
+
+/// Frames that wait for a slow caller.
+const FRAME_DEPTH: usize = 16;
+/// When to come back after a failure of the backend servers.
+const FAILURE_WAIT: Duration = Duration::from_secs(1);
+/// Time that peers get to take in a report of a crash.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Largest answer that is not streamed, in bytes.
+const MAX_WHOLE_BYTES: usize = 64 * 1024 * 1024;
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// An answer that has begun.
+pub(crate) enum Started {
+    Whole(Whole),
+    Stream(Stream),
+}
+
+/// An answer that is there as a whole.
+#[derive(Clone, Debug)]
+pub(crate) struct Whole {
+    pub(crate) status: u16,
+    pub(crate) content_type: Name,
+    pub(crate) body: Vec<u8>,
+    pub(crate) tokens: Option<u64>,
+}
+
+/// An answer of which the first piece is there.
+pub(crate) struct Stream {
+    pub(crate) status: u16,
+    pub(crate) content_type: Name,
+    pub(crate) first: Vec<u8>,
+    pub(crate) frames: Receiver<Frame>,
+}
+
+/// What a running attempt sends, checked.
+#[derive(Debug)]
+pub(crate) enum Frame {
+    Head(Head),
+    Chunk(Vec<u8>),
+    End { tokens: Option<u64> },
+    Failed(Failure),
+}
+
+/// Why a try failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// Nothing was sent.
+    Unreachable,
+    NotBegun(NotBegun),
+    Crashed { crash: u64 },
+    /// It may have begun; its answer is lost.
+    Lost,
+}
+
+impl Failure {
+    fn may_have_begun(&self) -> bool {
+        matches!(self, Failure::Crashed { .. } | Failure::Lost)
+    }
+
+    /// A server that is merely leaving did nothing wrong, and trying elsewhere is no retry.
+    fn is_handover(&self) -> bool {
+        matches!(self, Failure::NotBegun(NotBegun::Leaving | NotBegun::NotHolder))
+    }
+}
+
+/// Tries a request until its answer has begun.
+///
+/// # Errors
+///
+/// The refusal that its caller gets. It says `not-run` only when no try began.
+pub(crate) async fn run(entry: &Arc<Entry>, job: &Job) -> Result<Started, Refusal> {
+    routing::note_request(entry, &job.target);
+    entry.retries.lock().first_try();
+    let mut tried: SmallVec<[Name; 4]> = SmallVec::new();
+    let mut failures: SmallVec<[Failure; 4]> = SmallVec::new();
+    for attempt in 0..entry.settings.max_tries {
+        if !may_try(entry, job, &failures).await {
+            break;
+        }
+        let may_begin = caller::recheck(entry, job.key.as_ref())
+            .and_then(|()| exposure(entry, job));
+        let exposure = match may_begin {
+            Ok(exposure) => exposure,
+            Err(refusal) => return Err(after(refusal, &failures)),
+        };
+        let Some(choice) = routing::choose(entry, job, &tried).await else { break };
+        match try_once(entry, job, attempt, &choice, exposure).await {
+            Ok(started) => {
+                if exposure == Exposure::Alone {
+                    entry.node.with_suspects(|list| list.clear(&job.fingerprint));
+                }
+                return Ok(started);
+            }
+            Err(failure) => {
+                on_failure(entry, job, &choice, &failure).await;
+                tried.push(choice.server);
+                failures.push(failure);
+            }
+        }
+    }
+    Err(give_up(job, &failures))
+}
+
+async fn may_try(entry: &Entry, job: &Job, failures: &[Failure]) -> bool {
+    let Some(last) = failures.last() else { return true };
+    if job.deadline <= entry.node.now() {
+        return false;
+    }
+    if last.may_have_begun() && job.repeat == Repeat::NonIdempotent {
+        return false;
+    }
+    if last.is_handover() {
+        return true;
+    }
+    if !entry.retries.lock().try_retry() {
+        return false;
+    }
+    metrics::counter!("chivelatch_retries_total").increment(1);
+    let wait = retry::delay(failures.len() as u32, rand::random());
+    entry.node.kernel.clock.sleep(wait).await;
+    true
+}
+
+/// Whether the request has to run alone, or not at all.
+fn exposure(entry: &Entry, job: &Job) -> Result<Exposure, Refusal> {
+    let now = entry.node.now();
+    match entry.node.with_suspects(|list| list.verdict(now, &job.fingerprint)) {
+        Verdict::Clear => Ok(Exposure::Shared),
+        Verdict::Alone => Ok(Exposure::Alone),
+        Verdict::Refuse(wait) => {
+            let message = "this request crashed the backend servers that ran it; \
+                           change it, or come back later";
+            Err(Refusal::not_run(Kind::Quarantined, message).retry_after(wait))
+        }
+    }
+}
+
+async fn try_once(
+    entry: &Arc<Entry>,
+    job: &Job,
+    attempt: u32,
+    choice: &Choice,
+    exposure: Exposure,
+) -> Result<Started, Failure> {
+    let frame = job.attempt(entry.node.now(), attempt, exposure);
+    let id = frame.id.clone();
+    let call = Call::Attempt(Box::new(frame));
+    let opened = entry.node.link.call(choice.member.address, identity::Role::Side, &call).await;
+    let exchange = opened.map_err(|error| match error {
+        wire::link::Error::Connect { .. } | wire::link::Error::Timeout { .. } => {
+            Failure::Unreachable
+        }
+        wire::link::Error::Frame { .. } => Failure::Lost,
+    })?;
+    let (sender, frames) = async_channel::bounded(FRAME_DEPTH);
+    let reader = read_frames(Arc::clone(entry), job.clone(), choice.server.clone(), id, exchange, sender);
+    entry.node.kernel.spawn_detached(reader);
+    begin(frames).await
+}
+
+/// Waits until the answer has begun: for the first piece of a stream, or for
+/// the end of any other answer.
+async fn begin(frames: Receiver<Frame>) -> Result<Started, Failure> {
+    let mut head: Option<Head> = None;
+    let mut body = Vec::new();
+    loop {
+        match frames.recv().await {
+            Ok(Frame::Head(received)) => head = Some(received),
+            Ok(Frame::Chunk(bytes)) => {
+                let Some(head) = &head else { return Err(Failure::Lost) };
+                if head.content_type.starts_with(EVENT_STREAM) {
+                    let (status, content_type) = (head.status, Arc::clone(&head.content_type));
+                    let stream = Stream { status, content_type, first: bytes, frames };
+                    return Ok(Started::Stream(stream));
+                }
+                body.extend_from_slice(&bytes);
+                if MAX_WHOLE_BYTES < body.len() {
+                    return Err(Failure::Lost);
+                }
+            }
+            Ok(Frame::End { tokens }) => {
+                let Some(head) = head else { return Err(Failure::Lost) };
+                let (status, content_type) = (head.status, head.content_type);
+                return Ok(Started::Whole(Whole { status, content_type, body, tokens }));
+            }
+            Ok(Frame::Failed(failure)) => return Err(failure),
+            Err(_) => return Err(Failure::Lost),
+        }
+    }
+}
+
+/// Reads an attempt's frames until its end, and passes them on checked.
+async fn read_frames(
+    entry: Arc<Entry>,
+    job: Job,
+    server: Name,
+    id: AttemptId,
+    mut exchange: Exchange,
+    sender: Sender<Frame>,
+) {
+    let mut chunks = 0;
+    loop {
+        let clock = &entry.node.kernel.clock;
+        let reply = receive(clock, &mut exchange, entry.settings.silence_limit).await;
+        let frame = match reply {
+            Some(Reply::Waiting { id: named }) if named == id => continue,
+            Some(Reply::Head(head)) if head.id == id => Frame::Head(head),
+            Some(Reply::Chunk { id: named, index, bytes }) if named == id && index == chunks => {
+                chunks += 1;
+                Frame::Chunk(bytes)
+            }
+            Some(Reply::End { id: named, chunks: all, tokens, load })
+                if named == id && all == chunks =>
+            {
+                routing::note_load(&entry, &server, &job.target, load);
+                Frame::End { tokens }
+            }
+            Some(Reply::NotBegun { id: named, reason, load }) if named == id && chunks == 0 => {
+                routing::note_load(&entry, &server, &job.target, load);
+                Frame::Failed(Failure::NotBegun(reason))
+            }
+            Some(Reply::Broken { id: named, reason }) if named == id => {
+                Frame::Failed(failure_of(reason))
+            }
+            // Silence, a broken connection, or a frame of another attempt.
+            _ => Frame::Failed(Failure::Lost),
+        };
+        let is_last = matches!(frame, Frame::End { .. } | Frame::Failed(_));
+        if sender.send(frame).await.is_err() || is_last {
+            return;
+        }
+    }
+}
+
+async fn receive(clock: &Clock, exchange: &mut Exchange, limit: Duration) -> Option<Reply> {
+    clock.timeout(limit, codec::receive(&mut exchange.receive)).await.ok()?.ok()
+}
+
+fn failure_of(reason: Broken) -> Failure {
+    match reason {
+        Broken::EngineCrashed { crash } => Failure::Crashed { crash },
+        Broken::BadAnswer => Failure::Lost,
+    }
+}
+
+async fn on_failure(entry: &Arc<Entry>, job: &Job, choice: &Choice, failure: &Failure) {
+    entry.node.note(&job.request, format!("{} failed: {failure:?}", choice.server));
+    if !failure.is_handover() {
+        routing::note_failure(entry, &choice.server);
+    }
+    if let Failure::Crashed { crash } = failure {
+        report_crash(entry, job, *crash).await;
+    }
+}
+
+/// Tells every entry instance before the request is tried again anywhere.
+pub(crate) async fn report_crash(entry: &Arc<Entry>, job: &Job, crash: u64) {
+    let report = Report { fingerprint: job.fingerprint, crash };
+    let now = entry.node.now();
+    if !entry.node.with_suspects(|list| list.report(now, &report)) {
+        return;
+    }
+    log::warn!(request = &*job.request; "the request ran when an engine crashed");
+    let tellers: Vec<_> = entry
+        .node
+        .peers(Role::Entry)
+        .into_iter()
+        .map(|peer| {
+            let node = Arc::clone(&entry.node);
+            let call = Call::Suspects(vec![report.clone()]);
+            entry.node.kernel.spawn(async move { node.ask(&peer, &call).await.is_ok() })
+        })
+        .collect();
+    let all = async {
+        for teller in tellers {
+            teller.await;
+        }
+    };
+    let _some_may_be_late = entry.node.kernel.clock.timeout(REPORT_TIMEOUT, all).await;
+}
+
+fn give_up(job: &Job, failures: &[Failure]) -> Refusal {
+    if failures.iter().any(Failure::may_have_begun) {
+        let message = match job.repeat {
+            Repeat::Idempotent => "the backend servers failed while they ran the request; \
+                                   it may be sent again",
+            Repeat::NonIdempotent => "the backend server failed while it ran the request; \
+                                      check whether it took effect before sending a new one",
+        };
+        return Refusal::unknown(Kind::BackendFailed, message).retry_after(FAILURE_WAIT);
+    }
+    let message = "no backend server could begin the request; send it again later";
+    Refusal::not_run(Kind::Overloaded, message).retry_after(FAILURE_WAIT)
+}
+
+/// A refusal is `not-run` only if no earlier try began.
+fn after(mut refusal: Refusal, failures: &[Failure]) -> Refusal {
+    if failures.iter().any(Failure::may_have_begun) {
+        refusal.outcome = crate::refusal::Outcome::Unknown;
+    }
+    refusal
+}
--- /dev/null
+++ b/crates/entry/src/bin/chivelatch-entry.rs
@@ -0,0 +1,14 @@
+//! The entry instance, as a program.
+
+use std::process::ExitCode;
+
+use settings::arguments::{self, About};
+
+fn main() -> ExitCode {
+    let about = About {
+        name: "chivelatch-entry",
+        summary: "Entry instance: authenticates, admits, routes and streams answers back",
+        version: env!("CARGO_PKG_VERSION"),
+    };
+    arguments::main(about, entry::settings::Settings::read, entry::main)
+}
--- /dev/null
+++ b/crates/entry/src/caller.rs
@@ -0,0 +1,61 @@
+//! Who is calling.
+
+use std::sync::Arc;
+
+use fleet::{Name, digest::Digest, state::State};
+use hyper::{HeaderMap, header::AUTHORIZATION};
+
+use crate::{
+    Entry,
+    refusal::{Kind, Refusal},
+};
+
+/// When to come back to an instance that has lost touch.
+const FRESHNESS_WAIT: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// An authenticated caller.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller {
+    pub(crate) account: Name,
+    /// Id of the key.
+    pub(crate) key: Name,
+}
+
+/// Finds the client account whose key came with a request.
+///
+/// # Errors
+///
+/// No key, an unknown or a withdrawn one.
+pub(crate) fn authenticate(state: &State, headers: &HeaderMap) -> Result<Caller, Refusal> {
+    let value = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let Some(secret) = value.and_then(|value| value.strip_prefix("Bearer ")) else {
+        let message = "no key came with the request; send `Authorization: Bearer KEY`";
+        return Err(Refusal::not_run(Kind::Unauthorized, message));
+    };
+    let Some((key, account)) = state.account_of(&Digest::of(secret.trim())) else {
+        let message = "the key is unknown or was withdrawn; ask the operators for a valid one";
+        return Err(Refusal::not_run(Kind::Unauthorized, message));
+    };
+    Ok(Caller { account: Arc::clone(account), key: Arc::clone(key) })
+}
+
+/// Checks again that a request may go on: its key is still valid, and this
+/// instance would know if it were not.
+///
+/// # Errors
+///
+/// The key was withdrawn, or this instance is cut off.
+pub(crate) fn recheck(entry: &Entry, key: Option<&Name>) -> Result<(), Refusal> {
+    let Some(key) = key else { return Ok(()) };
+    if !entry.node.is_fresh() {
+        let message = "this instance has lost touch with the others and cannot check keys; \
+                       send the request again";
+        return Err(Refusal::not_run(Kind::NotReady, message).retry_after(FRESHNESS_WAIT));
+    }
+    let is_valid = entry.node.state().is_some_and(|state| state.is_valid(key));
+    if !is_valid {
+        let message = "the key was withdrawn; ask the operators for a valid one";
+        return Err(Refusal::not_run(Kind::Unauthorized, message));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/handler.rs
@@ -0,0 +1,105 @@
+//! Callers' requests by path.
+
+use std::{sync::Arc, sync::atomic::Ordering};
+
+use fleet::Name;
+use front::body::{self, Body};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use serde_json::json;
+
+use crate::{
+    Entry, caller, completion,
+    refusal::{Kind, Outcome, Refusal, label},
+    service,
+};
+
+const CHAT_PATH: &str = "/v1/chat/completions";
+const COMPLETION_PATH: &str = "/v1/completions";
+const SERVICE_PREFIX: &str = "/svc/";
+
+/// Answers one request.
+pub(crate) async fn handle(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    match path.as_str() {
+        "/health/live" => return body::whole(StatusCode::OK, "text/plain", "live\n"),
+        "/health/ready" => return ready(&entry),
+        "/metrics" => return body::whole(StatusCode::OK, "text/plain", kernel::monitor::render()),
+        _ => {}
+    }
+    let id: Name = Arc::from(format!("r-{:016x}", rand::random::<u64>()));
+    entry.in_flight.fetch_add(1, Ordering::Relaxed);
+    let answered = answer(&entry, &id, &path, request).await;
+    entry.in_flight.fetch_sub(1, Ordering::Relaxed);
+    answered.unwrap_or_else(|refusal| refuse(&entry, &id, &refusal))
+}
+
+async fn answer(
+    entry: &Arc<Entry>,
+    id: &Name,
+    path: &str,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Refusal> {
+    match (request.method(), path) {
+        (&Method::POST, CHAT_PATH | COMPLETION_PATH) => completion::run(entry, id, request).await,
+        (&Method::GET, "/v1/models") => models(entry, id, &request),
+        (_, CHAT_PATH | COMPLETION_PATH | "/v1/models") => {
+            let message = "the path does not take this method; use POST for completions and GET for models";
+            Err(Refusal::not_run(Kind::BadRequest, message))
+        }
+        _ if path.starts_with(SERVICE_PREFIX) => service::run(entry, id, request).await,
+        _ => {
+            let message = "no such path; use /v1/chat/completions, /v1/completions, /v1/models or /svc/ROUTE/";
+            Err(Refusal::not_run(Kind::NotFound, message))
+        }
+    }
+}
+
+/// Ready once the configuration is known, until the instance is leaving.
+fn ready(entry: &Entry) -> Response<Body> {
+    let is_ready = entry.node.state().is_some() && !entry.node.drain.is_stopping();
+    let (status, text) = if is_ready {
+        (StatusCode::OK, "ready\n")
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    };
+    body::whole(status, "text/plain", text)
+}
+
+fn models(
+    entry: &Entry,
+    id: &Name,
+    request: &Request<Incoming>,
+) -> Result<Response<Body>, Refusal> {
+    let state = known_state(entry)?;
+    caller::authenticate(&state, request.headers())?;
+    let data = state.adapters.iter().flat_map(|(adapter, versions)| {
+        versions.versions.iter().map(move |(version, model)| {
+            json!({ "id": format!("{adapter}@{version}"), "object": "model", "parent": model })
+        })
+    });
+    let list = json!({ "object": "list", "data": data.collect::<Vec<_>>() });
+    let mut response = body::whole(StatusCode::OK, "application/json", list.to_string());
+    label(&mut response, id, Outcome::Completed);
+    Ok(response)
+}
+
+/// The configuration, or a refusal while it is not known yet.
+///
+/// # Errors
+///
+/// [`Kind::NotReady`] with the time to come back.
+pub(crate) fn known_state(entry: &Entry) -> Result<Arc<fleet::state::State>, Refusal> {
+    const START_WAIT: std::time::Duration = std::time::Duration::from_secs(1);
+    let message = "this instance does not know the configuration yet; send the request again";
+    let refusal = || Refusal::not_run(Kind::NotReady, message).retry_after(START_WAIT);
+    entry.node.state().ok_or_else(refusal)
+}
+
+fn refuse(entry: &Entry, id: &Name, refusal: &Refusal) -> Response<Body> {
+    let (kind, outcome) = (refusal.kind.name(), refusal.outcome.name());
+    metrics::counter!("chivelatch_refusals_total", "type" => kind, "outcome" => outcome)
+        .increment(1);
+    entry.node.note(id, format!("refused: {kind}, {outcome}: {}", refusal.message));
+    log::info!(request = &**id, kind = kind, outcome = outcome; "refused");
+    refusal.response(id)
+}
--- /dev/null
+++ b/crates/entry/src/holder.rs
@@ -0,0 +1,158 @@
+//! Quota shards and load permits that this instance holds.
+
+use std::{collections::HashMap, sync::Arc};
+
+use fleet::{
+    Name,
+    lease::{Held, Moment, Origin},
+    state::State,
+};
+use node::{Node, leases};
+use quota::{
+    bucket::Bucket,
+    permit::{self, Answer, Office},
+    pool::{Part, Source},
+    share::{self, Limits},
+};
+use wire::frame::{Draw, Grant, Permit, Settlement};
+
+use crate::{Entry, settings::Settings};
+
+/// Buckets by resource, each bound to the lease it belongs to.
+#[derive(Debug, Default)]
+pub(crate) struct Holder {
+    shards: HashMap<Name, Shard>,
+    office: Option<(u64, Office)>,
+}
+
+#[derive(Debug)]
+struct Shard {
+    fence: u64,
+    bucket: Bucket,
+}
+
+/// Resources that this instance should hold: those it is the one to claim, and
+/// those it has already.
+pub(crate) fn wanted(node: &Node, settings: &Settings) -> Vec<Name> {
+    let Some(state) = node.state() else { return Vec::new() };
+    let shards = state.accounts.keys().flat_map(|account| {
+        (0..settings.shards).map(move |index| share::resource(account, index))
+    });
+    let resources = shards.chain([Arc::from(permit::RESOURCE)]);
+    resources.filter(|resource| is_wanted(node, resource)).collect()
+}
+
+/// Limits of an account.
+pub(crate) fn limits(state: &State, account: &str) -> Option<Limits> {
+    let account = state.accounts.get(account)?;
+    Some(Limits { rate: account.rate, burst: account.burst })
+}
+
+/// Answers a draw.
+pub(crate) fn draw(entry: &Entry, draw: &Draw) -> Grant {
+    let resource = share::resource(&draw.account, draw.shard);
+    let now = entry.node.now();
+    let Some(held) = entry.node.with_seat(|seat| seat.holds(now, &resource)) else {
+        return Grant::NotHolder;
+    };
+    let limits = entry.node.state().and_then(|state| limits(&state, &draw.account));
+    let Some(limits) = limits else { return Grant::NotHolder };
+    let share = limits.share(draw.shard, entry.settings.shards);
+    let takeover = entry.node.settings.takeover;
+    let mut holder = entry.holder.lock();
+    let shard = holder.shards.entry(resource).or_insert_with(|| Shard {
+        fence: held.fence,
+        bucket: Bucket::new(now, share, first_level(held, share, takeover)),
+    });
+    if shard.fence != held.fence {
+        let bucket = Bucket::new(now, share, first_level(held, share, takeover));
+        *shard = Shard { fence: held.fence, bucket };
+    }
+    shard.bucket.resize(now, share);
+    let amount = shard.bucket.take(now, draw.want);
+    let source = Source { shard: draw.shard, fence: held.fence, granted_at: now };
+    Grant::Tokens {
+        part: Part { source, amount },
+        refill: shard.bucket.wait_for(now, draw.want - amount),
+    }
+}
+
+/// Takes back unused tokens, and charges those used beyond a reservation. What
+/// another holder granted is lost.
+pub(crate) fn settle(entry: &Entry, settlement: &Settlement) {
+    let now = entry.node.now();
+    let mut holder = entry.holder.lock();
+    for part in &settlement.unused {
+        let resource = share::resource(&settlement.account, part.source.shard);
+        let Some(shard) = holder.shards.get_mut(&resource) else { continue };
+        if shard.fence == part.source.fence {
+            shard.bucket.refund(now, part.amount, part.source.granted_at);
+        }
+    }
+    let mut excess = settlement.excess;
+    for index in 0..entry.settings.shards {
+        let resource = share::resource(&settlement.account, index);
+        if let Some(shard) = holder.shards.get_mut(&resource).filter(|_| 0 < excess) {
+            shard.bucket.charge(now, std::mem::take(&mut excess));
+        }
+    }
+}
+
+/// Answers a side process that wants to load an adapter.
+pub(crate) fn ask_permit(entry: &Entry) -> Permit {
+    let now = entry.node.now();
+    let Some(held) = entry.node.with_seat(|seat| seat.holds(now, permit::RESOURCE)) else {
+        return Permit::NotHolder;
+    };
+    let budget = entry.settings.load_budget;
+    let mut holder = entry.holder.lock();
+    let is_current = holder.office.as_ref().is_some_and(|(fence, _)| *fence == held.fence);
+    if !is_current {
+        let level = match held.origin {
+            Origin::First => budget.burst,
+            Origin::Released(carry) => carry,
+            Origin::Taken => 0,
+        };
+        holder.office = Some((held.fence, Office::new(now, budget, level)));
+    }
+    match holder.office.as_mut().map(|(_, office)| office.ask(now)) {
+        Some(Answer::Granted(permit)) => Permit::Granted(permit),
+        Some(Answer::Later(wait)) => Permit::Later(wait),
+        None => Permit::NotHolder,
+    }
+}
+
+/// A load has ended.
+pub(crate) fn return_permit(entry: &Entry, permit: u64) {
+    if let Some((_, office)) = entry.holder.lock().office.as_mut() {
+        office.give_back(permit);
+    }
+}
+
+impl Holder {
+    /// What the next holder of a resource takes over.
+    pub(crate) fn carry(&mut self, now: Moment, resource: &Name) -> u64 {
+        if &**resource == permit::RESOURCE {
+            return self.office.as_mut().map_or(0, |(_, office)| office.level(now));
+        }
+        self.shards.get_mut(resource).map_or(0, |shard| shard.bucket.level(now))
+    }
+}
+
+/// Tokens that a new holder may start with. A vanished holder may have granted
+/// everything until the claim; what has flowed in since is free.
+fn first_level(held: Held, share: share::Share, takeover: std::time::Duration) -> u64 {
+    match held.origin {
+        Origin::First => share.capacity,
+        Origin::Released(carry) => carry,
+        Origin::Taken => (share.rate as f64 * takeover.as_secs_f64()) as u64,
+    }
+}
+
+fn is_wanted(node: &Node, resource: &str) -> bool {
+    let is_mine = node.with_seat(|seat| {
+        let lease = seat.table().lease(resource);
+        lease.is_some_and(|lease| lease.holder == *seat.me() && lease.released.is_none())
+    });
+    is_mine || leases::is_preferred(node, resource)
+}
--- /dev/null
+++ b/crates/entry/src/job.rs
@@ -0,0 +1,64 @@
+//! A caller's request once it has been understood.
+
+use std::sync::Arc;
+
+use fleet::{
+    Name,
+    change::{Repeat, Urgency},
+    digest::Digest,
+    lease::Moment,
+};
+use wire::frame::{Attempt, AttemptId, Exposure, Target};
+
+/// Everything needed to try the request.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    /// Names the request in answers, logs and journals.
+    pub(crate) request: Name,
+    pub(crate) account: Name,
+    /// Id of the key it came with; none on routes open to all.
+    pub(crate) key: Option<Name>,
+    pub(crate) target: Target,
+    pub(crate) method: Name,
+    pub(crate) path: Name,
+    pub(crate) content_type: Name,
+    pub(crate) body: Arc<[u8]>,
+    /// Tokens reserved.
+    pub(crate) cost: u64,
+    pub(crate) repeat: Repeat,
+    pub(crate) urgency: Urgency,
+    pub(crate) fingerprint: Digest,
+    pub(crate) arrived: Moment,
+    /// When it has to have begun.
+    pub(crate) deadline: Moment,
+}
+
+impl Job {
+    /// The frame that asks a side process to try the request.
+    pub(crate) fn attempt(&self, now: Moment, attempt: u32, exposure: Exposure) -> Attempt {
+        Attempt {
+            id: AttemptId { request: Arc::clone(&self.request), attempt },
+            account: Arc::clone(&self.account),
+            target: self.target.clone(),
+            method: Arc::clone(&self.method),
+            path: Arc::clone(&self.path),
+            content_type: Arc::clone(&self.content_type),
+            body: self.body.to_vec(),
+            cost: self.cost,
+            patience: self.deadline.saturating_sub(now),
+            repeat: self.repeat,
+            urgency: self.urgency,
+            exposure,
+            fingerprint: self.fingerprint,
+        }
+    }
+}
+
+/// Digest of what a request does, whoever sends it and however often.
+pub(crate) fn fingerprint(target: &Target, method: &str, path: &str, body: &[u8]) -> Digest {
+    let target = match target {
+        Target::Adapter { adapter, version } => format!("adapter {adapter}@{version}"),
+        Target::Route { route } => format!("route {route}"),
+    };
+    Digest::of_parts([target.as_bytes(), method.as_bytes(), path.as_bytes(), body])
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,175 @@
+//! The entry instance: authenticates callers, admits their requests within their
+//! account's rate, routes them to a side process and streams the answers back.
+//!
+//! Architecture Invariant: a caller's key never leaves this crate, and is kept
+//! only as a digest.
+
+mod admission;
+mod answer;
+mod attempt;
+mod caller;
+mod completion;
+mod handler;
+mod holder;
+mod job;
+mod once;
+mod refusal;
+mod relay;
+mod routing;
+mod service;
+pub mod settings;
+
+use std::{
+    process::ExitCode,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use fleet::{Name, member};
+use front::server;
+use kernel::{Kernel, drain::Drain, shard};
+use node::{Kind, Node, leases, program, snapshot};
+use parking_lot::Mutex;
+use quota::pool::Pool;
+use schedule::retry;
+use snafu::{ResultExt as _, Snafu};
+use wire::{
+    codec,
+    frame::{Call, Reply, Status},
+    identity::Role,
+    link::{Exchange, Link, OpenError},
+};
+
+use crate::{holder::Holder, once::Ledger, routing::Routing, settings::Settings};
+
+/// One entry instance; shared by all its tasks.
+pub struct Entry {
+    node: Arc<Node>,
+    settings: Settings,
+    pools: shard::Map<Name, Pool>,
+    holder: Mutex<Holder>,
+    routing: Routing,
+    ledger: Ledger,
+    retries: Mutex<retry::Budget>,
+    in_flight: AtomicU64,
+    /// Connections of callers; stops later than the node, so that the platform's
+    /// balancer has seen this instance leave.
+    callers: Drain,
+}
+
+/// Why an entry instance could not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    #[snafu(display("{source}"))]
+    Fleet { source: OpenError },
+    #[snafu(display("{source}"))]
+    Callers { source: server::ListenError },
+}
+
+/// Runs an entry instance until SIGTERM.
+pub fn main(settings: Settings) -> ExitCode {
+    let threads = settings.node.threads;
+    let log_level = settings.node.log_level;
+    program::run(threads, log_level, |kernel| async move {
+        match open(&kernel, settings).await {
+            Ok(entry) => {
+                program::wait_for_stop(&entry.node).await;
+                entry.stop().await
+            }
+            Err(error) => {
+                log::error!("{error}");
+                ExitCode::FAILURE
+            }
+        }
+    })
+}
+
+/// Opens the instance's addresses and starts its tasks.
+///
+/// # Errors
+///
+/// An address or the certificates cannot be used.
+pub async fn open(kernel: &Kernel, settings: Settings) -> Result<Arc<Entry>, StartError> {
+    let files = settings.node.identity.clone();
+    let link = Link::open(kernel, settings.node.fleet_address, files).context(FleetSnafu)?;
+    let listener = server::listen(settings.listen).await.context(CallersSnafu)?;
+    let kind = Kind { role: member::Role::Entry, server: None, weight: 1, routes: Vec::new() };
+    let node = Node::new(kernel, settings.node.clone(), kind, link);
+    let entry = Arc::new(Entry {
+        pools: shard::Map::default(),
+        holder: Mutex::default(),
+        routing: Routing::default(),
+        ledger: Ledger::new(&settings),
+        retries: Mutex::new(retry::Budget::new(settings.retry_percent)),
+        in_flight: AtomicU64::new(0),
+        callers: Drain::default(),
+        node,
+        settings,
+    });
+    entry.start(listener);
+    Ok(entry)
+}
+
+impl Entry {
+    fn start(self: &Arc<Entry>, listener: async_net::TcpListener) {
+        let kernel = &self.node.kernel;
+        program::start(&self.node);
+        kernel.spawn_detached(snapshot::run(Arc::clone(&self.node)));
+        let entry = Arc::clone(self);
+        let wanted = move |node: &Node| holder::wanted(node, &entry.settings);
+        kernel.spawn_detached(leases::run(Arc::clone(&self.node), wanted));
+        kernel.spawn_detached(admission::return_idle(Arc::clone(self)));
+        let entry = Arc::clone(self);
+        kernel.spawn_detached(async move {
+            let link = entry.node.link.clone();
+            link.serve(move |role, call, exchange| serve(Arc::clone(&entry), role, call, exchange))
+                .await;
+        });
+        let entry = Arc::clone(self);
+        kernel.spawn_detached(async move {
+            let callers = entry.callers.clone();
+            let kernel = entry.node.kernel.clone();
+            let handle = move |request| handler::handle(Arc::clone(&entry), request);
+            server::serve(&kernel, listener, &callers, handle).await;
+        });
+    }
+
+    /// Stops in order: first the balancer sees this instance leave, then running
+    /// requests end, then what is held is released.
+    pub async fn stop(&self) -> ExitCode {
+        let clock = &self.node.kernel.clock;
+        clock.sleep(self.node.settings.stop_notice).await;
+        self.callers.stop();
+        let is_done = self.callers.finish(clock, self.node.settings.stop_limit).await;
+        leases::release(&self.node, |resource| self.holder.lock().carry(self.node.now(), resource))
+            .await;
+        self.node.link.close().await;
+        if is_done { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    }
+
+    fn status(&self) -> Status {
+        Status { in_flight: self.in_flight.load(Ordering::Relaxed), ..self.node.status() }
+    }
+}
+
+async fn serve(entry: Arc<Entry>, role: Role, call: Call, mut exchange: Exchange) {
+    let reply = match call {
+        Call::Draw(draw) if role == Role::Entry => Reply::Grant(holder::draw(&entry, &draw)),
+        Call::Settle(settlement) if role == Role::Entry => {
+            holder::settle(&entry, &settlement);
+            Reply::Done
+        }
+        Call::AskPermit if role == Role::Side => Reply::Permit(holder::ask_permit(&entry)),
+        Call::ReturnPermit(permit) if role == Role::Side => {
+            holder::return_permit(&entry, permit);
+            Reply::Done
+        }
+        Call::Status => Reply::Status(Box::new(entry.status())),
+        call => entry.node.answer(&call).unwrap_or(Reply::Forbidden),
+    };
+    if let Err(error) = codec::send(&mut exchange.send, &reply).await {
+        log::debug!("an answer was not sent: {error}");
+    }
+}
--- /dev/null
+++ b/crates/entry/src/refusal.rs
@@ -0,0 +1,160 @@
+//! Refusals: what callers are told, with the remedy, and whether anything ran.
+
+use std::time::Duration;
+
+use front::body::{self, Body};
+use hyper::{
+    Response, StatusCode,
+    header::{HeaderName, HeaderValue, RETRY_AFTER},
+};
+use serde_json::json;
+
+/// Header that tells whether a request ran.
+pub const OUTCOME_HEADER: &str = "chivelatch-outcome";
+/// Header that names the request.
+pub const REQUEST_HEADER: &str = "x-request-id";
+
+/// Whether a request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// No backend server began it.
+    NotRun,
+    Completed,
+    /// It may have run.
+    Unknown,
+}
+
+/// What kind of refusal it is; names are part of the callers' interface.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    BadRequest,
+    Unauthorized,
+    NotFound,
+    TooLarge,
+    TooSlow,
+    WrongContentType,
+    RateLimited,
+    BeyondBurst,
+    Overloaded,
+    NotReady,
+    KeyReused,
+    InProgress,
+    OutcomeUnknown,
+    LedgerUnavailable,
+    Quarantined,
+    BackendFailed,
+}
+
+/// An answer to a request that is given up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    pub kind: Kind,
+    pub outcome: Outcome,
+    /// What went wrong and what to do.
+    pub message: String,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl Outcome {
+    /// Value of [`OUTCOME_HEADER`].
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::NotRun => "not-run",
+            Outcome::Completed => "completed",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+impl Kind {
+    /// Value of `error.type`.
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::BadRequest => "bad_request",
+            Kind::Unauthorized => "unauthorized",
+            Kind::NotFound => "not_found",
+            Kind::TooLarge => "too_large",
+            Kind::TooSlow => "too_slow",
+            Kind::WrongContentType => "wrong_content_type",
+            Kind::RateLimited => "rate_limited",
+            Kind::BeyondBurst => "beyond_burst",
+            Kind::Overloaded => "overloaded",
+            Kind::NotReady => "not_ready",
+            Kind::KeyReused => "idempotency_key_reused",
+            Kind::InProgress => "in_progress",
+            Kind::OutcomeUnknown => "outcome_unknown",
+            Kind::LedgerUnavailable => "ledger_unavailable",
+            Kind::Quarantined => "quarantined",
+            Kind::BackendFailed => "backend_failed",
+        }
+    }
+
+    /// HTTP status.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Kind::BadRequest => StatusCode::BAD_REQUEST,
+            Kind::Unauthorized => StatusCode::UNAUTHORIZED,
+            Kind::NotFound => StatusCode::NOT_FOUND,
+            Kind::TooLarge | Kind::BeyondBurst => StatusCode::PAYLOAD_TOO_LARGE,
+            Kind::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            Kind::WrongContentType => StatusCode::UNSUPPORTED_MEDIA_TYPE,
+            Kind::RateLimited => StatusCode::TOO_MANY_REQUESTS,
+            Kind::Overloaded | Kind::NotReady | Kind::LedgerUnavailable => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Kind::KeyReused | Kind::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
+            Kind::InProgress => StatusCode::CONFLICT,
+            Kind::OutcomeUnknown | Kind::BackendFailed => StatusCode::BAD_GATEWAY,
+        }
+    }
+}
+
+impl Refusal {
+    /// A refusal of a request that did not run and should not come back as it is.
+    pub fn not_run(kind: Kind, message: impl Into<String>) -> Refusal {
+        Refusal { kind, outcome: Outcome::NotRun, message: message.into(), retry_after: None }
+    }
+
+    /// A refusal of a request that may have run.
+    pub fn unknown(kind: Kind, message: impl Into<String>) -> Refusal {
+        Refusal { kind, outcome: Outcome::Unknown, message: message.into(), retry_after: None }
+    }
+
+    /// Tells the caller when to come back.
+    pub fn retry_after(mut self, wait: Duration) -> Refusal {
+        self.retry_after = Some(wait);
+        self
+    }
+
+    /// The body that callers get.
+    pub fn body(&self, request: &str) -> String {
+        json!({ "error": {
+            "type": self.kind.name(),
+            "message": self.message,
+            "request_id": request,
+            "outcome": self.outcome.name(),
+        }})
+        .to_string()
+    }
+
+    /// The whole answer.
+    pub fn response(&self, request: &str) -> Response<Body> {
+        let mut response = body::whole(self.kind.status(), "application/json", self.body(request));
+        if let Some(wait) = self.retry_after {
+            let seconds = (wait.as_millis().div_ceil(1000) as u64).max(1);
+            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        label(&mut response, request, self.outcome);
+        response
+    }
+}
+
+/// Adds the headers that every answer has.
+pub fn label(response: &mut Response<Body>, request: &str, outcome: Outcome) {
+    let headers = response.headers_mut();
+    headers.insert(HeaderName::from_static(OUTCOME_HEADER), HeaderValue::from_static(outcome.name()));
+    if let Ok(request) = HeaderValue::from_str(request) {
+        headers.insert(HeaderName::from_static(REQUEST_HEADER), request);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/relay.rs
@@ -0,0 +1,132 @@
+//! Streaming an answer to its caller, piece by piece.
+
+use std::{sync::Arc, time::Duration};
+
+use async_channel::Sender;
+use bytes::Bytes;
+use front::body::{self, Body, Cut};
+use futures_lite::future;
+use hyper::{Response, StatusCode};
+
+use crate::{
+    Entry,
+    answer::{self, Receipt},
+    attempt::{self, Failure, Frame, Stream},
+    caller,
+    refusal::{Kind, Outcome, Refusal, label},
+};
+
+/// Time that a caller may take to read a piece.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(30);
+/// How often a stream checks that it may go on, beside every change of the configuration.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What a stream waits for.
+enum Event {
+    Frame(Option<Frame>),
+    Check,
+}
+
+/// How a stream ended.
+enum End {
+    Whole { tokens: Option<u64> },
+    /// The caller is told why, and sees the connection break.
+    Explained(Refusal),
+    CallerGone,
+}
+
+/// Begins to stream an answer.
+pub(crate) fn respond(entry: &Arc<Entry>, receipt: Receipt, stream: Stream) -> Response<Body> {
+    let status = StatusCode::from_u16(stream.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let (sender, mut response) = body::streamed(status, &stream.content_type);
+    label(&mut response, &receipt.job.request, Outcome::Completed);
+    let entry = Arc::clone(entry);
+    let kernel = entry.node.kernel.clone();
+    kernel.spawn_detached(async move { run(&entry, receipt, stream, sender).await });
+    response
+}
+
+async fn run(
+    entry: &Arc<Entry>,
+    receipt: Receipt,
+    stream: Stream,
+    sender: Sender<Result<Bytes, Cut>>,
+) {
+    match relay(entry, &receipt, stream, &sender).await {
+        End::Whole { tokens } => {
+            let used = tokens.unwrap_or(receipt.job.cost);
+            answer::settle(entry, &receipt, used).await;
+            answer::count(&receipt.job, Outcome::Completed);
+        }
+        End::Explained(refusal) => {
+            let request = &receipt.job.request;
+            entry.node.note(request, format!("the stream was ended: {}", refusal.message));
+            let event = format!("event: error\ndata: {}\n\n", refusal.body(request));
+            let _gone = pass_on(entry, &sender, Bytes::from(event)).await;
+            let _gone = sender.send(Err(Cut)).await;
+            answer::count(&receipt.job, Outcome::Unknown);
+        }
+        End::CallerGone => {
+            entry.node.note(&receipt.job.request, "the caller is gone");
+            answer::count(&receipt.job, Outcome::Unknown);
+        }
+    }
+}
+
+async fn relay(
+    entry: &Arc<Entry>,
+    receipt: &Receipt,
+    stream: Stream,
+    sender: &Sender<Result<Bytes, Cut>>,
+) -> End {
+    let Stream { first, frames, .. } = stream;
+    if pass_on(entry, sender, Bytes::from(first)).await.is_err() {
+        return End::CallerGone;
+    }
+    let mut last = entry.node.now();
+    loop {
+        let changed = entry.node.configuration_change();
+        if let Err(refusal) = caller::recheck(entry, receipt.job.key.as_ref()) {
+            return End::Explained(Refusal { outcome: Outcome::Unknown, ..refusal });
+        }
+        let frame = async { Event::Frame(frames.recv().await.ok()) };
+        let check = async {
+            future::or(changed, entry.node.kernel.clock.sleep(CHECK_INTERVAL)).await;
+            Event::Check
+        };
+        let bytes = match future::or(frame, check).await {
+            Event::Check => continue,
+            Event::Frame(Some(Frame::Chunk(bytes))) => Bytes::from(bytes),
+            Event::Frame(Some(Frame::End { tokens })) => return End::Whole { tokens },
+            Event::Frame(Some(Frame::Failed(failure))) => {
+                return broken(entry, receipt, &failure).await;
+            }
+            Event::Frame(Some(Frame::Head(_)) | None) => {
+                return broken(entry, receipt, &Failure::Lost).await;
+            }
+        };
+        let now = entry.node.now();
+        metrics::histogram!("chivelatch_token_gap_seconds").record((now - last).as_secs_f64());
+        last = now;
+        if pass_on(entry, sender, bytes).await.is_err() {
+            return End::CallerGone;
+        }
+    }
+}
+
+async fn broken(entry: &Arc<Entry>, receipt: &Receipt, failure: &Failure) -> End {
+    if let Failure::Crashed { crash } = failure {
+        attempt::report_crash(entry, &receipt.job, *crash).await;
+    }
+    let message = "the backend server failed before the answer was whole; send the request again";
+    End::Explained(Refusal::unknown(Kind::BackendFailed, message))
+}
+
+async fn pass_on(
+    entry: &Entry,
+    sender: &Sender<Result<Bytes, Cut>>,
+    bytes: Bytes,
+) -> Result<(), Cut> {
+    let sent = entry.node.kernel.clock.timeout(CALLER_TIMEOUT, sender.send(Ok(bytes))).await;
+    if matches!(sent, Ok(Ok(()))) { Ok(()) } else { Err(Cut) }
+}
--- /dev/null
+++ b/crates/entry/src/service.rs
@@ -0,0 +1,139 @@
+//! Plain services: `/svc/ROUTE/…`.
+
+use std::sync::Arc;
+
+use fleet::{
+    Name,
+    change::{Access, Repeat},
+    state::{Route, State},
+};
+use front::body::Body;
+use hyper::{HeaderMap, Request, Response, body::Incoming, header::CONTENT_TYPE};
+use ledger::record;
+use quota::pool::Reservation;
+use wire::frame::Target;
+
+use crate::{
+    Entry,
+    answer::{self, Receipt},
+    attempt, caller, completion, handler,
+    job::{self, Job},
+    once,
+    refusal::{Kind, Refusal},
+};
+
+/// Header that makes a non-idempotent request safe to send again.
+const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 256;
+/// Tokens that a call of a plain service takes of its account's rate.
+const CALL_COST: u64 = 1;
+/// Account of callers on routes open to all.
+const OPEN_ACCOUNT: &str = "(open)";
+
+/// Answers a request for a plain service.
+///
+/// # Errors
+///
+/// Any refusal before the answer has begun.
+pub(crate) async fn run(
+    entry: &Arc<Entry>,
+    id: &Name,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Refusal> {
+    let state = handler::known_state(entry)?;
+    let (route, settings) = route(&state, &request)?;
+    let caller = match settings.access {
+        Access::Key => Some(caller::authenticate(&state, request.headers())?),
+        Access::Open => None,
+    };
+    let idempotency_key = idempotency_key(&settings, request.headers())?;
+    let job = job(entry, id, request, route, &settings, caller).await?;
+    entry.node.note(id, format!("{} calls {:?}", job.account, job.target));
+    let reservation = match job.key {
+        Some(_) => completion::admit(entry, &state, &job).await?,
+        None => Reservation::default(),
+    };
+    let receipt = Receipt { reservation, job: job.clone() };
+    let outcome = match idempotency_key {
+        Some(key) => once::run(entry, &job, record::key(&job.account, &key)).await,
+        None => match attempt::run(entry, &job).await {
+            Ok(started) => return Ok(answer::respond(entry, receipt, started).await),
+            Err(refusal) => Err(refusal),
+        },
+    };
+    if let Err(refusal) = &outcome {
+        answer::settle_refused(entry, &receipt, refusal).await;
+    }
+    outcome
+}
+
+fn route(state: &State, request: &Request<Incoming>) -> Result<(Name, Route), Refusal> {
+    let mut parts = request.uri().path().splitn(4, '/').skip(2);
+    let name = parts.next().unwrap_or_default();
+    let Some((name, route)) = state.routes.get_key_value(name) else {
+        let message = format!("no route is called `{name}`; ask the operators for the routes");
+        return Err(Refusal::not_run(Kind::NotFound, message));
+    };
+    Ok((Arc::clone(name), route.clone()))
+}
+
+fn idempotency_key(route: &Route, headers: &HeaderMap) -> Result<Option<String>, Refusal> {
+    if route.repeat == Repeat::Idempotent {
+        return Ok(None);
+    }
+    let given = headers.get(IDEMPOTENCY_HEADER).and_then(|value| value.to_str().ok());
+    let usable = given.filter(|key| !key.is_empty() && key.len() <= MAX_IDEMPOTENCY_KEY_BYTES);
+    let Some(key) = usable else {
+        let message = "this route needs an `Idempotency-Key` header of 1 to 256 characters; \
+                       choose one a call and repeat it when you send the call again";
+        return Err(Refusal::not_run(Kind::BadRequest, message));
+    };
+    Ok(Some(key.to_owned()))
+}
+
+async fn job(
+    entry: &Entry,
+    id: &Name,
+    request: Request<Incoming>,
+    route: Name,
+    settings: &Route,
+    caller: Option<caller::Caller>,
+) -> Result<Job, Refusal> {
+    let method: Name = Arc::from(request.method().as_str());
+    let path = backend_path(&request, &route);
+    let content_type = request.headers().get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let content_type: Name = Arc::from(content_type.unwrap_or("application/octet-stream"));
+    let body = completion::read_body(entry, request).await?;
+    let target = Target::Route { route };
+    let now = entry.node.now();
+    let (account, key) = match caller {
+        Some(caller) => (caller.account, Some(caller.key)),
+        None => (Arc::from(OPEN_ACCOUNT), None),
+    };
+    Ok(Job {
+        request: Arc::clone(id),
+        account,
+        key,
+        fingerprint: job::fingerprint(&target, &method, &path, &body),
+        target,
+        method,
+        path,
+        content_type,
+        body: Arc::from(&*body),
+        cost: CALL_COST,
+        repeat: settings.repeat,
+        urgency: settings.urgency,
+        arrived: now,
+        deadline: now + entry.settings.patience,
+    })
+}
+
+/// The path and query behind the route's name.
+fn backend_path(request: &Request<Incoming>, route: &str) -> Name {
+    let whole = request.uri().path_and_query().map_or("/", |path| path.as_str());
+    let rest = whole.strip_prefix("/svc/").and_then(|rest| rest.strip_prefix(route));
+    match rest.unwrap_or("/") {
+        "" => Arc::from("/"),
+        rest => Arc::from(rest),
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/change.rs
@@ -0,0 +1,91 @@
+//! Records of the configuration stream.
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use crate::{Name, digest::Digest, state::State};
+
+/// One configuration record as it stands in the platform's log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Record {
+    /// Unique; lets an author whose append went unanswered find it again.
+    pub id: Name,
+    pub author: Name,
+    /// Revision the author saw; a record with a stale one is rejected everywhere alike.
+    pub expected: u64,
+    pub change: Change,
+}
+
+/// What a record changes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "kind", deny_unknown_fields)]
+pub enum Change {
+    SetAccount { account: Name, rate: u64, burst: u64 },
+    IssueKey { account: Name, key: Name, digest: Digest },
+    WithdrawKey { key: Name },
+    PublishVersion { adapter: Name, version: u32, model: Name },
+    SelectVersion { adapter: Name, version: u32 },
+    UnpublishVersion { adapter: Name, version: u32 },
+    DrainServer { server: Name },
+    RestoreServer { server: Name },
+    SetRoute { route: Name, access: Access, repeat: Repeat, urgency: Urgency },
+    RemoveRoute { route: Name },
+    /// The folded state up to an offset, appended before older records expire.
+    Snapshot { next: u64, state: Box<State> },
+}
+
+/// Who may call a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Access {
+    Open,
+    Key,
+}
+
+/// Whether a call may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Repeat {
+    Idempotent,
+    NonIdempotent,
+}
+
+/// Whether a caller waits at a screen or not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Urgency {
+    Interactive,
+    Batch,
+}
+
+/// Why a record was rejected; every replica comes to the same answer.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu, Serialize, Deserialize)]
+#[snafu(visibility(pub(crate)))]
+pub enum Rejection {
+    #[snafu(display(
+        "the configuration is at revision {actual}, not {expected}: another change came first; \
+         read the current state and issue the command again"
+    ))]
+    Stale { expected: u64, actual: u64 },
+    #[snafu(display("no account is called `{account}`; create it first"))]
+    NoAccount { account: Name },
+    #[snafu(display("no key has the id `{key}`; list the keys to find it"))]
+    NoKey { key: Name },
+    #[snafu(display("a key with the id `{key}` or the same secret exists; issue a new one"))]
+    KeyExists { key: Name },
+    #[snafu(display("`{adapter}` has no version {version}; publish it first"))]
+    NoVersion { adapter: Name, version: u32 },
+    #[snafu(display(
+        "`{adapter}` version {version} is published for model `{model}`; publish a new version number"
+    ))]
+    VersionExists { adapter: Name, version: u32, model: Name },
+    #[snafu(display("`{adapter}` serves version {version}; select another one before unpublishing it"))]
+    VersionSelected { adapter: Name, version: u32 },
+    #[snafu(display("no route is called `{route}`; list the routes to find it"))]
+    NoRoute { route: Name },
+    #[snafu(display("server `{server}` is not drained; nothing to restore"))]
+    NotDrained { server: Name },
+    #[snafu(display("a burst of {burst} is below one second of the rate {rate}; raise it to at least {rate}"))]
+    BurstTooSmall { rate: u64, burst: u64 },
+}
--- /dev/null
+++ b/crates/fleet/src/lease.rs
@@ -0,0 +1,394 @@
+//! Leases under two witnesses: the order of claims in the platform's log, and
+//! presence in the platform's instance list.
+//!
+//! *Taking over* needs both: the holder's incarnation gone from the list for
+//! `Rules::takeover` (or its release in the log), and a claim that the log
+//! ordered first; then the claimant waits `Rules::takeover` again. *Holding*
+//! needs either, not older than half of that. This is safe when an incarnation
+//! that left the list never comes back and the list's lag stays below half of
+//! `Rules::takeover`; `tests/lease_exploration.rs` explores both inside and
+//! outside these assumptions.
+//!
+//! A claim's offset is its fencing number.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Name, member::Listing};
+
+/// Monotonic time since the process started.
+pub type Moment = Duration;
+
+/// How long a claim may stay unanswered before it is made again.
+const CLAIM_PATIENCE: Duration = Duration::from_secs(2);
+
+/// One run of one process.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Holder {
+    pub instance: Name,
+    pub incarnation: u64,
+}
+
+/// Record of the lease stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "kind", deny_unknown_fields)]
+pub enum Record {
+    /// Takes effect only if `prior` is the fence in force when the log orders it.
+    Claim { resource: Name, holder: Holder, prior: Option<u64> },
+    /// Repeats a claim before its record expires.
+    Renew { resource: Name, holder: Holder, fence: u64 },
+    /// Gives the resource up; `carry` is what the next holder takes over.
+    Release { resource: Name, fence: u64, carry: u64 },
+}
+
+/// Who holds a resource, as the log tells it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Lease {
+    pub holder: Holder,
+    pub fence: u64,
+    /// What the holder passed on when it gave the resource up.
+    pub released: Option<u64>,
+}
+
+/// Times that the safety of leases rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Rules {
+    /// Absence before a claim, and wait after it. Above twice the list's lag.
+    pub takeover: Duration,
+    /// How long the log keeps a record.
+    pub retention: Duration,
+    pub list: ListRule,
+}
+
+/// What the platform's list promises.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ListRule {
+    /// An incarnation that left the list never comes back: either witness suffices to hold.
+    Incarnations,
+    /// No such promise: only the log suffices to hold.
+    LogOnly,
+}
+
+/// Fold of the lease stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Table {
+    pub next: u64,
+    leases: BTreeMap<Name, Lease>,
+    /// Older records have expired, so an unknown resource may be held.
+    is_partial: bool,
+}
+
+impl Table {
+    /// The lease on a resource, released or not.
+    pub fn lease(&self, resource: &str) -> Option<&Lease> {
+        self.leases.get(resource)
+    }
+
+    /// All leases by resource.
+    pub fn leases(&self) -> impl Iterator<Item = (&Name, &Lease)> {
+        self.leases.iter()
+    }
+
+    /// Notes that records before `first` have expired.
+    pub fn skip_to(&mut self, first: u64) {
+        if self.next < first {
+            self.next = first;
+            self.is_partial = true;
+        }
+    }
+
+    /// Folds one record in; tells whether it took effect.
+    pub fn apply(&mut self, offset: u64, record: &Record) -> bool {
+        if offset < self.next {
+            return false;
+        }
+        self.next = offset + 1;
+        match record {
+            Record::Claim { resource, holder, prior } => self.claim(offset, resource, holder, *prior),
+            Record::Renew { resource, holder, fence } => self.renew(resource, holder, *fence),
+            Record::Release { resource, fence, carry } => self.release(resource, *fence, *carry),
+        }
+    }
+
+    fn claim(&mut self, offset: u64, resource: &Name, holder: &Holder, prior: Option<u64>) -> bool {
+        if self.leases.get(resource).map(|lease| lease.fence) != prior {
+            return false;
+        }
+        let lease = Lease { holder: holder.clone(), fence: offset, released: None };
+        self.leases.insert(Arc::clone(resource), lease);
+        true
+    }
+
+    fn renew(&mut self, resource: &Name, holder: &Holder, fence: u64) -> bool {
+        if let Some(lease) = self.leases.get(resource) {
+            return lease.fence == fence && lease.released.is_none();
+        }
+        let lease = Lease { holder: holder.clone(), fence, released: None };
+        self.leases.insert(Arc::clone(resource), lease);
+        true
+    }
+
+    fn release(&mut self, resource: &Name, fence: u64, carry: u64) -> bool {
+        let Some(lease) = self.leases.get_mut(resource) else { return false };
+        let is_current = lease.fence == fence && lease.released.is_none();
+        if is_current {
+            lease.released = Some(carry);
+        }
+        is_current
+    }
+}
+
+/// What one process may hold and claim.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Seat {
+    me: Holder,
+    rules: Rules,
+    table: Table,
+    /// When the last read of the log that reached its tail was asked for.
+    log_asked: Option<Moment>,
+    /// When the last read of the list that showed this incarnation was asked for.
+    list_asked: Option<Moment>,
+    /// This incarnation was seen to have left the list.
+    is_void: bool,
+    /// When an incarnation was first seen to be absent.
+    absent: BTreeMap<Holder, Moment>,
+    tenures: BTreeMap<Name, Tenure>,
+    /// Claims and renewals that were sent and not read back.
+    pending: BTreeMap<Name, Moment>,
+}
+
+/// How a tenure began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Origin {
+    /// Nobody held the resource before.
+    First,
+    /// The holder before gave it up and passed this on.
+    Released(u64),
+    /// The holder before vanished.
+    Taken,
+}
+
+/// A resource held now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    pub fence: u64,
+    pub origin: Origin,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Tenure {
+    fence: u64,
+    origin: Origin,
+    starts: Moment,
+    /// When the claim or its last renewal was read back.
+    confirmed: Moment,
+}
+
+impl Seat {
+    pub fn new(me: Holder, rules: Rules) -> Seat {
+        Seat {
+            me,
+            rules,
+            table: Table::default(),
+            log_asked: None,
+            list_asked: None,
+            is_void: false,
+            absent: BTreeMap::new(),
+            tenures: BTreeMap::new(),
+            pending: BTreeMap::new(),
+        }
+    }
+
+    /// The fold of the lease stream.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Who this process is.
+    pub fn me(&self) -> &Holder {
+        &self.me
+    }
+
+    /// Whether this incarnation has left the list and may hold nothing again.
+    pub fn is_void(&self) -> bool {
+        self.is_void
+    }
+
+    /// Takes in a read of the lease stream up to its tail, asked for at `asked`.
+    pub fn on_log_read<'a>(
+        &mut self,
+        now: Moment,
+        asked: Moment,
+        first: u64,
+        records: impl IntoIterator<Item = (u64, &'a Record)>,
+    ) {
+        self.table.skip_to(first);
+        for (offset, record) in records {
+            self.on_record(now, offset, record);
+        }
+        self.log_asked = self.log_asked.max(Some(asked));
+    }
+
+    /// Takes in a read of the instance list, asked for at `asked`.
+    pub fn on_list_read(&mut self, now: Moment, asked: Moment, listing: &Listing) {
+        if listing.contains(&self.me.instance, self.me.incarnation) {
+            self.list_asked = self.list_asked.max(Some(asked));
+        } else if self.list_asked.is_some() {
+            self.is_void = true;
+        }
+        self.note_absences(now, listing);
+    }
+
+    /// How this process holds `resource` now, if it does.
+    pub fn holds(&self, now: Moment, resource: &str) -> Option<Held> {
+        let tenure = self.tenures.get(resource)?;
+        let lease = self.table.lease(resource)?;
+        let is_mine = lease.fence == tenure.fence && lease.released.is_none();
+        let has_started = tenure.starts <= now;
+        let is_kept = now.saturating_sub(tenure.confirmed) < self.rules.retention / 2;
+        let is_held = is_mine && has_started && is_kept && self.is_witnessed(now);
+        is_held.then_some(Held { fence: tenure.fence, origin: tenure.origin })
+    }
+
+    /// Records to append so that this process comes to hold what it `wanted`.
+    pub fn claims<'a>(
+        &mut self,
+        now: Moment,
+        wanted: impl IntoIterator<Item = &'a Name>,
+    ) -> Vec<Record> {
+        if self.is_void || self.log_asked.is_none() {
+            return Vec::new();
+        }
+        let claims: Vec<_> =
+            wanted.into_iter().filter_map(|resource| self.claim(now, resource)).collect();
+        for record in &claims {
+            self.pending.insert(Arc::clone(record.resource()), now);
+        }
+        claims
+    }
+
+    /// Records that give up everything held, for an orderly stop. `carry` tells
+    /// what each resource passes on to its next holder.
+    pub fn releases(&mut self, carry: impl Fn(&Name) -> u64) -> Vec<Record> {
+        let tenures = std::mem::take(&mut self.tenures);
+        let release = |(resource, tenure): (Name, Tenure)| {
+            let carry = carry(&resource);
+            Record::Release { resource, fence: tenure.fence, carry }
+        };
+        tenures.into_iter().map(release).collect()
+    }
+
+    fn on_record(&mut self, now: Moment, offset: u64, record: &Record) {
+        let origin = self.origin(record.resource());
+        if !self.table.apply(offset, record) {
+            return;
+        }
+        match record {
+            Record::Claim { resource, holder, .. } if *holder == self.me => {
+                let wait = match origin {
+                    Origin::First | Origin::Released(_) => Duration::ZERO,
+                    Origin::Taken => self.rules.takeover,
+                };
+                let tenure = Tenure { fence: offset, origin, starts: now + wait, confirmed: now };
+                self.tenures.insert(Arc::clone(resource), tenure);
+                self.pending.remove(resource);
+            }
+            Record::Claim { resource, .. } => {
+                self.tenures.remove(resource);
+                self.pending.remove(resource);
+            }
+            Record::Renew { resource, holder, .. } if *holder == self.me => {
+                if let Some(tenure) = self.tenures.get_mut(resource) {
+                    tenure.confirmed = now;
+                }
+                self.pending.remove(resource);
+            }
+            Record::Renew { .. } | Record::Release { .. } => {}
+        }
+    }
+
+    /// What a claim that takes effect now would start from.
+    fn origin(&self, resource: &str) -> Origin {
+        match self.table.lease(resource) {
+            Some(Lease { released: Some(carry), .. }) => Origin::Released(*carry),
+            Some(_) => Origin::Taken,
+            None if self.table.is_partial => Origin::Taken,
+            None => Origin::First,
+        }
+    }
+
+    fn note_absences(&mut self, now: Moment, listing: &Listing) {
+        let holders: BTreeSet<_> =
+            self.table.leases.values().map(|lease| lease.holder.clone()).collect();
+        self.absent.retain(|holder, _| holders.contains(holder));
+        for holder in holders {
+            if listing.contains(&holder.instance, holder.incarnation) {
+                self.absent.remove(&holder);
+            } else {
+                self.absent.entry(holder).or_insert(now);
+            }
+        }
+    }
+
+    fn is_witnessed(&self, now: Moment) -> bool {
+        let limit = self.rules.takeover / 2;
+        let is_recent =
+            |asked: Option<Moment>| asked.is_some_and(|asked| now.saturating_sub(asked) <= limit);
+        if self.is_void {
+            return false;
+        }
+        match self.rules.list {
+            ListRule::Incarnations => is_recent(self.log_asked) || is_recent(self.list_asked),
+            ListRule::LogOnly => is_recent(self.log_asked),
+        }
+    }
+
+    fn claim(&self, now: Moment, resource: &Name) -> Option<Record> {
+        let is_pending =
+            self.pending.get(resource).is_some_and(|sent| now.saturating_sub(*sent) < CLAIM_PATIENCE);
+        if is_pending {
+            return None;
+        }
+        let Some(lease) = self.table.lease(resource) else {
+            return Some(self.claim_record(resource, None));
+        };
+        if lease.holder == self.me && lease.released.is_none() {
+            return self.renewal(now, resource);
+        }
+        let is_gone = self
+            .absent
+            .get(&lease.holder)
+            .is_some_and(|since| self.rules.takeover <= now.saturating_sub(*since));
+        (lease.released.is_some() || is_gone).then(|| self.claim_record(resource, Some(lease.fence)))
+    }
+
+    fn renewal(&self, now: Moment, resource: &Name) -> Option<Record> {
+        let tenure = self.tenures.get(resource)?;
+        let is_due = self.rules.retention / 4 <= now.saturating_sub(tenure.confirmed);
+        is_due.then(|| Record::Renew {
+            resource: Arc::clone(resource),
+            holder: self.me.clone(),
+            fence: tenure.fence,
+        })
+    }
+
+    fn claim_record(&self, resource: &Name, prior: Option<u64>) -> Record {
+        Record::Claim { resource: Arc::clone(resource), holder: self.me.clone(), prior }
+    }
+}
+
+impl Record {
+    /// The resource that the record speaks of.
+    pub fn resource(&self) -> &Name {
+        match self {
+            Record::Claim { resource, .. }
+            | Record::Renew { resource, .. }
+            | Record::Release { resource, .. } => resource,
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/server.rs
@@ -0,0 +1,99 @@
+//! The accept loop.
+
+use std::{convert::Infallible, future::Future, io, net::SocketAddr, pin::pin, time::Duration};
+
+use async_net::{TcpListener, TcpStream};
+use futures_lite::future;
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use kernel::{
+    Kernel,
+    drain::{Drain, Guard},
+};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use snafu::{ResultExt as _, Snafu};
+
+use crate::body::Body;
+
+/// Time that a caller may take to send a request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest request head, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Pause after the system refused a connection, so that the loop does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A port could not be opened.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot listen on {address}: {source}; free the port or set another one"))]
+pub struct ListenError {
+    pub address: SocketAddr,
+    pub source: io::Error,
+}
+
+/// Opens a port.
+///
+/// # Errors
+///
+/// [`ListenError`] when the port is taken or not ours.
+pub async fn listen(address: SocketAddr) -> Result<TcpListener, ListenError> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
+/// Serves requests until `drain` stops; then connections end after the request
+/// they are at.
+pub async fn serve<F>(
+    kernel: &Kernel,
+    listener: TcpListener,
+    drain: &Drain,
+    handle: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+) where
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let accept = async {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let connection =
+                        serve_connection(stream, drain.clone(), drain.guard(), handle.clone());
+                    kernel.spawn_detached(connection);
+                }
+                Err(error) => {
+                    log::warn!("a connection was refused: {error}");
+                    kernel.clock.sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    };
+    future::or(accept, drain.stopped()).await;
+}
+
+async fn serve_connection<F>(
+    stream: TcpStream,
+    drain: Drain,
+    guard: Guard,
+    handle: impl Fn(Request<Incoming>) -> F + Send + 'static,
+) where
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let _only_slower = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let response = handle(request);
+        async move { Ok::<_, Infallible>(response.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .half_close(true)
+        .serve_connection(FuturesIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let stopped = async {
+        drain.stopped().await;
+        None
+    };
+    let ended = future::or(async { Some(connection.as_mut().await) }, stopped).await;
+    if ended.is_none() {
+        connection.as_mut().graceful_shutdown();
+        let _closed_by_the_caller = connection.await;
+    }
+    drop(guard);
+}
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,60 @@
+//! What every chivelatch program stands on: executor threads, the clock,
+//! sharded state, the plug-in registry, orderly shutdown, logs and metrics.
+//!
+//! Architecture Invariant: no crate reads the time or spawns a task other than
+//! through this crate, so that a test can pause both.
+
+pub mod clock;
+pub mod drain;
+pub mod logs;
+pub mod monitor;
+pub mod plugin;
+pub mod quic;
+pub mod shard;
+
+use std::{future::Future, sync::Arc, thread};
+
+use async_executor::{Executor, Task};
+use futures_lite::future;
+
+use crate::clock::Clock;
+
+/// Handle to the executor and the clock; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Kernel {
+    executor: Arc<Executor<'static>>,
+    pub clock: Clock,
+}
+
+impl Kernel {
+    /// Starts a task. Dropping the returned handle cancels it.
+    pub fn spawn<T: Send + 'static>(
+        &self,
+        future: impl Future<Output = T> + Send + 'static,
+    ) -> Task<T> {
+        self.executor.spawn(future)
+    }
+
+    /// Starts a task that runs until it ends by itself.
+    pub fn spawn_detached(&self, future: impl Future<Output = ()> + Send + 'static) {
+        self.executor.spawn(future).detach();
+    }
+}
+
+/// Runs `main` on `threads` executor threads and returns its result.
+pub fn run<T, F: Future<Output = T>>(threads: usize, main: impl FnOnce(Kernel) -> F) -> T {
+    let kernel = Kernel { executor: Arc::new(Executor::new()), clock: Clock::default() };
+    let (stop, stopped) = async_channel::bounded::<()>(1);
+    for index in 1..threads.max(1) {
+        let executor = Arc::clone(&kernel.executor);
+        let stopped = stopped.clone();
+        thread::Builder::new()
+            .name(format!("executor-{index}"))
+            .spawn(move || future::block_on(executor.run(stopped.recv())))
+            .expect("the system refused a thread; lower `threads` in the settings");
+    }
+    let executor = Arc::clone(&kernel.executor);
+    let result = async_io::block_on(executor.run(main(kernel)));
+    drop(stop);
+    result
+}
--- /dev/null
+++ b/crates/kernel/src/monitor.rs
@@ -0,0 +1,28 @@
+//! The process's metrics registry and its text rendering.
+
+use std::sync::OnceLock;
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS_SECONDS: [f64; 16] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.056, 0.1, 0.15, 0.25, 0.4, 0.61, 1.0, 2.5, 5.0, 10.0, 30.0,
+];
+
+static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Installs the recorder; later calls are ignored.
+pub fn install() {
+    HANDLE.get_or_init(|| {
+        PrometheusBuilder::new()
+            .set_buckets(&LATENCY_BOUNDS_SECONDS)
+            .expect("the bounds are a fixed non-empty list")
+            .install_recorder()
+            .expect("another metrics recorder is installed; install only one a process")
+    });
+}
+
+/// The metrics page in the Prometheus text format.
+pub fn render() -> String {
+    HANDLE.get().map(PrometheusHandle::render).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/node/src/follow.rs
@@ -0,0 +1,98 @@
+//! Following the configuration stream and the instance list.
+
+use std::{sync::Arc, time::Duration};
+
+use fleet::{change, member::Role, replica::Entry};
+use platform::{
+    list::{News, Tag},
+    log::{self, Batch},
+};
+
+use crate::Node;
+
+/// Stream that holds the configuration.
+pub const CONFIGURATION: &str = "configuration";
+/// Reads of the log a second that the whole fleet may make for one stream.
+const FLEET_READS_PER_SECOND: u32 = 200;
+
+/// Follows the configuration in the log as long as the process runs.
+pub async fn configuration(node: Arc<Node>) {
+    loop {
+        read_configuration(&node).await;
+        let interval = paced(&node, node.settings.log_interval);
+        node.kernel.clock.sleep(interval).await;
+    }
+}
+
+/// Announces this process and follows the instance list as long as it runs.
+pub async fn list(node: Arc<Node>) {
+    let mut tag = None;
+    loop {
+        announce(&node).await;
+        read_list(&node, &mut tag).await;
+        node.kernel.clock.sleep(node.settings.list_interval).await;
+    }
+}
+
+/// Announces this process once.
+pub async fn announce(node: &Node) {
+    let member = node.member();
+    if let Err(error) = (node.list.announce)(&member).await {
+        ::log::debug!("the instance list was not told: {error}");
+    }
+}
+
+/// The interval, stretched so that the whole fleet keeps to its reads a second.
+pub fn paced(node: &Node, interval: Duration) -> Duration {
+    let entries = node.listing().live(Role::Entry).count();
+    let readers = u32::try_from(entries).unwrap_or(u32::MAX);
+    interval.max(Duration::from_secs(1) * readers / FLEET_READS_PER_SECOND)
+}
+
+/// Reads the configuration to the log's tail.
+pub async fn read_configuration(node: &Node) {
+    let asked = node.now();
+    let from = node.replica.read().next();
+    let read = node.log.read_to_tail(CONFIGURATION, from, |batch| take_batch(node, batch)).await;
+    match read {
+        Ok(()) => node.freshness.lock().on_log_read(asked),
+        Err(error) => ::log::debug!("the configuration was not read: {error}"),
+    }
+}
+
+fn take_batch(node: &Node, batch: Batch) {
+    let entries = batch.records.iter().filter_map(|record| {
+        let decoded = log::decode::<change::Record>(CONFIGURATION, record)?;
+        Some(Entry { offset: record.offset, record: Arc::new(decoded) })
+    });
+    let is_changed = {
+        let mut replica = node.replica.write();
+        let before = replica.next();
+        replica.ingest(batch.first, entries);
+        before != replica.next() || replica.state().is_some_and(|state| state.revision == 0)
+    };
+    if is_changed {
+        node.configuration_changed.notify(usize::MAX);
+    }
+}
+
+async fn read_list(node: &Node, tag: &mut Tag) {
+    let asked = node.now();
+    match (node.list.read)(tag.clone()).await {
+        Ok(News::Unchanged) => on_listing(node, asked),
+        Ok(News::Changed { listing, tag: new }) => {
+            *tag = new;
+            *node.listing.write() = Arc::new(listing);
+            on_listing(node, asked);
+        }
+        Err(error) => ::log::debug!("the instance list was not read: {error}"),
+    }
+}
+
+fn on_listing(node: &Node, asked: Duration) {
+    let listing = node.listing();
+    let now = node.now();
+    node.seat.lock().on_list_read(now, asked, &listing);
+    let peers = node.peers(Role::Entry).len();
+    node.freshness.lock().on_list_read(peers);
+}
--- /dev/null
+++ b/crates/node/src/leases.rs
@@ -0,0 +1,112 @@
+//! Following the lease stream, claiming what this process should hold, and
+//! giving it up.
+
+use std::{sync::Arc, time::Duration};
+
+use fleet::{
+    Name,
+    lease::{Holder, Record, Seat},
+    member::Role,
+};
+use placement::rendezvous::{self, Server};
+use platform::log::{self, Batch};
+
+use crate::{Node, follow};
+
+/// Stream that holds the leases.
+pub const LEASES: &str = "leases";
+/// Pause after an incarnation was lost, before the next read.
+const RESTART_PAUSE: Duration = Duration::from_millis(50);
+
+/// Follows the lease stream and claims what `wanted` names.
+pub async fn run(node: Arc<Node>, wanted: impl Fn(&Node) -> Vec<Name>) {
+    loop {
+        renew_incarnation(&node);
+        let claimed = read_and_claim(&node, &wanted).await;
+        let interval = follow::paced(&node, node.settings.log_interval);
+        let pause = if claimed { RESTART_PAUSE } else { interval };
+        node.kernel.clock.sleep(pause).await;
+    }
+}
+
+/// Reads the lease stream to its tail.
+///
+/// # Errors
+///
+/// The log could not be read; what was read before counts.
+pub async fn read(node: &Node) -> Result<(), platform::http::Error> {
+    let asked = node.now();
+    let from = node.with_seat(|seat| seat.table().next);
+    let mut batches = Vec::new();
+    node.log.read_to_tail(LEASES, from, |batch| batches.push(batch)).await?;
+    let now = node.now();
+    node.with_seat(|seat| batches.iter().for_each(|batch| take_batch(seat, now, asked, batch)));
+    Ok(())
+}
+
+/// Gives up everything that this process holds. `carry` tells what each
+/// resource passes on.
+pub async fn release(node: &Node, carry: impl Fn(&Name) -> u64) {
+    let releases = node.with_seat(|seat| seat.releases(carry));
+    for record in releases {
+        append(node, &record).await;
+    }
+}
+
+/// Whether this process is the one to claim a resource that nobody holds.
+pub fn is_preferred(node: &Node, resource: &str) -> bool {
+    let listing = node.listing();
+    let servers: Vec<_> = listing
+        .live(Role::Entry)
+        .map(|member| Server::new(Arc::clone(&member.instance), Arc::clone(&member.zone), 1))
+        .collect();
+    let first = rendezvous::first(rendezvous::seed(resource), &servers, 1);
+    first.first().is_some_and(|index| servers[*index].name == node.settings.instance)
+}
+
+fn take_batch(seat: &mut Seat, now: Duration, asked: Duration, batch: &Batch) {
+    let records: Vec<_> = batch
+        .records
+        .iter()
+        .filter_map(|record| Some((record.offset, log::decode::<Record>(LEASES, record)?)))
+        .collect();
+    let records = records.iter().map(|(offset, record)| (*offset, record));
+    seat.on_log_read(now, asked, batch.first, records);
+}
+
+/// Claims what is wanted; tells whether anything was appended.
+async fn read_and_claim(node: &Node, wanted: &impl Fn(&Node) -> Vec<Name>) -> bool {
+    if let Err(error) = read(node).await {
+        ::log::debug!("the leases were not read: {error}");
+        return false;
+    }
+    if node.drain.is_stopping() {
+        return false;
+    }
+    let wanted = wanted(node);
+    let now = node.now();
+    let claims = node.with_seat(|seat| seat.claims(now, &wanted));
+    for record in &claims {
+        append(node, record).await;
+    }
+    !claims.is_empty()
+}
+
+async fn append(node: &Node, record: &Record) {
+    // A claim that was not acknowledged is found by the next read, or made again later.
+    if let Err(error) = (node.log.append)(LEASES, log::encode(record)).await {
+        ::log::warn!("a lease record was not acknowledged: {error}");
+    }
+}
+
+/// An incarnation that left the list holds nothing any more; a new one starts afresh.
+fn renew_incarnation(node: &Node) {
+    node.with_seat(|seat| {
+        if !seat.is_void() {
+            return;
+        }
+        let me = Holder { instance: Arc::clone(&seat.me().instance), incarnation: rand::random() };
+        ::log::warn!("this incarnation left the instance list; continuing as a new one");
+        *seat = Seat::new(me, node.settings.lease_rules());
+    });
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,234 @@
+//! What every process of the fleet does beside its own work: it follows the
+//! configuration, the leases and the instance list, exchanges news with peers,
+//! and stops in order.
+//!
+//! Architecture Invariant: decisions live in the pure crates; this crate feeds
+//! them with what it reads and carries out what they say.
+
+pub mod exchange;
+pub mod follow;
+pub mod leases;
+pub mod program;
+pub mod settings;
+pub mod snapshot;
+pub mod trace;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration, time::Instant};
+
+use event_listener::{Event, EventListener};
+use fleet::{
+    Name,
+    freshness::Freshness,
+    lease::{Holder, Moment, Seat},
+    member::{Listing, Member, Phase, Role},
+    replica::Replica,
+    state::State,
+    suspect,
+};
+use kernel::{Kernel, drain::Drain};
+use parking_lot::{Mutex, RwLock};
+use platform::{list::List, log::Log};
+use wire::{
+    frame::{Call, HoldStatus, Reply, Status},
+    identity,
+    link::Link,
+};
+
+use crate::{settings::Settings, trace::Trace};
+
+/// Time that a small call between processes may take.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// One process of the fleet; shared by all its tasks.
+pub struct Node {
+    pub kernel: Kernel,
+    pub settings: Settings,
+    pub log: Log,
+    pub list: List,
+    pub link: Link,
+    pub drain: Drain,
+    pub trace: Trace,
+    start: Instant,
+    kind: Kind,
+    replica: RwLock<Replica>,
+    listing: RwLock<Arc<Listing>>,
+    seat: Mutex<Seat>,
+    freshness: Mutex<Freshness>,
+    suspects: Mutex<suspect::List>,
+    configuration_changed: Event,
+}
+
+/// What a process is beside its settings.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    pub role: Role,
+    /// Backend server beside a side process.
+    pub server: Option<Name>,
+    pub weight: u32,
+    /// Routes of a plain service; empty for a model engine.
+    pub routes: Vec<Name>,
+}
+
+impl Node {
+    pub fn new(kernel: &Kernel, settings: Settings, kind: Kind, link: Link) -> Arc<Node> {
+        let limit = settings.platform_timeout;
+        let me = Holder { instance: Arc::clone(&settings.instance), incarnation: rand::random() };
+        Arc::new(Node {
+            kernel: kernel.clone(),
+            log: Log::over_http(kernel, settings.log, limit),
+            list: List::over_http(kernel, settings.list, limit),
+            link,
+            drain: Drain::default(),
+            trace: Trace::default(),
+            start: kernel.clock.now(),
+            kind,
+            replica: RwLock::default(),
+            listing: RwLock::default(),
+            seat: Mutex::new(Seat::new(me, settings.lease_rules())),
+            freshness: Mutex::default(),
+            suspects: Mutex::new(suspect::List::new(settings.suspect_memory)),
+            configuration_changed: Event::new(),
+            settings,
+        })
+    }
+
+    /// Monotonic time since the process started.
+    pub fn now(&self) -> Moment {
+        self.kernel.clock.now().saturating_duration_since(self.start)
+    }
+
+    /// This process as the instance list shows it.
+    pub fn member(&self) -> Member {
+        let phase = if self.drain.is_stopping() { Phase::Leaving } else { Phase::Live };
+        Member {
+            instance: Arc::clone(&self.settings.instance),
+            incarnation: self.seat.lock().me().incarnation,
+            role: self.kind.role,
+            zone: Arc::clone(&self.settings.zone),
+            address: self.settings.fleet_address,
+            phase,
+            server: self.kind.server.clone(),
+            weight: self.kind.weight,
+            routes: self.kind.routes.clone(),
+        }
+    }
+
+    /// The configuration, once known.
+    pub fn state(&self) -> Option<Arc<State>> {
+        self.replica.read().state().cloned()
+    }
+
+    /// Notifies after the next change of the configuration.
+    pub fn configuration_change(&self) -> EventListener {
+        self.configuration_changed.listen()
+    }
+
+    /// The instance list as last read.
+    pub fn listing(&self) -> Arc<Listing> {
+        Arc::clone(&self.listing.read())
+    }
+
+    /// Other live instances of a role.
+    pub fn peers(&self, role: Role) -> Vec<Member> {
+        let listing = self.listing();
+        let others = listing.live(role).filter(|member| member.instance != self.settings.instance);
+        others.cloned().collect()
+    }
+
+    /// Whether no withdrawn key can have been missed for longer than the limit.
+    pub fn is_fresh(&self) -> bool {
+        let is_whole = !self.replica.read().is_behind();
+        is_whole && self.freshness.lock().is_fresh(self.now(), self.settings.staleness_limit)
+    }
+
+    /// Runs `use_seat` with the leases.
+    pub fn with_seat<T>(&self, use_seat: impl FnOnce(&mut Seat) -> T) -> T {
+        use_seat(&mut self.seat.lock())
+    }
+
+    /// Runs `use_suspects` with the requests suspected of crashing engines.
+    pub fn with_suspects<T>(&self, use_suspects: impl FnOnce(&mut suspect::List) -> T) -> T {
+        use_suspects(&mut self.suspects.lock())
+    }
+
+    /// Where the holder of a resource is reached.
+    pub fn holder_address(&self, resource: &str) -> Option<SocketAddr> {
+        let holder = {
+            let seat = self.seat.lock();
+            let lease = seat.table().lease(resource)?;
+            if lease.released.is_some() {
+                return None;
+            }
+            lease.holder.clone()
+        };
+        let listing = self.listing();
+        let mut members = listing.members.iter();
+        let is_holder = |member: &&Member| {
+            member.instance == holder.instance && member.incarnation == holder.incarnation
+        };
+        members.find(is_holder).map(|member| member.address)
+    }
+
+    /// Asks another process something that has one short answer.
+    ///
+    /// # Errors
+    ///
+    /// See [`Link::ask`].
+    pub async fn ask(&self, peer: &Member, call: &Call) -> Result<Reply, wire::link::Error> {
+        self.link.ask(peer.address, identity_role(peer.role), call, CALL_TIMEOUT).await
+    }
+
+    /// Notes a decision about a request, for `explain`.
+    pub fn note(&self, request: &Name, what: impl Into<Arc<str>>) {
+        let at_ms = self.kernel.clock.unix_ms();
+        self.trace.note(request, at_ms, &self.settings.instance, what.into());
+    }
+
+    /// The part of the status that every process has.
+    pub fn status(&self) -> Status {
+        let replica = self.replica.read();
+        let seat = self.seat.lock();
+        let holds = seat.table().leases().map(|(resource, lease)| HoldStatus {
+            resource: Arc::clone(resource),
+            lease: lease.clone(),
+        });
+        Status {
+            instance: Arc::clone(&self.settings.instance),
+            zone: Arc::clone(&self.settings.zone),
+            role: Arc::from(identity_role(self.kind.role).file_stem()),
+            revision: replica.state().map_or(0, |state| state.revision),
+            next: replica.next(),
+            is_fresh: self.freshness.lock().is_fresh(self.now(), self.settings.staleness_limit),
+            is_stopping: self.drain.is_stopping(),
+            server: self.kind.server.clone(),
+            holds: holds.collect(),
+            ..Status::default()
+        }
+    }
+
+    /// Answers the calls that every process answers.
+    pub fn answer(&self, call: &Call) -> Option<Reply> {
+        match call {
+            Call::Sync { next } => Some(Reply::Update(self.replica.read().since(*next))),
+            Call::Suspects(reports) => {
+                let now = self.now();
+                self.with_suspects(|list| {
+                    for report in reports {
+                        list.report(now, report);
+                    }
+                });
+                Some(Reply::Done)
+            }
+            Call::Explain { request } => Some(Reply::Explanation(self.trace.steps(request))),
+            _ => None,
+        }
+    }
+}
+
+/// Role in certificates of a role in the instance list.
+pub fn identity_role(role: Role) -> identity::Role {
+    match role {
+        Role::Entry => identity::Role::Entry,
+        Role::Side => identity::Role::Side,
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,110 @@
+//! Settings that every process of the fleet has.
+
+use std::{net::SocketAddr, time::Duration};
+
+use fleet::{
+    Name,
+    lease::{ListRule, Rules},
+};
+use logforth::record::{Level, LevelFilter};
+use settings::document::Section;
+use wire::identity::Files;
+
+const MAX_MS: u64 = 600_000;
+const MAX_SECONDS: u64 = 30 * 86_400;
+const MAX_THREADS: u64 = 64;
+
+/// Settings shared by entry instances and side processes.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub instance: Name,
+    pub zone: Name,
+    pub threads: usize,
+    pub log_level: LevelFilter,
+    /// Where other processes of the fleet reach this one.
+    pub fleet_address: SocketAddr,
+    pub identity: Files,
+    pub log: SocketAddr,
+    pub list: SocketAddr,
+    pub platform_timeout: Duration,
+    pub log_interval: Duration,
+    pub list_interval: Duration,
+    pub exchange_interval: Duration,
+    /// How long the log keeps a record.
+    pub retention: Duration,
+    /// Absence before a lease is taken over.
+    pub takeover: Duration,
+    pub list_rule: ListRule,
+    /// Age of the last news after which keyed requests are refused.
+    pub staleness_limit: Duration,
+    /// How long an orderly stop waits for running work.
+    pub stop_limit: Duration,
+    /// How long an orderly stop goes on taking work, until the list shows it.
+    pub stop_notice: Duration,
+    /// How long a request that crashed engines is refused.
+    pub suspect_memory: Duration,
+}
+
+impl Settings {
+    /// Reads the shared settings.
+    pub fn read(section: &Section<'_>) -> Settings {
+        let fleet = section.section("fleet");
+        let platform = section.section("platform");
+        let timing = section.section("timing");
+        let identity = Files {
+            authority: fleet.path("authority"),
+            certificate: fleet.path("certificate"),
+            key: fleet.path("key"),
+        };
+        let takeover = timing.milliseconds("takeover_ms", 100..=MAX_MS, 4000);
+        let list_lag = platform.milliseconds("list_lag_ms", 0..=MAX_MS, 1000);
+        if takeover <= 2 * list_lag {
+            timing.reject(
+                "takeover_ms",
+                takeover.as_millis(),
+                "more than twice platform.list_lag_ms",
+                "raise it, or two instances may hold one lease",
+            );
+        }
+        let list_rule = match platform.choice("list_promises", &["incarnations", "nothing"], "incarnations") {
+            "nothing" => ListRule::LogOnly,
+            _ => ListRule::Incarnations,
+        };
+        Settings {
+            instance: section.text("instance"),
+            zone: section.text("zone"),
+            threads: section.number("threads", 1..=MAX_THREADS, 2) as usize,
+            log_level: read_log_level(section),
+            fleet_address: fleet.address("address"),
+            identity,
+            log: platform.address("log"),
+            list: platform.address("list"),
+            platform_timeout: platform.milliseconds("timeout_ms", 10..=MAX_MS, 1000),
+            log_interval: timing.milliseconds("log_interval_ms", 10..=MAX_MS, 300),
+            list_interval: timing.milliseconds("list_interval_ms", 10..=MAX_MS, 500),
+            exchange_interval: timing.milliseconds("exchange_interval_ms", 10..=MAX_MS, 500),
+            retention: Duration::from_secs(platform.number("retention_s", 10..=MAX_SECONDS, 86_400)),
+            takeover,
+            list_rule,
+            staleness_limit: timing.milliseconds("staleness_limit_ms", 100..=MAX_MS, 3000),
+            stop_limit: timing.milliseconds("stop_limit_ms", 0..=MAX_MS, 60_000),
+            stop_notice: timing.milliseconds("stop_notice_ms", 0..=MAX_MS, 1500),
+            suspect_memory: timing.milliseconds("suspect_memory_ms", 100..=MAX_MS, 600_000),
+        }
+    }
+
+    /// Times that the safety of leases rests on.
+    pub fn lease_rules(&self) -> Rules {
+        Rules { takeover: self.takeover, retention: self.retention, list: self.list_rule }
+    }
+}
+
+fn read_log_level(section: &Section<'_>) -> LevelFilter {
+    let level = match section.choice("log_level", &["error", "warn", "info", "debug"], "info") {
+        "error" => Level::Error,
+        "warn" => Level::Warn,
+        "debug" => Level::Debug,
+        _ => Level::Info,
+    };
+    LevelFilter::MoreSevereEqual(level)
+}
--- /dev/null
+++ b/crates/node/src/trace.rs
@@ -0,0 +1,34 @@
+//! What was decided about recent requests, for `explain`.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use fleet::Name;
+use parking_lot::Mutex;
+use wire::frame::Step;
+
+/// Decisions remembered.
+const KEPT_STEPS: usize = 8192;
+
+/// Ring of decisions.
+#[derive(Debug, Default)]
+pub struct Trace {
+    steps: Mutex<VecDeque<(Name, Step)>>,
+}
+
+impl Trace {
+    /// Notes a decision.
+    pub fn note(&self, request: &Name, at_ms: u64, instance: &Name, what: Arc<str>) {
+        let step = Step { at_ms, instance: Arc::clone(instance), what };
+        let mut steps = self.steps.lock();
+        if KEPT_STEPS <= steps.len() {
+            steps.pop_front();
+        }
+        steps.push_back((Arc::clone(request), step));
+    }
+
+    /// Decisions about one request, oldest first.
+    pub fn steps(&self, request: &Name) -> Vec<Step> {
+        let steps = self.steps.lock();
+        steps.iter().filter(|(known, _)| known == request).map(|(_, step)| step.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/placement/src/rendezvous.rs
@@ -0,0 +1,72 @@
+//! Weighted rendezvous hashing, spread over availability zones.
+//!
+//! Source: Thaler and Ravishankar, "Using name-based mappings to increase hit
+//! rates", IEEE/ACM Transactions on Networking 6(1), 1998; the weights are the
+//! logarithmic method of Schindelhauer and Schomaker (SPAA 2005).
+
+use fleet::Name;
+use smallvec::SmallVec;
+
+/// Replicas of one adapter that fit on the stack.
+pub const USUAL_REPLICAS: usize = 8;
+
+/// A backend server as placement sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Server {
+    pub name: Name,
+    pub zone: Name,
+    /// Relative capacity.
+    pub weight: u32,
+    seed: u64,
+}
+
+/// Positions in the list of servers, best first.
+pub type Order = SmallVec<[usize; USUAL_REPLICAS]>;
+
+impl Server {
+    pub fn new(name: Name, zone: Name, weight: u32) -> Server {
+        let seed = seed(&name);
+        Server { name, zone, weight, seed }
+    }
+}
+
+/// Seed of a name for scoring.
+pub fn seed(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| mix(hash ^ u64::from(byte)))
+}
+
+/// The first `count` servers for an adapter. Each next one comes from the zone
+/// that has the fewest so far, by the highest score in it.
+pub fn first(adapter: u64, servers: &[Server], count: usize) -> Order {
+    let mut order = Order::new();
+    let scores: Vec<f64> = servers.iter().map(|server| score(adapter, server)).collect();
+    while order.len() < count.min(servers.len()) {
+        let next = (0..servers.len())
+            .filter(|index| !order.contains(index))
+            .min_by(|a, b| {
+                let zones = zone_count(servers, &order, *a).cmp(&zone_count(servers, &order, *b));
+                zones.then(scores[*b].total_cmp(&scores[*a]))
+            });
+        let Some(next) = next else { break };
+        order.push(next);
+    }
+    order
+}
+
+fn zone_count(servers: &[Server], order: &Order, index: usize) -> usize {
+    order.iter().filter(|chosen| servers[**chosen].zone == servers[index].zone).count()
+}
+
+fn score(adapter: u64, server: &Server) -> f64 {
+    let hash = mix(adapter ^ server.seed.rotate_left(32));
+    let unit = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    -f64::from(server.weight.max(1)) / unit.ln()
+}
+
+/// Finalizer of SplitMix64 (Steele, Lea and Flood, OOPSLA 2014).
+fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/crates/placement/src/slots.rs
@@ -0,0 +1,178 @@
+//! The adapter slots of one backend server. Its side process is the authority:
+//! an adapter is pinned from the moment a request needs it, before its load
+//! ends, and a pinned adapter is never evicted.
+
+use std::time::Duration;
+
+use fleet::lease::Moment;
+
+/// Half-life of a slot's use count.
+const USE_HALF_LIFE: Duration = Duration::from_secs(60);
+
+/// Rates an adapter for eviction; the lowest rating goes first.
+#[derive(Debug)]
+pub struct Victim {
+    pub name: &'static str,
+    pub rating: fn(Usage, Moment) -> f64,
+}
+
+inventory::collect!(Victim);
+
+inventory::submit! {
+    Victim { name: "frequency", rating: decayed_uses }
+}
+
+inventory::submit! {
+    Victim { name: "lru", rating: |usage, _now| usage.last_used.as_secs_f64() }
+}
+
+/// How an adapter has been used while loaded.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    pub last_used: Moment,
+    /// Use count at `last_used`, decayed.
+    pub uses: f64,
+}
+
+/// An adapter at one version.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key {
+    pub adapter: fleet::Name,
+    pub version: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Loading,
+    Resident,
+}
+
+#[derive(Clone, Debug)]
+struct Slot {
+    key: Key,
+    phase: Phase,
+    pins: u32,
+    usage: Usage,
+}
+
+/// What a request for an adapter leads to. In every case but `Full` it is pinned.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Pin {
+    /// Loaded.
+    Resident,
+    /// Somebody else is loading it.
+    Loading,
+    /// The caller has to load it, after unloading the victim.
+    Load { victim: Option<Key> },
+    /// Every slot is pinned.
+    Full,
+}
+
+/// Slots of one backend server.
+#[derive(Clone, Debug)]
+pub struct Slots {
+    capacity: usize,
+    rating: fn(Usage, Moment) -> f64,
+    slots: Vec<Slot>,
+}
+
+impl Slots {
+    pub fn new(capacity: usize, victim: &Victim) -> Slots {
+        Slots { capacity, rating: victim.rating, slots: Vec::new() }
+    }
+
+    /// Pins an adapter for one request.
+    pub fn pin(&mut self, now: Moment, key: &Key) -> Pin {
+        if let Some(slot) = self.slots.iter_mut().find(|slot| slot.key == *key) {
+            slot.pins += 1;
+            slot.usage = used(slot.usage, now);
+            return match slot.phase {
+                Phase::Resident => Pin::Resident,
+                Phase::Loading => Pin::Loading,
+            };
+        }
+        let victim = if self.slots.len() < self.capacity { None } else { self.victim(now) };
+        if self.capacity <= self.slots.len() && victim.is_none() {
+            return Pin::Full;
+        }
+        let victim = victim.map(|index| self.slots.swap_remove(index).key);
+        let usage = used(Usage::default(), now);
+        self.slots.push(Slot { key: key.clone(), phase: Phase::Loading, pins: 1, usage });
+        Pin::Load { victim }
+    }
+
+    /// Ends one request's use.
+    pub fn unpin(&mut self, key: &Key) {
+        if let Some(slot) = self.slots.iter_mut().find(|slot| slot.key == *key) {
+            slot.pins = slot.pins.saturating_sub(1);
+        }
+    }
+
+    /// The load that `pin` asked for has ended.
+    pub fn loaded(&mut self, key: &Key) {
+        if let Some(slot) = self.slots.iter_mut().find(|slot| slot.key == *key) {
+            slot.phase = Phase::Resident;
+        }
+    }
+
+    /// The load failed, or the engine lost the adapter.
+    pub fn remove(&mut self, key: &Key) {
+        self.slots.retain(|slot| slot.key != *key);
+    }
+
+    /// Takes in an adapter that the engine has loaded without this process's order;
+    /// tells whether there was room.
+    pub fn adopt(&mut self, now: Moment, key: Key) -> bool {
+        if self.capacity <= self.slots.len() || self.is_present(&key) {
+            return false;
+        }
+        let usage = Usage { last_used: now, uses: 0.0 };
+        self.slots.push(Slot { key, phase: Phase::Resident, pins: 0, usage });
+        true
+    }
+
+    /// The engine restarted: nothing is loaded there.
+    pub fn clear(&mut self) {
+        self.slots.clear();
+    }
+
+    /// Whether an adapter is loaded or being loaded.
+    pub fn is_present(&self, key: &Key) -> bool {
+        self.slots.iter().any(|slot| slot.key == *key)
+    }
+
+    /// Whether an adapter is loaded.
+    pub fn is_resident(&self, key: &Key) -> bool {
+        self.slots.iter().any(|slot| slot.key == *key && slot.phase == Phase::Resident)
+    }
+
+    /// Whether a new adapter could be taken in now.
+    pub fn has_room(&self) -> bool {
+        self.slots.len() < self.capacity || self.slots.iter().any(is_evictable)
+    }
+
+    /// Adapters with their pins, for reports.
+    pub fn list(&self) -> impl Iterator<Item = (&Key, u32)> {
+        self.slots.iter().map(|slot| (&slot.key, slot.pins))
+    }
+
+    fn victim(&self, now: Moment) -> Option<usize> {
+        let rating = |index: &usize| (self.rating)(self.slots[*index].usage, now);
+        (0..self.slots.len())
+            .filter(|index| is_evictable(&self.slots[*index]))
+            .min_by(|a, b| rating(a).total_cmp(&rating(b)))
+    }
+}
+
+fn is_evictable(slot: &Slot) -> bool {
+    slot.pins == 0 && slot.phase == Phase::Resident
+}
+
+fn used(usage: Usage, now: Moment) -> Usage {
+    Usage { last_used: now, uses: decayed_uses(usage, now) + 1.0 }
+}
+
+fn decayed_uses(usage: Usage, now: Moment) -> f64 {
+    let elapsed = now.saturating_sub(usage.last_used).as_secs_f64();
+    usage.uses * 0.5f64.powf(elapsed / USE_HALF_LIFE.as_secs_f64())
+}
--- /dev/null
+++ b/crates/settings/src/arguments.rs
@@ -0,0 +1,92 @@
+//! The command line that every program shares: `--settings`, `--check`,
+//! `--help` and `--version`.
+
+use std::{env, path::PathBuf, process::ExitCode};
+
+use getopts::Options;
+
+use crate::{
+    document::{Document, Section},
+    problem::Error,
+};
+
+/// Exit status for a wrong command line.
+pub const USAGE_STATUS: u8 = 64;
+/// Exit status for settings that cannot be used.
+pub const SETTINGS_STATUS: u8 = 78;
+
+/// What a program says of itself.
+#[derive(Clone, Copy, Debug)]
+pub struct About {
+    pub name: &'static str,
+    pub summary: &'static str,
+    pub version: &'static str,
+}
+
+/// Reads the settings that the command line names and hands them to `run`.
+pub fn main<T>(
+    about: About,
+    read: impl FnOnce(&Section<'_>) -> T,
+    run: impl FnOnce(T) -> ExitCode,
+) -> ExitCode {
+    let mut options = standard_options();
+    options.optopt("s", "settings", "YAML file with the settings", "FILE");
+    options.optflag("", "check", "check the settings and exit");
+    let matches = match options.parse(env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(error) => return usage_error(about, &error.to_string()),
+    };
+    if let Some(status) = answer_standard(about, &options, &matches) {
+        return status;
+    }
+    let Some(path) = matches.opt_str("settings") else {
+        return usage_error(about, "no settings given; pass --settings FILE");
+    };
+    match load(PathBuf::from(path), read) {
+        Ok(_) if matches.opt_present("check") => {
+            println!("the settings are valid");
+            ExitCode::SUCCESS
+        }
+        Ok(settings) => run(settings),
+        Err(error) => {
+            eprintln!("{}: {error}", about.name);
+            ExitCode::from(SETTINGS_STATUS)
+        }
+    }
+}
+
+/// Options that every program has.
+pub fn standard_options() -> Options {
+    let mut options = Options::new();
+    options.optflag("h", "help", "print this help");
+    options.optflag("V", "version", "print the version");
+    options
+}
+
+/// Answers `--help` and `--version`.
+pub fn answer_standard(
+    about: About,
+    options: &Options,
+    matches: &getopts::Matches,
+) -> Option<ExitCode> {
+    if matches.opt_present("help") {
+        let brief = format!("{}\n\nUsage: {} [OPTIONS]", about.summary, about.name);
+        print!("{}", options.usage(&brief));
+        return Some(ExitCode::SUCCESS);
+    }
+    if matches.opt_present("version") {
+        println!("{} {}", about.name, about.version);
+        return Some(ExitCode::SUCCESS);
+    }
+    None
+}
+
+/// Reports a wrong command line.
+pub fn usage_error(about: About, message: &str) -> ExitCode {
+    eprintln!("{}: {message}; see {} --help", about.name, about.name);
+    ExitCode::from(USAGE_STATUS)
+}
+
+fn load<T>(path: PathBuf, read: impl FnOnce(&Section<'_>) -> T) -> Result<T, Error> {
+    Document::open(&path)?.read(read)
+}
--- /dev/null
+++ b/crates/side/src/bin/chivelatch-side.rs
@@ -0,0 +1,14 @@
+//! The side process, as a program.
+
+use std::process::ExitCode;
+
+use settings::arguments::{self, About};
+
+fn main() -> ExitCode {
+    let about = About {
+        name: "chivelatch-side",
+        summary: "Side process of one backend server: slots, queue, load orders and drain",
+        version: env!("CARGO_PKG_VERSION"),
+    };
+    arguments::main(about, side::settings::Settings::read, side::main)
+}
--- /dev/null
+++ b/crates/side/src/dispatch.rs
@@ -0,0 +1,214 @@
+//! Deciding which waiting attempt starts next.
+
+use std::{sync::Arc, time::Duration};
+
+use async_channel::Sender;
+use fleet::{Name, change::Urgency};
+use futures_lite::future;
+use placement::slots::{Key, Pin};
+use schedule::queue::{Fit, Item};
+use wire::frame::{Exposure, NotBegun};
+
+use crate::{Core, Loaded, Side, load};
+
+/// How often deadlines are looked at.
+const TICK: Duration = Duration::from_millis(20);
+
+/// An attempt in the queue.
+pub(crate) struct Job {
+    pub(crate) key: Option<Key>,
+    pub(crate) exposure: Exposure,
+    pub(crate) cost: u64,
+    pub(crate) start: Sender<Start>,
+}
+
+/// What the dispatcher tells a waiting attempt.
+#[derive(Debug)]
+pub(crate) enum Start {
+    /// Run now; the adapter is pinned and loaded.
+    Go(Ticket),
+    NotBegun(NotBegun),
+}
+
+/// The right to use the engine for one attempt. Its drop ends the use.
+pub(crate) struct Ticket {
+    side: Arc<Side>,
+    key: Option<Key>,
+    cost: u64,
+    exposure: Exposure,
+    /// Crash count of the engine when the attempt started.
+    pub(crate) epoch: u64,
+}
+
+/// A popped attempt whose adapter may still be loading. Its drop unpins.
+struct Pinned {
+    side: Arc<Side>,
+    key: Option<Key>,
+}
+
+/// Starts waiting attempts as long as the process runs.
+pub(crate) async fn run(side: Arc<Side>) {
+    loop {
+        let woken = side.wake.listen();
+        turn_away(&side);
+        while let Some(job) = next(&side) {
+            begin(&side, job);
+        }
+        future::or(woken, side.node.kernel.clock.sleep(TICK)).await;
+    }
+}
+
+/// Adds an attempt to the queue.
+///
+/// # Errors
+///
+/// [`NotBegun::QueueFull`] at the queue's limit.
+pub(crate) fn enqueue(
+    side: &Side,
+    account: Name,
+    group: Name,
+    urgency: Urgency,
+    patience: Duration,
+    job: Job,
+) -> Result<(), NotBegun> {
+    let now = side.node.now();
+    let item = Item {
+        account,
+        group,
+        cost: job.cost,
+        urgency,
+        arrived: now,
+        deadline: now + patience,
+        work: job,
+    };
+    let pushed = side.core.lock().queue.push(item);
+    pushed.map_err(|_| NotBegun::QueueFull)?;
+    side.wake.notify(usize::MAX);
+    Ok(())
+}
+
+/// Attempts that cannot start here any more are told so at once.
+fn turn_away(side: &Side) {
+    let now = side.node.now();
+    let refusal = side.refusal();
+    let mut core = side.core.lock();
+    let late = core.queue.take_expired(now);
+    let refused = if refusal.is_some() { core.queue.take_if(|_| true) } else { Vec::new() };
+    let gone = core.queue.take_if(|item| item.work.start.is_closed());
+    drop(core);
+    for item in late {
+        let _gone = item.work.start.try_send(Start::NotBegun(NotBegun::TooLate));
+    }
+    for item in refused {
+        let reason = refusal.clone().unwrap_or(NotBegun::Leaving);
+        let _gone = item.work.start.try_send(Start::NotBegun(reason));
+    }
+    drop(gone);
+}
+
+fn next(side: &Side) -> Option<Job> {
+    let now = side.node.now();
+    let mut core = side.core.lock();
+    if core.is_exclusive || side.settings.batch <= core.running {
+        return None;
+    }
+    let Core { queue, slots, running, .. } = &mut *core;
+    let item = queue.pop(now, |item| match (&item.work.key, item.work.exposure) {
+        (_, Exposure::Alone) if 0 < *running => Fit::Blocked,
+        (None, _) => Fit::Ready,
+        (Some(key), _) if slots.is_present(key) => Fit::Ready,
+        (Some(_), _) if slots.has_room() => Fit::Loadable,
+        (Some(_), _) => Fit::Blocked,
+    })?;
+    Some(item.work)
+}
+
+/// Pins the adapter and starts the attempt, at once or after a load.
+fn begin(side: &Arc<Side>, job: Job) {
+    let now = side.node.now();
+    let pinned = Pinned { side: Arc::clone(side), key: job.key.clone() };
+    let Some(key) = job.key.clone() else { return start(pinned, job) };
+    let (loaded, wait) = async_channel::bounded(1);
+    let mut core = side.core.lock();
+    let pin = core.slots.pin(now, &key);
+    match pin {
+        Pin::Resident => {
+            drop(core);
+            start(pinned, job);
+        }
+        Pin::Loading => {
+            core.loading.entry(key).or_default().push(loaded);
+            drop(core);
+            start_after_load(side, pinned, job, wait);
+        }
+        Pin::Load { victim } => {
+            core.loading.entry(key.clone()).or_default().push(loaded);
+            drop(core);
+            side.node.kernel.spawn_detached(load::run(Arc::clone(side), key, victim));
+            start_after_load(side, pinned, job, wait);
+        }
+        Pin::Full => {
+            drop(core);
+            let _gone = job.start.try_send(Start::NotBegun(NotBegun::QueueFull));
+        }
+    }
+}
+
+fn start_after_load(
+    side: &Side,
+    pinned: Pinned,
+    job: Job,
+    wait: async_channel::Receiver<Loaded>,
+) {
+    side.node.kernel.spawn_detached(async move {
+        match wait.recv().await {
+            Ok(Loaded::Yes) => start(pinned, job),
+            Ok(Loaded::No) | Err(_) => {
+                let _gone = job.start.try_send(Start::NotBegun(NotBegun::LoadFailed));
+            }
+        }
+    });
+}
+
+fn start(mut pinned: Pinned, job: Job) {
+    let side = Arc::clone(&pinned.side);
+    let epoch = {
+        let mut core = side.core.lock();
+        core.running += 1;
+        core.running_tokens += job.cost;
+        core.is_exclusive |= job.exposure == Exposure::Alone;
+        core.epoch
+    };
+    let key = pinned.key.take();
+    let ticket = Ticket { side, key, cost: job.cost, exposure: job.exposure, epoch };
+    // An attempt whose caller has gone drops its ticket here.
+    let _gone = job.start.try_send(Start::Go(ticket));
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let mut core = self.side.core.lock();
+        core.running -= 1;
+        core.running_tokens -= self.cost;
+        core.is_exclusive &= self.exposure != Exposure::Alone;
+        if let Some(key) = &self.key {
+            core.slots.unpin(key);
+        }
+        drop(core);
+        self.side.wake.notify(usize::MAX);
+    }
+}
+
+impl Drop for Pinned {
+    fn drop(&mut self) {
+        let Some(key) = &self.key else { return };
+        self.side.core.lock().slots.unpin(key);
+        self.side.wake.notify(usize::MAX);
+    }
+}
+
+impl std::fmt::Debug for Ticket {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Ticket").field("key", &self.key).field("epoch", &self.epoch).finish()
+    }
+}
--- /dev/null
+++ b/crates/side/src/engine_watch.rs
@@ -0,0 +1,88 @@
+//! Noticing that the engine has gone, and that it is back.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use fleet::Name;
+use placement::slots::Key;
+
+use crate::{Side, load};
+
+/// Pause between two looks at an engine that is away.
+const DOWN_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between two comparisons of what should be loaded with what is.
+const UP_PAUSE: Duration = Duration::from_secs(1);
+/// Time that the engine may take to list its adapters.
+const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Watches the engine as long as the process runs.
+pub(crate) async fn run(side: Arc<Side>) {
+    loop {
+        let is_down = side.core.lock().is_engine_down;
+        side.node.kernel.clock.sleep(if is_down { DOWN_PAUSE } else { UP_PAUSE }).await;
+        if !side.settings.routes.is_empty() {
+            side.core.lock().is_engine_down = false;
+            continue;
+        }
+        let before = expected(&side);
+        if let Ok(loaded) = side.engine.loaded(LIST_TIMEOUT).await {
+            compare(&side, &before, &loaded);
+        }
+    }
+}
+
+/// What this process expected of the engine when it asked.
+struct Expected {
+    resident: Vec<Key>,
+    is_quiet: bool,
+}
+
+/// The engine crashed under an attempt that started in `epoch`.
+pub(crate) fn note_crash(side: &Side, epoch: u64) {
+    let mut core = side.core.lock();
+    if core.epoch != epoch {
+        return;
+    }
+    core.epoch += 1;
+    core.is_engine_down = true;
+    core.slots.clear();
+    metrics::counter!("chivelatch_engine_crashes_total").increment(1);
+    drop(core);
+    log::warn!("the engine of {} crashed", side.settings.server);
+    side.wake.notify(usize::MAX);
+}
+
+/// Whether the engine still has an adapter.
+pub(crate) async fn has(side: &Side, model: &str) -> bool {
+    let loaded = side.engine.loaded(LIST_TIMEOUT).await;
+    loaded.is_ok_and(|loaded| loaded.iter().any(|known| &**known == model))
+}
+
+fn expected(side: &Side) -> Expected {
+    let core = side.core.lock();
+    let keys = core.slots.list().map(|(key, _)| key);
+    let resident = keys.filter(|key| core.slots.is_resident(key)).cloned().collect();
+    Expected { resident, is_quiet: core.loading.is_empty() }
+}
+
+/// The engine is back. Forgets adapters that it lost, and takes in those that it
+/// has without an order of this process: from before a restart of this process,
+/// or from an order that took effect late.
+fn compare(side: &Side, before: &Expected, loaded: &[Name]) {
+    let names: BTreeSet<&str> = loaded.iter().map(|name| &**name).collect();
+    let now = side.node.now();
+    let mut core = side.core.lock();
+    core.is_engine_down = false;
+    for key in &before.resident {
+        if core.slots.is_resident(key) && !names.contains(load::model(key).as_str()) {
+            log::warn!("the engine of {} lost {}", side.settings.server, load::model(key));
+            core.slots.remove(key);
+        }
+    }
+    if before.is_quiet && core.loading.is_empty() {
+        for key in loaded.iter().filter_map(|name| load::parse_model(name)) {
+            core.slots.adopt(now, key);
+        }
+    }
+    drop(core);
+    side.wake.notify(usize::MAX);
+}
--- /dev/null
+++ b/crates/side/src/lib.rs
@@ -0,0 +1,260 @@
+//! The side process: one beside each backend server, and the only way to it.
+//! It owns the server's adapter slots, their pins, the queue, the orders to
+//! load and unload, and the drain.
+//!
+//! Architecture Invariant: an order is given to the engine only while this
+//! process holds the server's lease, checked again after every wait.
+
+mod answer;
+mod attempt;
+mod dispatch;
+mod engine_watch;
+mod events;
+mod load;
+pub mod settings;
+
+use std::{
+    collections::HashMap,
+    process::ExitCode,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use event_listener::Event;
+use fleet::{Name, lease::Held};
+use kernel::{Kernel, plugin};
+use node::{Kind, Node, leases, program};
+use parking_lot::Mutex;
+use placement::{
+    rendezvous,
+    slots::{Key, Slots},
+};
+use platform::engine::Engine;
+use schedule::queue::Queue;
+use wire::{
+    codec,
+    frame::{Call, Load, NotBegun, Reply, SlotStatus, Status, Target},
+    identity::Role,
+    link::{Exchange, Link},
+};
+
+use crate::{dispatch::Job, settings::Settings};
+
+/// One side process; shared by all its tasks.
+pub struct Side {
+    node: Arc<Node>,
+    settings: Settings,
+    engine: Engine,
+    lease: Name,
+    core: Mutex<Core>,
+    /// Work arrived, ended, or a load did.
+    wake: Event,
+    in_flight: AtomicU64,
+}
+
+/// What the dispatcher decides from, under one lock: the slots and the queue of
+/// one server are decided on together.
+struct Core {
+    slots: Slots,
+    queue: Queue<Job>,
+    /// Attempts at the engine.
+    running: u64,
+    running_tokens: u64,
+    /// An attempt that has to be alone runs.
+    is_exclusive: bool,
+    /// Jobs that wait for a load.
+    loading: HashMap<Key, Vec<async_channel::Sender<Loaded>>>,
+    /// Counts crashes of the engine seen by this process.
+    epoch: u64,
+    is_engine_down: bool,
+}
+
+/// How a load ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loaded {
+    Yes,
+    No,
+}
+
+/// Runs a side process until SIGTERM.
+pub fn main(settings: Settings) -> ExitCode {
+    let threads = settings.node.threads;
+    let log_level = settings.node.log_level;
+    program::run(threads, log_level, |kernel| async move {
+        match open(&kernel, settings) {
+            Ok(side) => side.run_to_stop().await,
+            Err(error) => {
+                log::error!("{error}");
+                ExitCode::FAILURE
+            }
+        }
+    })
+}
+
+/// Opens the process's address and starts its tasks.
+///
+/// # Errors
+///
+/// The address or the certificates cannot be used.
+pub fn open(kernel: &Kernel, settings: Settings) -> Result<Arc<Side>, wire::link::OpenError> {
+    let files = settings.node.identity.clone();
+    let link = Link::open(kernel, settings.node.fleet_address, files)?;
+    let kind = Kind {
+        role: fleet::member::Role::Side,
+        server: Some(Arc::clone(&settings.server)),
+        weight: settings.weight,
+        routes: settings.routes.clone(),
+    };
+    let node = Node::new(kernel, settings.node.clone(), kind, link);
+    let side = Arc::new(Side::new(node, settings));
+    side.start();
+    Ok(side)
+}
+
+impl Side {
+    fn new(node: Arc<Node>, settings: Settings) -> Side {
+        let dialect = plugin::find("openai").expect("the dialect is part of this program");
+        let core = Core {
+            slots: Slots::new(settings.slots, settings.victim),
+            queue: Queue::new(settings.discipline, settings.queue_limit),
+            running: 0,
+            running_tokens: 0,
+            is_exclusive: false,
+            loading: HashMap::new(),
+            epoch: 0,
+            is_engine_down: false,
+        };
+        Side {
+            engine: Engine::new(&node.kernel, settings.backend, dialect),
+            lease: Arc::from(format!("server/{}", settings.server)),
+            core: Mutex::new(core),
+            wake: Event::new(),
+            in_flight: AtomicU64::new(0),
+            node,
+            settings,
+        }
+    }
+
+    fn start(self: &Arc<Side>) {
+        let kernel = &self.node.kernel;
+        program::start(&self.node);
+        let lease = Arc::clone(&self.lease);
+        let leases = leases::run(Arc::clone(&self.node), move |_| vec![Arc::clone(&lease)]);
+        kernel.spawn_detached(leases);
+        kernel.spawn_detached(dispatch::run(Arc::clone(self)));
+        kernel.spawn_detached(engine_watch::run(Arc::clone(self)));
+        let side = Arc::clone(self);
+        let link = self.node.link.clone();
+        kernel.spawn_detached(async move {
+            link.serve(move |role, call, exchange| serve(Arc::clone(&side), role, call, exchange))
+                .await;
+        });
+    }
+
+    async fn run_to_stop(self: Arc<Side>) -> ExitCode {
+        program::wait_for_stop(&self.node).await;
+        self.stop().await
+    }
+
+    /// Ends what runs, gives the lease up and closes.
+    pub async fn stop(&self) -> ExitCode {
+        self.wake.notify(usize::MAX);
+        let clock = &self.node.kernel.clock;
+        clock.sleep(self.node.settings.stop_notice).await;
+        let is_done = self.node.drain.finish(clock, self.node.settings.stop_limit).await;
+        leases::release(&self.node, |_| 0).await;
+        self.node.link.close().await;
+        if is_done { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    }
+
+    /// How this process holds its server, if it does.
+    fn held(&self) -> Option<Held> {
+        let now = self.node.now();
+        self.node.with_seat(|seat| seat.holds(now, &self.lease))
+    }
+
+    /// Why new work is not taken, if so.
+    fn refusal(&self) -> Option<NotBegun> {
+        if self.is_leaving() {
+            return Some(NotBegun::Leaving);
+        }
+        if self.held().is_none() {
+            return Some(NotBegun::NotHolder);
+        }
+        self.core.lock().is_engine_down.then_some(NotBegun::EngineDown)
+    }
+
+    fn is_leaving(&self) -> bool {
+        let is_drained = |state: Arc<fleet::state::State>| {
+            state.drained_servers.contains(&self.settings.server)
+        };
+        self.node.drain.is_stopping() || self.node.state().is_some_and(is_drained)
+    }
+
+    fn serves(&self, target: &Target) -> bool {
+        match target {
+            Target::Adapter { .. } => self.settings.routes.is_empty(),
+            Target::Route { route } => self.settings.routes.contains(route),
+        }
+    }
+
+    fn load_for(&self, target: &Target) -> Load {
+        let core = self.core.lock();
+        Load {
+            queued_tokens: core.queue.tokens() + core.running_tokens,
+            is_resident: match key_of(target) {
+                Some(key) => core.slots.is_present(&key),
+                None => true,
+            },
+            has_free_slot: core.slots.has_room(),
+        }
+    }
+
+    fn status(&self) -> Status {
+        let core = self.core.lock();
+        let slots = core.slots.list().map(|(key, pins)| SlotStatus {
+            adapter: Arc::clone(&key.adapter),
+            version: key.version,
+            pins,
+        });
+        Status {
+            in_flight: self.in_flight.load(Ordering::Relaxed),
+            queued: core.queue.len() as u64,
+            queued_tokens: core.queue.tokens(),
+            slots: slots.collect(),
+            ..self.node.status()
+        }
+    }
+
+    /// Names one crash of this server's engine, the same for all that ran in it.
+    fn crash_id(&self, epoch: u64) -> u64 {
+        let incarnation = self.node.with_seat(|seat| seat.me().incarnation);
+        rendezvous::seed(&self.settings.server) ^ incarnation ^ epoch.rotate_left(32)
+    }
+}
+
+/// The adapter that a target needs.
+fn key_of(target: &Target) -> Option<Key> {
+    match target {
+        Target::Adapter { adapter, version } => {
+            Some(Key { adapter: Arc::clone(adapter), version: *version })
+        }
+        Target::Route { .. } => None,
+    }
+}
+
+async fn serve(side: Arc<Side>, role: Role, call: Call, mut exchange: Exchange) {
+    let reply = match call {
+        Call::Attempt(attempt) if role == Role::Entry => {
+            return attempt::run(&side, *attempt, exchange).await;
+        }
+        Call::Probe(target) if role == Role::Entry => Reply::Load(side.load_for(&target)),
+        Call::Status => Reply::Status(Box::new(side.status())),
+        call => side.node.answer(&call).unwrap_or(Reply::Forbidden),
+    };
+    if let Err(error) = codec::send(&mut exchange.send, &reply).await {
+        log::debug!("an answer was not sent: {error}");
+    }
+}
--- /dev/null
+++ b/crates/side/src/settings.rs
@@ -0,0 +1,83 @@
+//! Settings of a side process.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use ::settings::document::Section;
+use fleet::Name;
+use kernel::plugin::inventory;
+use placement::slots::Victim;
+use schedule::discipline::Discipline;
+
+const MAX_SLOTS: u64 = 1024;
+const MAX_QUEUE: u64 = 100_000;
+const MAX_MS: u64 = 600_000;
+const MAX_WEIGHT: u64 = 1000;
+
+/// Settings of one side process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub node: node::settings::Settings,
+    /// Name of the backend server.
+    pub server: Name,
+    /// Where the backend server answers.
+    pub backend: SocketAddr,
+    /// Routes of a plain service; empty for a model engine.
+    pub routes: Vec<Name>,
+    /// Relative capacity.
+    pub weight: u32,
+    /// Adapters that the engine holds at once.
+    pub slots: usize,
+    /// Requests that the engine decodes together.
+    pub batch: u64,
+    pub queue_limit: usize,
+    pub discipline: &'static Discipline,
+    pub victim: &'static Victim,
+    /// Time that one load may take.
+    pub load_timeout: Duration,
+    /// Tries of one load before its waiters are turned away.
+    pub load_tries: u64,
+}
+
+impl Settings {
+    /// Reads the settings.
+    pub fn read(section: &Section<'_>) -> Settings {
+        let backend = section.section("backend");
+        let routes = backend.sections("routes");
+        let routes: Vec<Name> = routes.iter().map(|route| route.text("name")).collect();
+        let disciplines: Vec<&'static str> =
+            inventory::iter::<Discipline>.into_iter().map(|plugin| plugin.name).collect();
+        let victims: Vec<&'static str> =
+            inventory::iter::<Victim>.into_iter().map(|plugin| plugin.name).collect();
+        let discipline = backend.choice("discipline", &disciplines, "fair");
+        let victim = backend.choice("victim", &victims, "frequency");
+        Settings {
+            node: node::settings::Settings::read(section),
+            server: backend.text("name"),
+            backend: backend.address("address"),
+            routes,
+            weight: backend.number("weight", 1..=MAX_WEIGHT, 1) as u32,
+            slots: backend.number("slots", 1..=MAX_SLOTS, 8) as usize,
+            batch: backend.number("batch", 1..=MAX_SLOTS, 32),
+            queue_limit: backend.number("queue_limit", 1..=MAX_QUEUE, 512) as usize,
+            discipline: find_discipline(discipline),
+            victim: find_victim(victim),
+            load_timeout: backend.milliseconds("load_timeout_ms", 1..=MAX_MS, 10_000),
+            load_tries: backend.number("load_tries", 1..=10, 3),
+        }
+    }
+
+    /// Name of the backend server, for logs.
+    pub fn server_name(&self) -> Name {
+        Arc::clone(&self.server)
+    }
+}
+
+fn find_discipline(name: &str) -> &'static Discipline {
+    let mut known = inventory::iter::<Discipline>.into_iter();
+    known.find(|plugin| plugin.name == name).expect("the name was checked against the plug-ins")
+}
+
+fn find_victim(name: &str) -> &'static Victim {
+    let mut known = inventory::iter::<Victim>.into_iter();
+    known.find(|plugin| plugin.name == name).expect("the name was checked against the plug-ins")
+}
--- /dev/null
+++ b/crates/standins/src/bin/standin-list.rs
@@ -0,0 +1,19 @@
+//! Stand-in for the platform's instance list, as a program.
+
+use std::process::ExitCode;
+
+use standins::{list, program};
+
+const MAX_MS: u64 = 60_000;
+
+fn main() -> ExitCode {
+    program::main(
+        "standin-list",
+        "Stand-in for the platform's instance list",
+        |section| list::Settings {
+            expiry: section.milliseconds("expiry_ms", 1..=MAX_MS, 2000),
+            lag: section.milliseconds("lag_ms", 0..=MAX_MS, 200),
+        },
+        list::serve,
+    )
+}
--- /dev/null
+++ b/crates/standins/src/engine/completion.rs
@@ -0,0 +1,200 @@
+//! Completions, whole and streamed.
+
+use std::sync::Arc;
+
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use fleet::digest::Digest;
+use front::body::{self, Body, Cut};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{HeaderName, HeaderValue},
+};
+use platform::engine::REQUEST_HEADER;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::{
+    engine::{Engine, Run, orders},
+    http, service,
+};
+
+/// Tokens generated when the request does not say.
+const DEFAULT_TOKENS: u64 = 16;
+/// Characters of the digest in an answer.
+const DIGEST_CHARACTERS: usize = 16;
+
+#[derive(Deserialize)]
+struct Ask {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u64>,
+    messages: Option<Value>,
+    prompt: Option<Value>,
+}
+
+/// One accepted request.
+struct Job {
+    id: String,
+    model: String,
+    is_chat: bool,
+    prompt_tokens: u64,
+    words: Vec<String>,
+    generation: u64,
+    tokens: Receiver<()>,
+    is_truncated: bool,
+}
+
+/// Runs a completion.
+pub async fn run(engine: Arc<Engine>, request: Request<Incoming>) -> Response<Body> {
+    let is_chat = request.uri().path().ends_with("chat/completions");
+    let id = request.headers().get(REQUEST_HEADER).and_then(|id| id.to_str().ok());
+    let id = id.unwrap_or("none").to_owned();
+    let leaked = service::leaked_keys(&request);
+    let body = http::read(&engine.kernel.clock, request).await;
+    let Ok(ask) = serde_json::from_slice::<Ask>(&body) else {
+        return http::plain(StatusCode::BAD_REQUEST, "not a completion request");
+    };
+    let prompt = ask.messages.or(ask.prompt).unwrap_or_default().to_string();
+    if !engine.state.lock().adapters.contains(&ask.model) {
+        return http::plain(StatusCode::NOT_FOUND, "the model does not exist");
+    }
+    let digest = Digest::of(&prompt).to_string()[..DIGEST_CHARACTERS].to_owned();
+    let run = Run { request: id.clone(), model: ask.model.clone(), digest: digest.clone(), leaked };
+    engine.journal.lock().runs.push(run);
+    if engine.is_crashed_by(&prompt) {
+        engine.crash();
+        return orders::cut();
+    }
+    let is_crossed = engine.take(|faults| &mut faults.cross);
+    let model = if is_crossed { "another@9".to_owned() } else { ask.model.clone() };
+    let count = ask.max_tokens.unwrap_or(DEFAULT_TOKENS).max(1);
+    let job = Job {
+        id,
+        words: words(&model, &digest, count),
+        prompt_tokens: (prompt.len() as u64).div_ceil(4),
+        is_chat,
+        generation: engine.generation(),
+        tokens: engine.batch.add(&ask.model, count),
+        is_truncated: engine.take(|faults| &mut faults.truncate),
+        model,
+    };
+    if ask.stream { stream(engine, job) } else { whole(&engine, job).await }
+}
+
+async fn whole(engine: &Engine, job: Job) -> Response<Body> {
+    let mut received = 0;
+    while received < job.words.len() && job.tokens.recv().await.is_ok() {
+        received += 1;
+    }
+    if received < job.words.len() || job.generation != engine.generation() {
+        return orders::cut();
+    }
+    let text = job.words.join(" ");
+    let choice = if job.is_chat {
+        json!({ "index": 0, "finish_reason": "stop",
+                "message": { "role": "assistant", "content": text } })
+    } else {
+        json!({ "index": 0, "finish_reason": "stop", "text": text })
+    };
+    let answer = json!({
+        "id": job.id,
+        "object": if job.is_chat { "chat.completion" } else { "text_completion" },
+        "model": job.model,
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": job.prompt_tokens,
+            "completion_tokens": received,
+            "total_tokens": job.prompt_tokens + received as u64,
+        },
+    });
+    let response = if job.is_truncated { truncated(&answer) } else { http::json(StatusCode::OK, &answer) };
+    named(response, &job.id)
+}
+
+/// The head and half of an answer.
+fn truncated(answer: &Value) -> Response<Body> {
+    let text = answer.to_string();
+    let (sender, response) = body::streamed(StatusCode::OK, "application/json");
+    let _closed = sender.try_send(Ok(Bytes::from(text[..text.len() / 2].to_owned())));
+    response
+}
+
+fn stream(engine: Arc<Engine>, job: Job) -> Response<Body> {
+    let (sender, response) = body::streamed(StatusCode::OK, "text/event-stream");
+    let response = named(response, &job.id);
+    let kernel = engine.kernel.clone();
+    kernel.spawn_detached(async move { send_events(&engine, &job, &sender).await });
+    response
+}
+
+async fn send_events(engine: &Engine, job: &Job, sender: &Sender<Result<Bytes, Cut>>) {
+    let count = if job.is_truncated { job.words.len() / 2 } else { job.words.len() };
+    for (index, word) in job.words.iter().take(count).enumerate() {
+        if job.tokens.recv().await.is_err() || job.generation != engine.generation() {
+            let _closed = sender.send(Err(Cut)).await;
+            return;
+        }
+        let text = if index == 0 { word.clone() } else { format!(" {word}") };
+        if sender.send(Ok(event(&chunk(job, &text)))).await.is_err() {
+            return;
+        }
+    }
+    if job.is_truncated {
+        return;
+    }
+    let usage = json!({
+        "id": job.id,
+        "model": job.model,
+        "choices": [],
+        "usage": {
+            "prompt_tokens": job.prompt_tokens,
+            "completion_tokens": job.words.len(),
+            "total_tokens": job.prompt_tokens + job.words.len() as u64,
+        },
+    });
+    let _closed = sender.send(Ok(event(&usage))).await;
+    let _closed = sender.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
+}
+
+fn chunk(job: &Job, text: &str) -> Value {
+    let choice = if job.is_chat {
+        json!({ "index": 0, "delta": { "content": text }, "finish_reason": null })
+    } else {
+        json!({ "index": 0, "text": text, "finish_reason": null })
+    };
+    let object = if job.is_chat { "chat.completion.chunk" } else { "text_completion" };
+    json!({ "id": job.id, "object": object, "model": job.model, "choices": [choice] })
+}
+
+fn event(value: &Value) -> Bytes {
+    Bytes::from(format!("data: {value}\n\n"))
+}
+
+/// The answer names what ran, filled up to the number of tokens asked for.
+fn words(model: &str, digest: &str, count: u64) -> Vec<String> {
+    let (adapter, version) = model.rsplit_once('@').unwrap_or((model, "?"));
+    let named = [
+        format!("adapter={adapter}"),
+        format!("version={version}"),
+        format!("digest={digest}"),
+    ];
+    let filler = (named.len() as u64..).map(|index| format!("w{index}"));
+    named.into_iter().chain(filler).take(count as usize).collect()
+}
+
+fn named(mut response: Response<Body>, id: &str) -> Response<Body> {
+    if let Ok(value) = HeaderValue::from_str(id) {
+        response.headers_mut().insert(HeaderName::from_static(REQUEST_HEADER), value);
+    }
+    response
+}
+
+impl Engine {
+    fn is_crashed_by(&self, prompt: &str) -> bool {
+        let faults = self.faults.lock();
+        faults.crash_on.as_ref().is_some_and(|mark| prompt.contains(mark))
+    }
+}
--- /dev/null
+++ b/crates/standins/src/http.rs
@@ -0,0 +1,57 @@
+//! What every stand-in's HTTP interface shares.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use front::body::{self, Body};
+use hyper::{Request, Response, StatusCode, Uri, body::Incoming};
+use kernel::{Kernel, clock::Clock};
+use serde::{Serialize, de::DeserializeOwned};
+
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Reads a request's body; an unreadable one is empty.
+pub async fn read(clock: &Clock, request: Request<Incoming>) -> Bytes {
+    body::read(clock, request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await.unwrap_or_default()
+}
+
+/// Answers with JSON.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let text = serde_json::to_vec(value).expect("answers hold only names, numbers and text");
+    body::whole(status, "application/json", text)
+}
+
+/// Answers with a status and a short text.
+pub fn plain(status: StatusCode, text: &str) -> Response<Body> {
+    body::whole(status, "text/plain", text.to_owned())
+}
+
+/// Takes new faults from a request's body.
+pub async fn set_faults<T: DeserializeOwned>(
+    kernel: &Kernel,
+    request: Request<Incoming>,
+    set: impl FnOnce(T),
+) -> Response<Body> {
+    let body = read(&kernel.clock, request).await;
+    match serde_json::from_slice(&body) {
+        Ok(faults) => {
+            set(faults);
+            plain(StatusCode::OK, "ok")
+        }
+        Err(error) => plain(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+}
+
+/// Never answers; the caller runs into its timeout.
+pub async fn hang(kernel: &Kernel) -> Response<Body> {
+    const FOREVER: Duration = Duration::from_secs(3600);
+    kernel.clock.sleep(FOREVER).await;
+    plain(StatusCode::GATEWAY_TIMEOUT, "")
+}
+
+/// A number from the query part of an address.
+pub fn query_number(uri: &Uri, name: &str) -> Option<u64> {
+    let pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok())
+}
--- /dev/null
+++ b/crates/wire/src/link.rs
@@ -0,0 +1,217 @@
+//! Connections between processes: kept open, made when needed, dropped when
+//! they fail.
+
+use std::{collections::HashMap, future::Future, io, net::SocketAddr, net::UdpSocket, sync::Arc, time::Duration};
+
+use kernel::Kernel;
+use parking_lot::Mutex;
+use quinn::{ClientConfig, Connection, Endpoint, EndpointConfig, Incoming, RecvStream, SendStream, VarInt};
+use rustls::pki_types::CertificateDer;
+use snafu::{ResultExt as _, Snafu};
+
+use crate::{
+    codec,
+    frame::{Call, Reply},
+    identity::{self, Files, Identity, Role},
+};
+
+/// Time that a new connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How often the certificate files are looked at for renewal.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Why a call failed.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    #[snafu(display("no connection to {address}: {reason}; check that it runs and shares the authority"))]
+    Connect { address: SocketAddr, reason: String },
+    #[snafu(display("{source}"))]
+    Frame { source: codec::Error },
+    #[snafu(display("{source}"))]
+    Timeout { source: kernel::clock::Timeout },
+}
+
+/// Why the endpoint could not be opened.
+#[derive(Debug, Snafu)]
+pub enum OpenError {
+    #[snafu(display("{source}"))]
+    Identity { source: identity::Error },
+    #[snafu(display("cannot open {address}: {source}; free the port or set another one"))]
+    Bind { address: SocketAddr, source: io::Error },
+}
+
+/// This process's end of all its connections.
+#[derive(Clone, Debug)]
+pub struct Link {
+    kernel: Kernel,
+    endpoint: Endpoint,
+    /// Replaced when the certificates are renewed.
+    client: Arc<Mutex<ClientConfig>>,
+    connections: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
+}
+
+/// A call that is being answered.
+#[derive(Debug)]
+pub struct Exchange {
+    pub send: SendStream,
+    pub receive: RecvStream,
+}
+
+impl Link {
+    /// Opens `address` for calls to and from other processes, and takes up
+    /// renewed certificates from `files` as long as it runs.
+    ///
+    /// # Errors
+    ///
+    /// [`OpenError`] when the port or the certificates cannot be used.
+    pub fn open(kernel: &Kernel, address: SocketAddr, files: Files) -> Result<Link, OpenError> {
+        let identity = Identity::load(&files).context(IdentitySnafu)?;
+        let server = identity.server_config().context(IdentitySnafu)?;
+        let client = identity.client_config().context(IdentitySnafu)?;
+        let socket = UdpSocket::bind(address).context(BindSnafu { address })?;
+        let runtime = Arc::new(kernel.clone());
+        let endpoint =
+            Endpoint::new(EndpointConfig::default(), Some(server), socket, runtime)
+                .context(BindSnafu { address })?;
+        let client = Arc::new(Mutex::new(client));
+        let link = Link { kernel: kernel.clone(), endpoint, client, connections: Arc::default() };
+        kernel.spawn_detached(renew(link.clone(), files));
+        Ok(link)
+    }
+
+    /// Address that this end is bound to.
+    pub fn local_address(&self) -> io::Result<SocketAddr> {
+        self.endpoint.local_addr()
+    }
+
+    /// Serves calls with `handle` until the endpoint is closed.
+    pub async fn serve<F: Future<Output = ()> + Send + 'static>(
+        &self,
+        handle: impl Fn(Role, Call, Exchange) -> F + Clone + Send + Sync + 'static,
+    ) {
+        while let Some(incoming) = self.endpoint.accept().await {
+            let kernel = self.kernel.clone();
+            let handle = handle.clone();
+            self.kernel.spawn_detached(serve_connection(kernel, incoming, handle));
+        }
+    }
+
+    /// Makes a call and leaves the stream open for its answers.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`]; nothing is retried here.
+    pub async fn call(&self, peer: SocketAddr, role: Role, call: &Call) -> Result<Exchange, Error> {
+        let connection = self.connection(peer, role).await?;
+        let opened = connection.open_bi().await;
+        let (mut send, receive) = opened.map_err(|error| {
+            self.forget(peer, &connection);
+            Error::Connect { address: peer, reason: error.to_string() }
+        })?;
+        codec::send(&mut send, call).await.context(FrameSnafu)?;
+        Ok(Exchange { send, receive })
+    }
+
+    /// Makes a call that has one answer, within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`]; nothing is retried here.
+    pub async fn ask(
+        &self,
+        peer: SocketAddr,
+        role: Role,
+        call: &Call,
+        limit: Duration,
+    ) -> Result<Reply, Error> {
+        let exchange = async {
+            let mut exchange = self.call(peer, role, call).await?;
+            codec::receive(&mut exchange.receive).await.context(FrameSnafu)
+        };
+        self.kernel.clock.timeout(limit, exchange).await.context(TimeoutSnafu)?
+    }
+
+    /// Closes every connection.
+    pub async fn close(&self) {
+        self.endpoint.close(VarInt::from_u32(0), b"stopped");
+        let _timeout = self.kernel.clock.timeout(CONNECT_TIMEOUT, self.endpoint.wait_idle()).await;
+    }
+
+    async fn connection(&self, peer: SocketAddr, role: Role) -> Result<Connection, Error> {
+        let known = self.connections.lock().get(&peer).cloned();
+        if let Some(connection) = known.filter(|known| known.close_reason().is_none()) {
+            return Ok(connection);
+        }
+        let refused = |reason: String| Error::Connect { address: peer, reason };
+        let client = self.client.lock().clone();
+        let connecting = self
+            .endpoint
+            .connect_with(client, peer, role.server_name())
+            .map_err(|error| refused(error.to_string()))?;
+        let connected = self.kernel.clock.timeout(CONNECT_TIMEOUT, connecting).await;
+        let connection = connected
+            .context(TimeoutSnafu)?
+            .map_err(|error| refused(error.to_string()))?;
+        self.connections.lock().insert(peer, connection.clone());
+        Ok(connection)
+    }
+
+    fn forget(&self, peer: SocketAddr, failed: &Connection) {
+        let mut connections = self.connections.lock();
+        if connections.get(&peer).is_some_and(|known| known.stable_id() == failed.stable_id()) {
+            connections.remove(&peer);
+        }
+    }
+}
+
+async fn serve_connection<F: Future<Output = ()> + Send + 'static>(
+    kernel: Kernel,
+    incoming: Incoming,
+    handle: impl Fn(Role, Call, Exchange) -> F + Clone + Send + Sync + 'static,
+) {
+    let Ok(connection) = incoming.await else {
+        log::warn!("a process without a certificate of this fleet tried to connect");
+        return;
+    };
+    let Some(role) = peer_role(&connection) else {
+        connection.close(VarInt::from_u32(1), b"the certificate names no role");
+        return;
+    };
+    while let Ok((send, receive)) = connection.accept_bi().await {
+        kernel.spawn_detached(serve_stream(role, send, receive, handle.clone()));
+    }
+}
+
+async fn serve_stream<F: Future<Output = ()>>(
+    role: Role,
+    send: SendStream,
+    mut receive: RecvStream,
+    handle: impl Fn(Role, Call, Exchange) -> F,
+) {
+    match codec::receive(&mut receive).await {
+        Ok(call) => handle(role, call, Exchange { send, receive }).await,
+        Err(error) => log::warn!("a call was dropped: {error}"),
+    }
+}
+
+fn peer_role(connection: &Connection) -> Option<Role> {
+    let identity = connection.peer_identity()?;
+    let chain = identity.downcast::<Vec<CertificateDer<'static>>>().ok()?;
+    Role::of(chain.first()?)
+}
+
+/// New connections use renewed certificates; open ones keep theirs.
+async fn renew(link: Link, files: Files) {
+    loop {
+        link.kernel.clock.sleep(RENEWAL_INTERVAL).await;
+        let renewed = Identity::load(&files)
+            .and_then(|identity| Ok((identity.server_config()?, identity.client_config()?)));
+        match renewed {
+            Ok((server, client)) => {
+                link.endpoint.set_server_config(Some(server));
+                *link.client.lock() = client;
+            }
+            Err(error) => log::warn!("the certificates were not renewed: {error}"),
+        }
+    }
+}
