--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -16,6 +16,9 @@
 
 /// How often unspent grants are given back.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time that a new account's shards get to find a holder.
+const CLAIM_PATIENCE: Duration = Duration::from_secs(2);
+const CLAIM_PAUSE: Duration = Duration::from_millis(25);
 /// When to come back while a shard's holder is being replaced.
 const NO_HOLDER_WAIT: Duration = Duration::from_secs(1);
 
@@ -38,6 +41,26 @@
         );
         return Err(Refusal::not_run(Kind::BeyondBurst, message));
     }
+    let deadline = entry.node.now() + CLAIM_PATIENCE;
+    loop {
+        match try_reserve(entry, account, limits, cost).await {
+            Ok(reservation) => return Ok(reservation),
+            Err(None) if is_being_claimed(entry, account) && entry.node.now() < deadline => {
+                entry.node.kernel.clock.sleep(CLAIM_PAUSE).await;
+            }
+            Err(wait) => return Err(rate_limited(account, wait)),
+        }
+    }
+}
+
+/// Reserves from the pool, and from each shard in turn. Fails with the time
+/// until enough tokens are there, if any holder could tell.
+async fn try_reserve(
+    entry: &Entry,
+    account: &Name,
+    limits: Limits,
+    cost: u64,
+) -> Result<Reservation, Option<Duration>> {
     let mut wait = None;
     for shard in shard_order(entry) {
         let now = entry.node.now();
@@ -49,15 +72,30 @@
         wait = shorter(wait, drawn);
     }
     let now = entry.node.now();
-    let reserved = with_pool(entry, account, |pool| pool.reserve(now, cost));
-    reserved.ok_or_else(|| {
-        metrics::counter!("chivelatch_rate_refusals_total", "account" => account.to_string())
-            .increment(1);
-        let message = "the account's rate is used up; come back later or ask for a higher rate";
-        Refusal::not_run(Kind::RateLimited, message).retry_after(wait.unwrap_or(NO_HOLDER_WAIT))
+    with_pool(entry, account, |pool| pool.reserve(now, cost)).ok_or(wait)
+}
+
+/// Whether a shard is about to get a holder: nobody has held it yet, or its
+/// holder gave it up. A holder that vanished takes longer to replace.
+fn is_being_claimed(entry: &Entry, account: &Name) -> bool {
+    entry.node.with_seat(|seat| {
+        (0..entry.settings.shards).any(|index| {
+            let lease = seat.table().lease(&share::resource(account, index));
+            lease.is_none_or(|lease| lease.released.is_some())
+        })
     })
 }
 
+fn rate_limited(account: &Name, wait: Option<Duration>) -> Refusal {
+    let cause = if wait.is_some() { "rate" } else { "no-holder" };
+    metrics::counter!(
+        "chivelatch_rate_refusals_total", "account" => account.to_string(), "cause" => cause
+    )
+    .increment(1);
+    let message = "the account's rate is used up; come back later or ask for a higher rate";
+    Refusal::not_run(Kind::RateLimited, message).retry_after(wait.unwrap_or(NO_HOLDER_WAIT))
+}
+
 /// Corrects a reservation once the tokens really used are known.
 pub(crate) async fn settle(entry: &Entry, account: &Name, reservation: &Reservation, used: u64) {
     let unused = reservation.unused(used);
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -74,7 +74,9 @@
     /// Nothing was sent.
     Unreachable,
     NotBegun(NotBegun),
-    Crashed { crash: u64 },
+    Crashed {
+        crash: u64,
+    },
     /// It may have begun; its answer is lost.
     Lost,
 }
@@ -104,8 +106,8 @@
         if !may_try(entry, job, &failures).await {
             break;
         }
-        let may_begin = caller::recheck(entry, job.key.as_ref())
-            .and_then(|()| exposure(entry, job));
+        let may_begin =
+            caller::recheck(entry, job.key.as_ref()).and_then(|()| exposure(entry, job));
         let exposure = match may_begin {
             Ok(exposure) => exposure,
             Err(refusal) => return Err(after(refusal, &failures)),
@@ -180,7 +182,8 @@
         wire::link::Error::Frame { .. } => Failure::Lost,
     })?;
     let (sender, frames) = async_channel::bounded(FRAME_DEPTH);
-    let reader = read_frames(Arc::clone(entry), job.clone(), choice.server.clone(), id, exchange, sender);
+    let reader =
+        read_frames(Arc::clone(entry), job.clone(), choice.server.clone(), id, exchange, sender);
     entry.node.kernel.spawn_detached(reader);
     begin(frames).await
 }
@@ -309,10 +312,14 @@
 fn give_up(job: &Job, failures: &[Failure]) -> Refusal {
     if failures.iter().any(Failure::may_have_begun) {
         let message = match job.repeat {
-            Repeat::Idempotent => "the backend servers failed while they ran the request; \
-                                   it may be sent again",
-            Repeat::NonIdempotent => "the backend server failed while it ran the request; \
-                                      check whether it took effect before sending a new one",
+            Repeat::Idempotent => {
+                "the backend servers failed while they ran the request; \
+                                   it may be sent again"
+            }
+            Repeat::NonIdempotent => {
+                "the backend server failed while it ran the request; \
+                                      check whether it took effect before sending a new one"
+            }
         };
         return Refusal::unknown(Kind::BackendFailed, message).retry_after(FAILURE_WAIT);
     }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -110,11 +110,7 @@
 /// # Errors
 ///
 /// See [`admission::reserve`].
-pub(crate) async fn admit(
-    entry: &Entry,
-    state: &State,
-    job: &Job,
-) -> Result<Reservation, Refusal> {
+pub(crate) async fn admit(entry: &Entry, state: &State, job: &Job) -> Result<Reservation, Refusal> {
     let limits = holder::limits(state, &job.account).ok_or_else(|| {
         Refusal::not_run(Kind::Unauthorized, "the key's account is gone; ask the operators")
     })?;
@@ -133,7 +129,7 @@
 }
 
 fn urgency(request: &Request<Incoming>) -> Urgency {
-    let given = request.headers().get(URGENCY_HEADER).map(|value| value.as_bytes());
+    let given = request.headers().get(URGENCY_HEADER).map(hyper::http::HeaderValue::as_bytes);
     if given == Some(b"batch") { Urgency::Batch } else { Urgency::Interactive }
 }
 
@@ -167,7 +163,8 @@
 /// Resolves the model once, on arrival; from here on the version is fixed.
 fn resolve(state: &State, mut body: Value) -> Result<(Target, Vec<u8>), Refusal> {
     let Some(model) = body.get("model").and_then(Value::as_str) else {
-        let message = "there is no `model`; name an adapter, as in `council-001` or `council-001@2`";
+        let message =
+            "there is no `model`; name an adapter, as in `council-001` or `council-001@2`";
         return Err(Refusal::not_run(Kind::BadRequest, message));
     };
     let Some((adapter, version)) = state.resolve(model) else {
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -43,7 +43,8 @@
         (&Method::POST, CHAT_PATH | COMPLETION_PATH) => completion::run(entry, id, request).await,
         (&Method::GET, "/v1/models") => models(entry, id, &request),
         (_, CHAT_PATH | COMPLETION_PATH | "/v1/models") => {
-            let message = "the path does not take this method; use POST for completions and GET for models";
+            let message =
+                "the path does not take this method; use POST for completions and GET for models";
             Err(Refusal::not_run(Kind::BadRequest, message))
         }
         _ if path.starts_with(SERVICE_PREFIX) => service::run(entry, id, request).await,
--- a/crates/entry/src/holder.rs
+++ b/crates/entry/src/holder.rs
@@ -35,9 +35,10 @@
 /// those it has already.
 pub(crate) fn wanted(node: &Node, settings: &Settings) -> Vec<Name> {
     let Some(state) = node.state() else { return Vec::new() };
-    let shards = state.accounts.keys().flat_map(|account| {
-        (0..settings.shards).map(move |index| share::resource(account, index))
-    });
+    let shards = state
+        .accounts
+        .keys()
+        .flat_map(|account| (0..settings.shards).map(move |index| share::resource(account, index)));
     let resources = shards.chain([Arc::from(permit::RESOURCE)]);
     resources.filter(|resource| is_wanted(node, resource)).collect()
 }
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -17,8 +17,7 @@
 use schedule::retry;
 
 use crate::{
-    Entry,
-    answer,
+    Entry, answer,
     attempt::{self, Started, Whole},
     job::Job,
     refusal::{Kind, Outcome, Refusal},
@@ -110,16 +109,11 @@
 }
 
 /// Appends a `Begin` and reads back which one the log ordered first.
-async fn claim(
-    entry: &Arc<Entry>,
-    job: &Job,
-    stream: &str,
-    key: Digest,
-) -> Result<Claim, Refusal> {
+async fn claim(entry: &Arc<Entry>, job: &Job, stream: &str, key: Digest) -> Result<Claim, Refusal> {
     let author = entry.node.with_seat(|seat| seat.me().clone());
     let begin = Record::Begin { id: begin_id(job), key, request: job.fingerprint, author };
     let appended = (entry.node.log.append)(stream, log::encode(&begin)).await;
-    if appended.as_ref().is_err_and(|error| error.is_without_effect()) {
+    if appended.as_ref().is_err_and(platform::http::Error::is_without_effect) {
         return Err(unavailable());
     }
     let deadline = entry.node.now() + SETTLE_PATIENCE;
@@ -138,11 +132,7 @@
 }
 
 /// Runs a request that won its key, and records how it ended.
-async fn execute(
-    entry: &Arc<Entry>,
-    job: &Job,
-    stream: &str,
-) -> Result<Response<Body>, Refusal> {
+async fn execute(entry: &Arc<Entry>, job: &Job, stream: &str) -> Result<Response<Body>, Refusal> {
     match attempt::run(entry, job).await {
         Ok(Started::Whole(whole)) => {
             record_done(entry, job, stream, &whole).await;
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -153,7 +153,8 @@
 /// Adds the headers that every answer has.
 pub fn label(response: &mut Response<Body>, request: &str, outcome: Outcome) {
     let headers = response.headers_mut();
-    headers.insert(HeaderName::from_static(OUTCOME_HEADER), HeaderValue::from_static(outcome.name()));
+    headers
+        .insert(HeaderName::from_static(OUTCOME_HEADER), HeaderValue::from_static(outcome.name()));
     if let Ok(request) = HeaderValue::from_str(request) {
         headers.insert(HeaderName::from_static(REQUEST_HEADER), request);
     }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -29,7 +29,9 @@
 
 /// How a stream ended.
 enum End {
-    Whole { tokens: Option<u64> },
+    Whole {
+        tokens: Option<u64>,
+    },
     /// The caller is told why, and sees the connection break.
     Explained(Refusal),
     CallerGone,
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -169,9 +169,7 @@
 ) -> SmallVec<[usize; rendezvous::USUAL_REPLICAS]> {
     let is_new = |index: &usize| !tried.contains(&servers[*index].name);
     let (seed, rate) = match &job.target {
-        Target::Adapter { adapter, .. } => {
-            (rendezvous::seed(adapter), fleet_rate(entry, adapter))
-        }
+        Target::Adapter { adapter, .. } => (rendezvous::seed(adapter), fleet_rate(entry, adapter)),
         Target::Route { route } => (rendezvous::seed(route), f64::INFINITY),
     };
     let question = Question {
@@ -268,9 +266,8 @@
 fn member(entry: &Entry, table: &Table, server: &Name) -> Option<Member> {
     let members = table.members.get(server)?;
     let lease = format!("server/{server}");
-    let holder = entry.node.with_seat(|seat| {
-        seat.table().lease(&lease).map(|lease| lease.holder.clone())
-    });
+    let holder =
+        entry.node.with_seat(|seat| seat.table().lease(&lease).map(|lease| lease.holder.clone()));
     let is_holder = |member: &&Member| {
         holder.as_ref().is_some_and(|holder| {
             holder.instance == member.instance && holder.incarnation == member.incarnation
@@ -297,9 +294,8 @@
 
 fn build_table(listing: Arc<Listing>, state: Option<Arc<State>>) -> Table {
     let mut table = Table::default();
-    let is_drained = |server: &Name| {
-        state.as_ref().is_some_and(|state| state.drained_servers.contains(server))
-    };
+    let is_drained =
+        |server: &Name| state.as_ref().is_some_and(|state| state.drained_servers.contains(server));
     for member in listing.live(Role::Side) {
         let Some(name) = member.server.clone().filter(|server| !is_drained(server)) else {
             continue;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -55,8 +55,7 @@
         let quota = section.section("quota");
         let store = section.section("weight_store");
         let ledger = section.section("ledger");
-        let ledger_window =
-            Duration::from_secs(ledger.number("window_s", 1..=30 * 86_400, 3600));
+        let ledger_window = Duration::from_secs(ledger.number("window_s", 1..=30 * 86_400, 3600));
         if node.retention < ledger_window * 2 {
             ledger.reject(
                 "window_s",
--- a/crates/fleet/src/change.rs
+++ b/crates/fleet/src/change.rs
@@ -21,18 +21,52 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "kind", deny_unknown_fields)]
 pub enum Change {
-    SetAccount { account: Name, rate: u64, burst: u64 },
-    IssueKey { account: Name, key: Name, digest: Digest },
-    WithdrawKey { key: Name },
-    PublishVersion { adapter: Name, version: u32, model: Name },
-    SelectVersion { adapter: Name, version: u32 },
-    UnpublishVersion { adapter: Name, version: u32 },
-    DrainServer { server: Name },
-    RestoreServer { server: Name },
-    SetRoute { route: Name, access: Access, repeat: Repeat, urgency: Urgency },
-    RemoveRoute { route: Name },
+    SetAccount {
+        account: Name,
+        rate: u64,
+        burst: u64,
+    },
+    IssueKey {
+        account: Name,
+        key: Name,
+        digest: Digest,
+    },
+    WithdrawKey {
+        key: Name,
+    },
+    PublishVersion {
+        adapter: Name,
+        version: u32,
+        model: Name,
+    },
+    SelectVersion {
+        adapter: Name,
+        version: u32,
+    },
+    UnpublishVersion {
+        adapter: Name,
+        version: u32,
+    },
+    DrainServer {
+        server: Name,
+    },
+    RestoreServer {
+        server: Name,
+    },
+    SetRoute {
+        route: Name,
+        access: Access,
+        repeat: Repeat,
+        urgency: Urgency,
+    },
+    RemoveRoute {
+        route: Name,
+    },
     /// The folded state up to an offset, appended before older records expire.
-    Snapshot { next: u64, state: Box<State> },
+    Snapshot {
+        next: u64,
+        state: Box<State>,
+    },
 }
 
 /// Who may call a route.
@@ -80,12 +114,16 @@
         "`{adapter}` version {version} is published for model `{model}`; publish a new version number"
     ))]
     VersionExists { adapter: Name, version: u32, model: Name },
-    #[snafu(display("`{adapter}` serves version {version}; select another one before unpublishing it"))]
+    #[snafu(display(
+        "`{adapter}` serves version {version}; select another one before unpublishing it"
+    ))]
     VersionSelected { adapter: Name, version: u32 },
     #[snafu(display("no route is called `{route}`; list the routes to find it"))]
     NoRoute { route: Name },
     #[snafu(display("server `{server}` is not drained; nothing to restore"))]
     NotDrained { server: Name },
-    #[snafu(display("a burst of {burst} is below one second of the rate {rate}; raise it to at least {rate}"))]
+    #[snafu(display(
+        "a burst of {burst} is below one second of the rate {rate}; raise it to at least {rate}"
+    ))]
     BurstTooSmall { rate: u64, burst: u64 },
 }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -109,7 +109,9 @@
         }
         self.next = offset + 1;
         match record {
-            Record::Claim { resource, holder, prior } => self.claim(offset, resource, holder, *prior),
+            Record::Claim { resource, holder, prior } => {
+                self.claim(offset, resource, holder, *prior)
+            }
             Record::Renew { resource, holder, fence } => self.renew(resource, holder, *fence),
             Record::Release { resource, fence, carry } => self.release(resource, *fence, *carry),
         }
@@ -349,8 +351,10 @@
     }
 
     fn claim(&self, now: Moment, resource: &Name) -> Option<Record> {
-        let is_pending =
-            self.pending.get(resource).is_some_and(|sent| now.saturating_sub(*sent) < CLAIM_PATIENCE);
+        let is_pending = self
+            .pending
+            .get(resource)
+            .is_some_and(|sent| now.saturating_sub(*sent) < CLAIM_PATIENCE);
         if is_pending {
             return None;
         }
@@ -364,7 +368,8 @@
             .absent
             .get(&lease.holder)
             .is_some_and(|since| self.rules.takeover <= now.saturating_sub(*since));
-        (lease.released.is_some() || is_gone).then(|| self.claim_record(resource, Some(lease.fence)))
+        (lease.released.is_some() || is_gone)
+            .then(|| self.claim_record(resource, Some(lease.fence)))
     }
 
     fn renewal(&self, now: Moment, resource: &Name) -> Option<Record> {
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -52,16 +52,13 @@
 impl Listing {
     /// Whether this incarnation is in the list.
     pub fn contains(&self, instance: &str, incarnation: u64) -> bool {
-        let is_it = |member: &Member| {
-            &*member.instance == instance && member.incarnation == incarnation
-        };
+        let is_it =
+            |member: &Member| &*member.instance == instance && member.incarnation == incarnation;
         self.members.iter().any(is_it)
     }
 
     /// Members of one role that take new work.
     pub fn live(&self, role: Role) -> impl Iterator<Item = &Member> {
-        self.members
-            .iter()
-            .filter(move |member| member.role == role && member.phase == Phase::Live)
+        self.members.iter().filter(move |member| member.role == role && member.phase == Phase::Live)
     }
 }
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -152,7 +152,9 @@
             return;
         }
         let snapshot = match &entry.record.change {
-            Change::Snapshot { next, state } if first <= *next => Some((*next, State::clone(state))),
+            Change::Snapshot { next, state } if first <= *next => {
+                Some((*next, State::clone(state)))
+            }
             _ => None,
         };
         self.unplaced.insert(entry.offset, entry.record);
--- a/crates/kernel/src/clock.rs
+++ b/crates/kernel/src/clock.rs
@@ -63,7 +63,9 @@
     pub fn unix_ms(&self) -> u64 {
         match &self.paused {
             Some(paused) => paused.elapsed.lock().as_millis() as u64,
-            None => SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64,
+            None => {
+                SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+            }
         }
     }
 
--- a/crates/kernel/src/quic.rs
+++ b/crates/kernel/src/quic.rs
@@ -106,10 +106,7 @@
 }
 
 impl UdpPoller for Poller {
-    fn poll_writable(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
+    fn poll_writable(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let socket = Arc::clone(&self.socket);
         let writable = self
             .writable
--- a/crates/ledger/src/bytes.rs
+++ b/crates/ledger/src/bytes.rs
@@ -11,5 +11,7 @@
 pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
     let text = String::deserialize(deserializer)?;
     let bytes = text.chars().map(u8::try_from).collect::<Result<_, _>>();
-    bytes.map_err(|_| D::Error::custom("a character above U+00FF; the record was not written by this system"))
+    bytes.map_err(|_| {
+        D::Error::custom("a character above U+00FF; the record was not written by this system")
+    })
 }
--- a/crates/ledger/src/fold.rs
+++ b/crates/ledger/src/fold.rs
@@ -100,13 +100,16 @@
     }
 
     fn done(&mut self, id: &Name, answer: &Answer) {
-        let Some(begun) = self.keys.get(id).and_then(|key| self.begins.get_mut(key)) else { return };
+        let Some(begun) = self.keys.get(id).and_then(|key| self.begins.get_mut(key)) else {
+            return;
+        };
         begun.answer.get_or_insert_with(|| Arc::new(answer.clone()));
     }
 
     fn abandon(&mut self, id: &Name, at: Duration) {
         let key = self.keys.get(id).copied();
-        let is_done = key.and_then(|key| self.begins.get(&key)).is_some_and(|begun| begun.answer.is_some());
+        let is_done =
+            key.and_then(|key| self.begins.get(&key)).is_some_and(|begun| begun.answer.is_some());
         if is_done {
             return;
         }
@@ -124,7 +127,9 @@
 
     /// Drops what the log took longer than the window before `at`.
     fn expire(&mut self, at: Duration) {
-        while let Some((_, aged)) = self.ages.pop_front_if(|(taken, _)| self.window < at.saturating_sub(*taken)) {
+        while let Some((_, aged)) =
+            self.ages.pop_front_if(|(taken, _)| self.window < at.saturating_sub(*taken))
+        {
             match aged {
                 Aged::Begin(id) => self.forget(&id),
                 Aged::Abandon(id) => drop(self.abandoned.remove(&id)),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -66,10 +66,11 @@
                 "raise it, or two instances may hold one lease",
             );
         }
-        let list_rule = match platform.choice("list_promises", &["incarnations", "nothing"], "incarnations") {
-            "nothing" => ListRule::LogOnly,
-            _ => ListRule::Incarnations,
-        };
+        let list_rule =
+            match platform.choice("list_promises", &["incarnations", "nothing"], "incarnations") {
+                "nothing" => ListRule::LogOnly,
+                _ => ListRule::Incarnations,
+            };
         Settings {
             instance: section.text("instance"),
             zone: section.text("zone"),
@@ -83,7 +84,11 @@
             log_interval: timing.milliseconds("log_interval_ms", 10..=MAX_MS, 300),
             list_interval: timing.milliseconds("list_interval_ms", 10..=MAX_MS, 500),
             exchange_interval: timing.milliseconds("exchange_interval_ms", 10..=MAX_MS, 500),
-            retention: Duration::from_secs(platform.number("retention_s", 10..=MAX_SECONDS, 86_400)),
+            retention: Duration::from_secs(platform.number(
+                "retention_s",
+                10..=MAX_SECONDS,
+                86_400,
+            )),
             takeover,
             list_rule,
             staleness_limit: timing.milliseconds("staleness_limit_ms", 100..=MAX_MS, 3000),
--- a/crates/placement/src/rendezvous.rs
+++ b/crates/placement/src/rendezvous.rs
@@ -41,12 +41,10 @@
     let mut order = Order::new();
     let scores: Vec<f64> = servers.iter().map(|server| score(adapter, server)).collect();
     while order.len() < count.min(servers.len()) {
-        let next = (0..servers.len())
-            .filter(|index| !order.contains(index))
-            .min_by(|a, b| {
-                let zones = zone_count(servers, &order, *a).cmp(&zone_count(servers, &order, *b));
-                zones.then(scores[*b].total_cmp(&scores[*a]))
-            });
+        let next = (0..servers.len()).filter(|index| !order.contains(index)).min_by(|a, b| {
+            let zones = zone_count(servers, &order, *a).cmp(&zone_count(servers, &order, *b));
+            zones.then(scores[*b].total_cmp(&scores[*a]))
+        });
         let Some(next) = next else { break };
         order.push(next);
     }
--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -114,5 +114,6 @@
 }
 
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, http::Error> {
-    serde_json::from_slice(body).map_err(|error| http::Error::Unreadable { reason: error.to_string() })
+    serde_json::from_slice(body)
+        .map_err(|error| http::Error::Unreadable { reason: error.to_string() })
 }
--- a/crates/quota/src/permit.rs
+++ b/crates/quota/src/permit.rs
@@ -46,7 +46,12 @@
 impl Office {
     pub fn new(now: Moment, budget: Budget, level: u64) -> Office {
         let share = Share { rate: budget.rate, capacity: budget.burst };
-        Office { budget, bucket: Bucket::new(now, share, level), outstanding: BTreeMap::new(), next: 0 }
+        Office {
+            budget,
+            bucket: Bucket::new(now, share, level),
+            outstanding: BTreeMap::new(),
+            next: 0,
+        }
     }
 
     /// Asks for a permit to start one load.
--- /dev/null
+++ b/crates/scenario/src/process.rs
@@ -0,0 +1,93 @@
+//! One program of the fleet as a child process.
+
+use std::{
+    fs::File,
+    io,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+const POLL: Duration = Duration::from_millis(10);
+
+/// A running program.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+/// Signals that scenarios send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    Kill,
+    Stop,
+    Continue,
+    Terminate,
+}
+
+impl Process {
+    /// Starts a program of this workspace with a settings file; its logs go to a
+    /// file beside it.
+    ///
+    /// # Errors
+    ///
+    /// The program cannot be started; build the workspace first.
+    pub fn start(program: &str, settings: &Path) -> io::Result<Process> {
+        let log = File::options().create(true).append(true).open(settings.with_extension("log"))?;
+        let child = Command::new(binary(program)?)
+            .arg("--settings")
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        Ok(Process { child })
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let name = match signal {
+            Signal::Kill => "-KILL",
+            Signal::Stop => "-STOP",
+            Signal::Continue => "-CONT",
+            Signal::Terminate => "-TERM",
+        };
+        let sent = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
+        assert!(sent.is_ok_and(|status| status.success()), "the signal {name} was not sent");
+    }
+
+    /// Waits for the exit code, at most for `limit`.
+    pub fn wait(&mut self, limit: Duration) -> Option<i32> {
+        let deadline = Instant::now() + limit;
+        while Instant::now() < deadline {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            thread::sleep(POLL);
+        }
+        None
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _already_gone = self.child.kill();
+        let _already_gone = self.child.wait();
+    }
+}
+
+/// Path of a program built beside the running test.
+///
+/// # Errors
+///
+/// The program has not been built.
+pub fn binary(program: &str) -> io::Result<PathBuf> {
+    let test = std::env::current_exe()?;
+    let folders = test.ancestors().skip(1).take(2);
+    let found = folders.map(|folder| folder.join(program)).find(|path| path.exists());
+    found.ok_or_else(|| {
+        let message = format!("{program} is not built; run `cargo build --workspace` first");
+        io::Error::new(io::ErrorKind::NotFound, message)
+    })
+}
--- a/crates/schedule/src/queue.rs
+++ b/crates/schedule/src/queue.rs
@@ -166,5 +166,9 @@
 }
 
 fn urgency<T>(now: Moment, item: &Item<T>) -> Urgency {
-    if BATCH_PATIENCE <= now.saturating_sub(item.arrived) { Urgency::Interactive } else { item.urgency }
+    if BATCH_PATIENCE <= now.saturating_sub(item.arrived) {
+        Urgency::Interactive
+    } else {
+        item.urgency
+    }
 }
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -4,7 +4,8 @@
     cell::RefCell,
     collections::BTreeSet,
     fmt::Display,
-    fs, net::SocketAddr,
+    fs,
+    net::SocketAddr,
     ops::RangeInclusive,
     path::{Path, PathBuf},
     str::FromStr,
@@ -29,6 +30,8 @@
 pub struct Section<'a> {
     path: String,
     map: Option<&'a Map<String, Value>>,
+    /// The file has something else in this place.
+    is_broken: bool,
     read: RefCell<BTreeSet<String>>,
     problems: &'a RefCell<Vec<Problem>>,
 }
@@ -78,7 +81,7 @@
         map: Option<&'a Map<String, Value>>,
         problems: &'a RefCell<Vec<Problem>>,
     ) -> Section<'a> {
-        Section { path, map, read: RefCell::default(), problems }
+        Section { path, map, is_broken: false, read: RefCell::default(), problems }
     }
 
     /// A whole number in `range`.
@@ -87,7 +90,12 @@
         let number = value.as_u64().filter(|number| range.contains(number));
         number.unwrap_or_else(|| {
             let allowed = format!("a whole number from {} to {}", range.start(), range.end());
-            self.report(key, value, allowed, format!("set it within the range; {default} is usual"));
+            self.report(
+                key,
+                value,
+                allowed,
+                format!("set it within the range; {default} is usual"),
+            );
             default
         })
     }
@@ -99,10 +107,9 @@
 
     /// Text that must be given.
     pub fn text(&self, key: &str) -> Arc<str> {
-        self.optional_text(key).unwrap_or_else(|| {
-            self.missing(key, "text");
-            Arc::from("")
-        })
+        let text = self.optional_text(key);
+        self.require(key, "text");
+        text.unwrap_or_else(|| Arc::from(""))
     }
 
     /// Text that may be left out.
@@ -117,10 +124,9 @@
 
     /// An IP address with a port that must be given.
     pub fn address(&self, key: &str) -> SocketAddr {
-        self.optional_address(key).unwrap_or_else(|| {
-            self.missing(key, ADDRESS);
-            SocketAddr::from(([0, 0, 0, 0], 0))
-        })
+        let address = self.optional_address(key);
+        self.require(key, ADDRESS);
+        address.unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0)))
     }
 
     /// An IP address with a port that may be left out.
@@ -139,11 +145,21 @@
     }
 
     /// One of a few words.
-    pub fn choice(&self, key: &str, allowed: &[&'static str], default: &'static str) -> &'static str {
+    pub fn choice(
+        &self,
+        key: &str,
+        allowed: &[&'static str],
+        default: &'static str,
+    ) -> &'static str {
         let Some(value) = self.get(key) else { return default };
         let found = value.as_str().and_then(|text| allowed.iter().find(|word| **word == text));
         found.copied().unwrap_or_else(|| {
-            self.report(key, value, allowed.join(", "), format!("choose one; `{default}` is usual"));
+            self.report(
+                key,
+                value,
+                allowed.join(", "),
+                format!("choose one; `{default}` is usual"),
+            );
             default
         })
     }
@@ -151,10 +167,14 @@
     /// A nested mapping; an absent one reads as empty.
     pub fn section(&self, key: &str) -> Section<'a> {
         let value = self.get(key);
-        if let Some(value) = value.filter(|value| !value.is_object()) {
+        let broken = value.filter(|value| !value.is_object());
+        if let Some(value) = broken {
             self.report(key, value, "a mapping", "indent `key: value` lines under it");
         }
-        Section::new(self.path_of(key), value.and_then(Value::as_object), self.problems)
+        let map = value.and_then(Value::as_object);
+        let mut section = Section::new(self.path_of(key), map, self.problems);
+        section.is_broken = broken.is_some();
+        section
     }
 
     /// A list of mappings; an absent one reads as empty.
@@ -177,7 +197,13 @@
     }
 
     /// Adds a problem that spans several keys.
-    pub fn reject(&self, key: &str, found: impl Display, allowed: impl Display, remedy: impl Display) {
+    pub fn reject(
+        &self,
+        key: &str,
+        found: impl Display,
+        allowed: impl Display,
+        remedy: impl Display,
+    ) {
         self.problems.borrow_mut().push(Problem {
             path: self.path_of(key),
             found: found.to_string(),
@@ -191,8 +217,12 @@
         self.map?.get(key).filter(|value| !value.is_null())
     }
 
-    fn missing(&self, key: &str, allowed: &str) {
-        self.reject(key, "nothing", allowed, "add the key");
+    /// Nothing is said of the keys of a section that is no mapping itself.
+    fn require(&self, key: &str, allowed: &str) {
+        let is_missing = self.map.is_none_or(|map| map.get(key).is_none_or(Value::is_null));
+        if is_missing && !self.is_broken {
+            self.reject(key, "nothing", allowed, "add the key");
+        }
     }
 
     fn report(&self, key: &str, value: &Value, allowed: impl Display, remedy: impl Display) {
--- a/crates/side/src/dispatch.rs
+++ b/crates/side/src/dispatch.rs
@@ -154,12 +154,7 @@
     }
 }
 
-fn start_after_load(
-    side: &Side,
-    pinned: Pinned,
-    job: Job,
-    wait: async_channel::Receiver<Loaded>,
-) {
+fn start_after_load(side: &Side, pinned: Pinned, job: Job, wait: async_channel::Receiver<Loaded>) {
     side.node.kernel.spawn_detached(async move {
         match wait.recv().await {
             Ok(Loaded::Yes) => start(pinned, job),
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -187,9 +187,8 @@
     }
 
     fn is_leaving(&self) -> bool {
-        let is_drained = |state: Arc<fleet::state::State>| {
-            state.drained_servers.contains(&self.settings.server)
-        };
+        let is_drained =
+            |state: Arc<fleet::state::State>| state.drained_servers.contains(&self.settings.server);
         self.node.drain.is_stopping() || self.node.state().is_some_and(is_drained)
     }
 
--- a/crates/standins/src/engine/completion.rs
+++ b/crates/standins/src/engine/completion.rs
@@ -110,7 +110,8 @@
             "total_tokens": job.prompt_tokens + received as u64,
         },
     });
-    let response = if job.is_truncated { truncated(&answer) } else { http::json(StatusCode::OK, &answer) };
+    let response =
+        if job.is_truncated { truncated(&answer) } else { http::json(StatusCode::OK, &answer) };
     named(response, &job.id)
 }
 
@@ -176,11 +177,8 @@
 /// The answer names what ran, filled up to the number of tokens asked for.
 fn words(model: &str, digest: &str, count: u64) -> Vec<String> {
     let (adapter, version) = model.rsplit_once('@').unwrap_or((model, "?"));
-    let named = [
-        format!("adapter={adapter}"),
-        format!("version={version}"),
-        format!("digest={digest}"),
-    ];
+    let named =
+        [format!("adapter={adapter}"), format!("version={version}"), format!("digest={digest}")];
     let filler = (named.len() as u64..).map(|index| format!("w{index}"));
     named.into_iter().chain(filler).take(count as usize).collect()
 }
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -12,7 +12,9 @@
 /// Why a frame could not be sent or read.
 #[derive(Debug, Snafu)]
 pub enum Error {
-    #[snafu(display("a frame of {bytes} bytes is above the limit of {MAX_FRAME_BYTES}; send less at once"))]
+    #[snafu(display(
+        "a frame of {bytes} bytes is above the limit of {MAX_FRAME_BYTES}; send less at once"
+    ))]
     TooLarge { bytes: usize },
     #[snafu(display("a frame cannot be decoded: {source}; run the same version on both sides"))]
     Malformed { source: postcard::Error },
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -44,15 +44,33 @@
     /// The attempt's answer begins.
     Head(Head),
     /// The next piece of the answer; pieces are counted from 0.
-    Chunk { id: AttemptId, index: u32, bytes: Vec<u8> },
+    Chunk {
+        id: AttemptId,
+        index: u32,
+        bytes: Vec<u8>,
+    },
     /// The answer is whole. `tokens` is what the engine says it used.
-    End { id: AttemptId, chunks: u32, tokens: Option<u64>, load: Load },
+    End {
+        id: AttemptId,
+        chunks: u32,
+        tokens: Option<u64>,
+        load: Load,
+    },
     /// The attempt still waits or runs.
-    Waiting { id: AttemptId },
+    Waiting {
+        id: AttemptId,
+    },
     /// The attempt never began; another server may run it.
-    NotBegun { id: AttemptId, reason: NotBegun, load: Load },
+    NotBegun {
+        id: AttemptId,
+        reason: NotBegun,
+        load: Load,
+    },
     /// The attempt began and did not end.
-    Broken { id: AttemptId, reason: Broken },
+    Broken {
+        id: AttemptId,
+        reason: Broken,
+    },
     Load(Load),
     Grant(Grant),
     Permit(Permit),
--- a/crates/wire/src/identity.rs
+++ b/crates/wire/src/identity.rs
@@ -59,7 +59,9 @@
     Read { path: PathBuf, source: pem::Error },
     #[snafu(display("cannot write {}: {source}; choose a folder that can be written", path.display()))]
     Write { path: PathBuf, source: io::Error },
-    #[snafu(display("the certificate, key and authority do not go together: {source}; make all three anew"))]
+    #[snafu(display(
+        "the certificate, key and authority do not go together: {source}; make all three anew"
+    ))]
     Mismatch { source: rustls::Error },
     #[snafu(display("the authority holds no usable certificate: {reason}; make it anew"))]
     Authority { reason: String },
@@ -118,7 +120,8 @@
     ///
     /// [`Error::Read`] names the file.
     pub fn load(files: &Files) -> Result<Identity, Error> {
-        let key = PrivateKeyDer::from_pem_file(&files.key).context(ReadSnafu { path: &files.key })?;
+        let key =
+            PrivateKeyDer::from_pem_file(&files.key).context(ReadSnafu { path: &files.key })?;
         Ok(Identity {
             authority: certificates(&files.authority)?,
             chain: certificates(&files.certificate)?,
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -1,11 +1,16 @@
 //! Connections between processes: kept open, made when needed, dropped when
 //! they fail.
 
-use std::{collections::HashMap, future::Future, io, net::SocketAddr, net::UdpSocket, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap, future::Future, io, net::SocketAddr, net::UdpSocket, sync::Arc,
+    time::Duration,
+};
 
 use kernel::Kernel;
 use parking_lot::Mutex;
-use quinn::{ClientConfig, Connection, Endpoint, EndpointConfig, Incoming, RecvStream, SendStream, VarInt};
+use quinn::{
+    ClientConfig, Connection, Endpoint, EndpointConfig, Incoming, RecvStream, SendStream, VarInt,
+};
 use rustls::pki_types::CertificateDer;
 use snafu::{ResultExt as _, Snafu};
 
@@ -23,7 +28,9 @@
 /// Why a call failed.
 #[derive(Debug, Snafu)]
 pub enum Error {
-    #[snafu(display("no connection to {address}: {reason}; check that it runs and shares the authority"))]
+    #[snafu(display(
+        "no connection to {address}: {reason}; check that it runs and shares the authority"
+    ))]
     Connect { address: SocketAddr, reason: String },
     #[snafu(display("{source}"))]
     Frame { source: codec::Error },
@@ -70,9 +77,8 @@
         let client = identity.client_config().context(IdentitySnafu)?;
         let socket = UdpSocket::bind(address).context(BindSnafu { address })?;
         let runtime = Arc::new(kernel.clone());
-        let endpoint =
-            Endpoint::new(EndpointConfig::default(), Some(server), socket, runtime)
-                .context(BindSnafu { address })?;
+        let endpoint = Endpoint::new(EndpointConfig::default(), Some(server), socket, runtime)
+            .context(BindSnafu { address })?;
         let client = Arc::new(Mutex::new(client));
         let link = Link { kernel: kernel.clone(), endpoint, client, connections: Arc::default() };
         kernel.spawn_detached(renew(link.clone(), files));
@@ -149,9 +155,8 @@
             .connect_with(client, peer, role.server_name())
             .map_err(|error| refused(error.to_string()))?;
         let connected = self.kernel.clock.timeout(CONNECT_TIMEOUT, connecting).await;
-        let connection = connected
-            .context(TimeoutSnafu)?
-            .map_err(|error| refused(error.to_string()))?;
+        let connection =
+            connected.context(TimeoutSnafu)?.map_err(|error| refused(error.to_string()))?;
         self.connections.lock().insert(peer, connection.clone());
         Ok(connection)
     }
