--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -35,7 +35,7 @@
 }
 
 /// Record of the lease stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "kind", deny_unknown_fields)]
 pub enum Record {
     /// Takes effect only if `prior` is the fence in force when the log orders it.
--- /dev/null
+++ b/crates/fleet/tests/replica.rs
@@ -0,0 +1,176 @@
+//! Replicas of the configuration under expiry, late starts, races of operators
+//! and news from peers.
+
+use std::sync::Arc;
+
+use fleet::{
+    change::{Change, Record, Rejection},
+    digest::Digest,
+    replica::{Entry, Replica, Update},
+    state::State,
+};
+use rand::RngExt as _;
+use seeds::Random;
+
+/// A log whose oldest records may have expired.
+#[derive(Default)]
+struct Log {
+    first: usize,
+    records: Vec<Arc<Record>>,
+}
+
+impl Log {
+    fn append(&mut self, record: Record) {
+        self.records.push(Arc::new(record));
+    }
+
+    fn read(&self, replica: &mut Replica, up_to: usize) {
+        let from = (replica.next() as usize).max(self.first);
+        let offsets = from..up_to.max(from).min(self.records.len());
+        let entries = offsets.map(|offset| Entry {
+            offset: offset as u64,
+            record: Arc::clone(&self.records[offset]),
+        });
+        replica.ingest(self.first as u64, entries.collect::<Vec<_>>());
+    }
+}
+
+fn record(id: usize, expected: u64, change: Change) -> Record {
+    Record { id: Arc::from(id.to_string()), author: Arc::from("operator"), expected, change }
+}
+
+fn random_change(random: &mut Random) -> Change {
+    let name = |random: &mut Random| Arc::from(format!("n{}", random.random_range(0..4)));
+    match random.random_range(0..6) {
+        0 => Change::SetAccount { account: name(random), rate: 10, burst: 20 },
+        1 => {
+            let key = name(random);
+            let digest = Digest::of(key.as_bytes());
+            Change::IssueKey { account: name(random), key, digest }
+        }
+        2 => Change::WithdrawKey { key: name(random) },
+        3 => Change::PublishVersion {
+            adapter: name(random),
+            version: random.random_range(1..4),
+            model: Arc::from("base"),
+        },
+        4 => Change::SelectVersion { adapter: name(random), version: random.random_range(1..4) },
+        _ => Change::DrainServer { server: name(random) },
+    }
+}
+
+/// Operators race: the expected revision is often stale.
+fn append_random(random: &mut Random, log: &mut Log, writer: &Replica) {
+    let revision = writer.state().map_or(0, |state| state.revision);
+    let expected = revision.saturating_sub(random.random_range(0..2));
+    let id = log.records.len();
+    log.append(record(id, expected, random_change(random)));
+}
+
+fn reference(log: &Log) -> State {
+    let mut state = State::default();
+    for record in &log.records {
+        let _rejected = state.apply(record);
+    }
+    state
+}
+
+#[test]
+fn replicas_never_go_back_and_agree_in_the_end() {
+    seeds::run(2000, |random| {
+        let mut log = Log::default();
+        let mut writer = Replica::default();
+        let mut replicas = [Replica::default(), Replica::default(), Replica::default()];
+        let mut revisions = [0; 3];
+        for _ in 0..60 {
+            match random.random_range(0..10) {
+                0 => {
+                    let snapshot = writer.snapshot();
+                    let id = log.records.len();
+                    log.records.extend(snapshot.map(|change| Arc::new(record(id, 0, change))));
+                }
+                1 if log.first + 20 < log.records.len() => log.first += 10,
+                2 => {
+                    let [a, b] = [random.random_range(0..3), random.random_range(0..3)];
+                    let update = replicas[a].since(replicas[b].next());
+                    replicas[b].absorb(update);
+                }
+                3 => replicas[random.random_range(0..3)] = Replica::default(),
+                4 | 5 => {
+                    let up_to = random.random_range(0..=log.records.len());
+                    log.read(&mut replicas[random.random_range(0..3)], up_to);
+                }
+                _ => append_random(random, &mut log, &writer),
+            }
+            let all = log.records.len();
+            log.read(&mut writer, all);
+            for (replica, revision) in replicas.iter().zip(&mut revisions) {
+                let now = replica.state().map_or(0, |state| state.revision);
+                let has_restarted = replica.state().is_none();
+                assert!(has_restarted || *revision <= now || replica.next() == 0);
+                *revision = now;
+            }
+        }
+        let expected = reference(&log);
+        assert_eq!(writer.state().map(|state| State::clone(state)), Some(expected.clone()));
+        for replica in &mut replicas {
+            let all = log.records.len();
+            log.read(replica, all);
+            replica.absorb(writer.since(if replica.is_behind() { 0 } else { replica.next() }));
+            assert_eq!(replica.state().map(|state| State::clone(state)), Some(expected.clone()));
+        }
+    });
+}
+
+#[test]
+fn of_racing_operators_one_wins_and_the_other_is_told() {
+    let mut state = State::default();
+    let change = |rate| Change::SetAccount { account: Arc::from("council"), rate, burst: 100 };
+
+    let first = state.apply(&record(1, 0, change(10)));
+    let second = state.apply(&record(2, 0, change(20)));
+
+    assert_eq!(first, Ok(1));
+    assert_eq!(second, Err(Rejection::Stale { expected: 0, actual: 1 }));
+    assert_eq!(state.accounts["council"].rate, 10);
+}
+
+#[test]
+fn a_withdrawn_secret_cannot_be_issued_again() {
+    let mut state = State::default();
+    let digest = Digest::of("secret");
+    let issue =
+        |key: &str| Change::IssueKey { account: Arc::from("council"), key: Arc::from(key), digest };
+    let account = Change::SetAccount { account: Arc::from("council"), rate: 1, burst: 1 };
+    state.apply(&record(1, 0, account)).expect("the account is new");
+    state.apply(&record(2, 1, issue("k1"))).expect("the key is new");
+    state.apply(&record(3, 2, Change::WithdrawKey { key: Arc::from("k1") })).expect("it is known");
+
+    let again = state.apply(&record(4, 3, issue("k2")));
+
+    assert!(matches!(again, Err(Rejection::KeyExists { .. })));
+    assert_eq!(state.account_of(&digest), None);
+}
+
+#[test]
+fn a_replica_behind_a_gap_keeps_its_state_until_a_newer_one_closes_it() {
+    let mut log = Log::default();
+    let account = |rate| Change::SetAccount { account: Arc::from("council"), rate, burst: 100 };
+    (0..10).for_each(|id| log.append(record(id, id as u64, account(id as u64))));
+    let mut late = Replica::default();
+    log.read(&mut late, 3);
+    let mut current = Replica::default();
+    log.read(&mut current, 10);
+    log.first = 8;
+
+    log.read(&mut late, 10);
+    let kept = late.state().map(|state| state.revision);
+    let is_behind = late.is_behind();
+    late.absorb(current.since(0));
+
+    assert_eq!(kept, Some(3));
+    assert!(is_behind);
+    assert!(!late.is_behind());
+    assert_eq!(late.state(), current.state());
+    assert_eq!(late.since(0), Update::Whole { next: 10, state: Arc::clone(late.state().unwrap()) });
+}
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -88,12 +88,12 @@
         if taken_at < self.remembered_from {
             return 0;
         }
-        let since = self.peaks.iter().rev().take_while(|peak| taken_at <= peak.until);
+        let since = self.peaks.iter().rev().take_while(|peak| taken_at < peak.until);
         let highest = since.map(|peak| peak.level).fold(self.level, i64::max);
         let room = units(self.share.capacity) - highest;
         let credit = units(amount).min(room).max(0) / UNITS_PER_TOKEN * UNITS_PER_TOKEN;
         self.level += credit;
-        let since = self.peaks.iter_mut().rev().take_while(|peak| taken_at <= peak.until);
+        let since = self.peaks.iter_mut().rev().take_while(|peak| taken_at < peak.until);
         since.for_each(|peak| peak.level += credit);
         (credit / UNITS_PER_TOKEN) as u64
     }
