Keep the promises through kills, cuts, freezes and outages

Ten scenario scripts on real processes, and a checker over the journals of callers and backend servers. What failed, its cause, and the change:

- News never reached a peer (configuration, keys): configuration changes were tagged inside, which postcard cannot read back.
The relay and the list were ruled out first: an instance cut from the log had peers and got answers it could not decode.
- A stream that was ended arrived without its reason: the server drops its buffer when a body fails.
The body now yields once before it fails.
- A restarted process was waited for until a timeout: its peers kept the old connection.
Reset keys now follow from the private key, and a process that leaves the list is disconnected.
- A new instance after expiry stayed unknowing: it asked peers for news since the log's tail.
One behind a gap now asks for everything, and learns leases from a peer; it claims nothing that a record it lacks may hold.
- Both shards of an account lay on one instance: a kill stopped the account.
Shards now go to different instances, in different zones.
- Resends of a call with a lost answer stayed 'in progress': its end is now recorded as lost.
- Refused tokens during a planned stop: a leaving holder counts as being replaced, so that reservations wait for its successor.
- A poison request ran beside others: being alone held only once at the engine.
It now holds from the queue on.
- Failing loads of a crashed engine used up permits: a failed order now looks whether the engine is there.
Slots of a seemingly crashed engine stay pinned.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use fleet::Name;
+use fleet::{Name, lease::Holder, member::Phase};
 use quota::{
     pool::{Part, Reservation},
     share::{self, Limits},
@@ -76,12 +76,17 @@
 }
 
 /// Whether a shard is about to get a holder: nobody has held it yet, or its
-/// holder gave it up. A holder that vanished takes longer to replace.
+/// holder gave it up or is leaving. A holder that vanished takes longer to replace.
 fn is_being_claimed(entry: &Entry, account: &Name) -> bool {
+    let listing = entry.node.listing();
+    let is_leaving = |holder: &Holder| {
+        let mut leaving = listing.members.iter().filter(|member| member.phase == Phase::Leaving);
+        leaving.any(|member| member.instance == holder.instance)
+    };
     entry.node.with_seat(|seat| {
         (0..entry.settings.shards).any(|index| {
             let lease = seat.table().lease(&share::resource(account, index));
-            lease.is_none_or(|lease| lease.released.is_some())
+            lease.is_none_or(|lease| lease.released.is_some() || is_leaving(&lease.holder))
         })
     })
 }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -46,6 +46,7 @@
 ) -> Result<Response<Body>, Refusal> {
     let state = handler::known_state(entry)?;
     let caller = caller::authenticate(&state, request.headers())?;
+    caller::recheck(entry, Some(&caller.key))?;
     check_content_type(&request)?;
     let path: Name = Arc::from(request.uri().path());
     let urgency = urgency(&request);
--- a/crates/entry/src/holder.rs
+++ b/crates/entry/src/holder.rs
@@ -35,12 +35,15 @@
 /// those it has already.
 pub(crate) fn wanted(node: &Node, settings: &Settings) -> Vec<Name> {
     let Some(state) = node.state() else { return Vec::new() };
-    let shards = state
-        .accounts
-        .keys()
-        .flat_map(|account| (0..settings.shards).map(move |index| share::resource(account, index)));
-    let resources = shards.chain([Arc::from(permit::RESOURCE)]);
-    resources.filter(|resource| is_wanted(node, resource)).collect()
+    let shards = state.accounts.keys().flat_map(|account| {
+        (0..settings.shards).filter_map(move |index| {
+            let resource = share::resource(account, index);
+            is_wanted(node, &resource, account, index).then_some(resource)
+        })
+    });
+    let loads = Arc::from(permit::RESOURCE);
+    let loads = is_wanted(node, &loads, permit::RESOURCE, 0).then_some(loads);
+    shards.chain(loads).collect()
 }
 
 /// Limits of an account.
@@ -150,10 +153,10 @@
     }
 }
 
-fn is_wanted(node: &Node, resource: &str) -> bool {
+fn is_wanted(node: &Node, resource: &str, subject: &str, index: u64) -> bool {
     let is_mine = node.with_seat(|seat| {
         let lease = seat.table().lease(resource);
         lease.is_some_and(|lease| lease.holder == *seat.me() && lease.released.is_none())
     });
-    is_mine || leases::is_preferred(node, resource)
+    is_mine || leases::is_preferred(node, subject, index as usize)
 }
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -9,7 +9,7 @@
     header::{HeaderName, HeaderValue},
 };
 use ledger::{
-    fold::{Begun, Fold},
+    fold::{Begun, End, Fold},
     record::{self, Answer, Record},
 };
 use parking_lot::Mutex;
@@ -140,14 +140,18 @@
             Ok(answer::respond_whole(&job.request, whole))
         }
         Ok(Started::Stream(_)) => {
+            append_in_background(entry, stream, Record::Lost { id: begin_id(job) });
             let message = "the service streamed the answer of a call that may not be repeated; \
                            check whether it took effect, and let the service answer as a whole";
             Err(Refusal::unknown(Kind::BackendFailed, message))
         }
         Err(refusal) => {
-            if refusal.outcome == Outcome::NotRun {
-                append_in_background(entry, stream, Record::Abandon { id: begin_id(job) });
-            }
+            let id = begin_id(job);
+            let record = match refusal.outcome {
+                Outcome::NotRun => Record::Abandon { id },
+                Outcome::Completed | Outcome::Unknown => Record::Lost { id },
+            };
+            append_in_background(entry, stream, record);
             Err(refusal)
         }
     }
@@ -159,16 +163,17 @@
         let message = "the idempotency key belongs to another request; choose a new one";
         return Err(Refusal::not_run(Kind::KeyReused, message));
     }
-    if let Some(answer) = begun.answer {
+    if let End::Answered(answer) = &begun.end {
         entry.node.note(&job.request, format!("answered as {} was", begun.id));
-        return Ok(replay(job, &answer));
+        return Ok(replay(job, answer));
     }
     let author = &begun.author;
-    if entry.node.listing().contains(&author.instance, author.incarnation) {
+    let is_open = begun.end == End::Open;
+    if is_open && entry.node.listing().contains(&author.instance, author.incarnation) {
         let message = "the request is being run; send it again for its answer";
         return Err(Refusal::unknown(Kind::InProgress, message).retry_after(PROGRESS_WAIT));
     }
-    let message = "the instance that ran the request is gone; \
+    let message = "the request may have run, and its answer is lost; \
                    check whether it took effect before sending a new one under a new key";
     Err(Refusal::unknown(Kind::OutcomeUnknown, message))
 }
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -46,6 +46,7 @@
         Access::Key => Some(caller::authenticate(&state, request.headers())?),
         Access::Open => None,
     };
+    caller::recheck(entry, caller.as_ref().map(|caller| &caller.key))?;
     let idempotency_key = idempotency_key(&settings, request.headers())?;
     let job = job(entry, id, request, route, &settings, caller).await?;
     entry.node.note(id, format!("{} calls {:?}", job.account, job.target));
--- a/crates/fleet/src/change.rs
+++ b/crates/fleet/src/change.rs
@@ -17,9 +17,10 @@
     pub change: Change,
 }
 
-/// What a record changes.
+/// What a record changes. It goes through the log as JSON and between processes
+/// in a format that does not describe itself, so it is not tagged inside.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", tag = "kind", deny_unknown_fields)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum Change {
     SetAccount {
         account: Name,
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -75,7 +75,7 @@
 }
 
 /// Fold of the lease stream.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Table {
     pub next: u64,
     leases: BTreeMap<Name, Lease>,
@@ -94,6 +94,11 @@
         self.leases.iter()
     }
 
+    /// Whether a resource that is not in the table may be held all the same.
+    pub fn is_partial(&self) -> bool {
+        self.is_partial
+    }
+
     /// Notes that records before `first` have expired.
     pub fn skip_to(&mut self, first: u64) {
         if self.next < first {
@@ -151,6 +156,8 @@
     me: Holder,
     rules: Rules,
     table: Table,
+    /// When the stream was first read, if records were missing then.
+    followed_since: Option<Moment>,
     /// When the last read of the log that reached its tail was asked for.
     log_asked: Option<Moment>,
     /// When the last read of the list that showed this incarnation was asked for.
@@ -197,6 +204,7 @@
             me,
             rules,
             table: Table::default(),
+            followed_since: None,
             log_asked: None,
             list_asked: None,
             is_void: false,
@@ -230,12 +238,27 @@
         records: impl IntoIterator<Item = (u64, &'a Record)>,
     ) {
         self.table.skip_to(first);
+        if self.table.is_partial {
+            self.followed_since.get_or_insert(now);
+        }
         for (offset, record) in records {
             self.on_record(now, offset, record);
         }
         self.log_asked = self.log_asked.max(Some(asked));
     }
 
+    /// Takes in a peer's leases, when records that this process lacks have expired.
+    /// The log is read again from where the peer's table ends.
+    pub fn absorb(&mut self, table: Table) {
+        if !self.table.is_partial || table.is_partial {
+            return;
+        }
+        self.table = table;
+        self.tenures.clear();
+        self.pending.clear();
+        self.log_asked = None;
+    }
+
     /// Takes in a read of the instance list, asked for at `asked`.
     pub fn on_list_read(&mut self, now: Moment, asked: Moment, listing: &Listing) {
         if listing.contains(&self.me.instance, self.me.incarnation) {
@@ -359,7 +382,7 @@
             return None;
         }
         let Some(lease) = self.table.lease(resource) else {
-            return Some(self.claim_record(resource, None));
+            return self.may_claim_unknown(now).then(|| self.claim_record(resource, None));
         };
         if lease.holder == self.me && lease.released.is_none() {
             return self.renewal(now, resource);
@@ -372,6 +395,14 @@
             .then(|| self.claim_record(resource, Some(lease.fence)))
     }
 
+    /// A resource without a record is free when no record is missing, or when the
+    /// stream was followed for so long that any holder would have renewed it.
+    fn may_claim_unknown(&self, now: Moment) -> bool {
+        let followed =
+            self.followed_since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
+        !self.table.is_partial || self.rules.retention / 2 <= followed
+    }
+
     fn renewal(&self, now: Moment, resource: &Name) -> Option<Record> {
         let tenure = self.tenures.get(resource)?;
         let is_due = self.rules.retention / 4 <= now.saturating_sub(tenure.confirmed);
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -74,6 +74,11 @@
         self.next
     }
 
+    /// What to ask a peer for: its answer closes a gap, if there is one.
+    pub fn wanted(&self) -> u64 {
+        if self.is_behind() { 0 } else { self.next }
+    }
+
     /// The configuration, once known.
     pub fn state(&self) -> Option<&Arc<State>> {
         self.state.as_ref()
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -92,7 +92,7 @@
                 1 if log.first + 20 < log.records.len() => log.first += 10,
                 2 => {
                     let [a, b] = [random.random_range(0..3), random.random_range(0..3)];
-                    let update = replicas[a].since(replicas[b].next());
+                    let update = replicas[a].since(replicas[b].wanted());
                     replicas[b].absorb(update);
                 }
                 3 => replicas[random.random_range(0..3)] = Replica::default(),
@@ -116,7 +116,7 @@
         for replica in &mut replicas {
             let all = log.records.len();
             log.read(replica, all);
-            replica.absorb(writer.since(if replica.is_behind() { 0 } else { replica.next() }));
+            replica.absorb(writer.since(replica.wanted()));
             assert_eq!(replica.state().map(|state| State::clone(state)), Some(expected.clone()));
         }
     });
--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -1,10 +1,15 @@
 //! Request and response bodies.
 
-use std::{convert::Infallible, time::Duration};
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
-use futures_lite::StreamExt as _;
+use futures_lite::{Stream, StreamExt as _};
 use http_body_util::{BodyExt as _, Full, Limited, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{
     Response, StatusCode,
@@ -76,9 +81,35 @@
     (sender, response(status, content_type, from_receiver(receiver)))
 }
 
+/// Pieces of a streamed answer. Before a cut it lets the server send what it has:
+/// a server that sees an error closes the connection and drops its buffer, and
+/// with it the event that tells the caller why.
+struct Pieces {
+    receiver: Pin<Box<Receiver<Result<Bytes, Cut>>>>,
+    is_cut: bool,
+}
+
+impl Stream for Pieces {
+    type Item = Result<Bytes, Cut>;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if self.is_cut {
+            return Poll::Ready(Some(Err(Cut)));
+        }
+        match self.receiver.as_mut().poll_next(context) {
+            Poll::Ready(Some(Err(Cut))) => {
+                self.is_cut = true;
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            other => other,
+        }
+    }
+}
+
 fn from_receiver(receiver: Receiver<Result<Bytes, Cut>>) -> Body {
-    let frames = Box::pin(receiver).map(|piece| piece.map(Frame::data));
-    StreamBody::new(frames).boxed_unsync()
+    let pieces = Pieces { receiver: Box::pin(receiver), is_cut: false };
+    StreamBody::new(pieces.map(|piece| piece.map(Frame::data))).boxed_unsync()
 }
 
 fn response(status: StatusCode, content_type: &str, body: Body) -> Response<Body> {
--- a/crates/ledger/src/fold.rs
+++ b/crates/ledger/src/fold.rs
@@ -36,7 +36,16 @@
     pub author: Holder,
     /// The log's time of the record, since the Unix epoch.
     pub at: Duration,
-    pub answer: Option<Arc<Answer>>,
+    pub end: End,
+}
+
+/// How an attempt ended, as far as the log tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    Open,
+    Answered(Arc<Answer>),
+    /// It may have run, and its answer is lost.
+    Lost,
 }
 
 impl Fold {
@@ -76,11 +85,12 @@
                     request: *request,
                     author: author.clone(),
                     at,
-                    answer: None,
+                    end: End::Open,
                 };
                 self.begin(*key, begun);
             }
-            Record::Done { id, answer } => self.done(id, answer),
+            Record::Done { id, answer } => self.end(id, End::Answered(Arc::new(answer.clone()))),
+            Record::Lost { id } => self.end(id, End::Lost),
             Record::Abandon { id } => self.abandon(id, at),
         }
     }
@@ -99,17 +109,18 @@
         self.begins.insert(key, begun);
     }
 
-    fn done(&mut self, id: &Name, answer: &Answer) {
-        let Some(begun) = self.keys.get(id).and_then(|key| self.begins.get_mut(key)) else {
-            return;
-        };
-        begun.answer.get_or_insert_with(|| Arc::new(answer.clone()));
+    /// The first end counts.
+    fn end(&mut self, id: &Name, end: End) {
+        let begun = self.keys.get(id).and_then(|key| self.begins.get_mut(key));
+        if let Some(begun) = begun.filter(|begun| begun.end == End::Open) {
+            begun.end = end;
+        }
     }
 
     fn abandon(&mut self, id: &Name, at: Duration) {
         let key = self.keys.get(id).copied();
-        let is_done =
-            key.and_then(|key| self.begins.get(&key)).is_some_and(|begun| begun.answer.is_some());
+        let begun = key.and_then(|key| self.begins.get(&key));
+        let is_done = begun.is_some_and(|begun| begun.end != End::Open);
         if is_done {
             return;
         }
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -18,6 +18,8 @@
     },
     /// The request ran; its answer is given to every later resend.
     Done { id: Name, answer: Answer },
+    /// The request may have run, and its answer is lost.
+    Lost { id: Name },
     /// The attempt never reached a backend server; the key is free again.
     Abandon { id: Name },
 }
--- a/crates/ledger/tests/once.rs
+++ b/crates/ledger/tests/once.rs
@@ -5,7 +5,7 @@
 
 use fleet::{Name, digest::Digest, lease::Holder};
 use ledger::{
-    fold::Fold,
+    fold::{End, Fold},
     record::{Answer, Record, key},
 };
 use rand::RngExt as _;
@@ -106,7 +106,9 @@
     fn arrive(&mut self, random: &mut Random, index: usize) {
         self.read(index);
         if let Some(begun) = self.folds[index].begun(&the_key()) {
-            self.answers.extend(begun.answer.clone());
+            if let End::Answered(answer) = &begun.end {
+                self.answers.push(Arc::clone(answer));
+            }
             return;
         }
         self.next_id += 1;
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use fleet::member::Role;
+use fleet::member::{Member, Role};
 use rand::seq::IndexedRandom as _;
 use wire::frame::{Call, Reply};
 
@@ -16,10 +16,21 @@
     }
 }
 
+/// A process that started after lease records had expired learns them from a peer.
+async fn learn_leases(node: &Node, peer: &Member) {
+    if !node.with_seat(|seat| seat.table().is_partial()) {
+        return;
+    }
+    if let Ok(Reply::Leases(table)) = node.ask(peer, &Call::Leases).await {
+        node.with_seat(|seat| seat.absorb(table));
+    }
+}
+
 async fn with_one_peer(node: &Node) {
     let Some(peer) = node.peers(Role::Entry).choose(&mut rand::rng()).cloned() else { return };
+    learn_leases(node, &peer).await;
     let at = node.now();
-    let next = node.replica.read().next();
+    let next = node.replica.read().wanted();
     match node.ask(&peer, &Call::Sync { next }).await {
         Ok(Reply::Update(update)) => {
             node.freshness.lock().on_answer(at);
@@ -27,6 +38,10 @@
                 node.configuration_changed.notify(usize::MAX);
             }
         }
-        Ok(_) | Err(_) => node.freshness.lock().on_silence(at),
+        Ok(_) => node.freshness.lock().on_silence(at),
+        Err(error) => {
+            log::debug!("{} did not answer: {error}", peer.instance);
+            node.freshness.lock().on_silence(at);
+        }
     }
 }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -2,7 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fleet::{change, member::Role, replica::Entry};
+use fleet::{
+    change,
+    member::{Listing, Member, Role},
+    replica::Entry,
+};
 use platform::{
     list::{News, Tag},
     log::{self, Batch},
@@ -82,13 +86,23 @@
         Ok(News::Unchanged) => on_listing(node, asked),
         Ok(News::Changed { listing, tag: new }) => {
             *tag = new;
-            *node.listing.write() = Arc::new(listing);
+            let before = std::mem::replace(&mut *node.listing.write(), Arc::new(listing));
+            disconnect_gone(node, &before);
             on_listing(node, asked);
         }
         Err(error) => ::log::debug!("the instance list was not read: {error}"),
     }
 }
 
+/// Calls to processes that left the list fail now rather than after a timeout.
+fn disconnect_gone(node: &Node, before: &Listing) {
+    let listing = node.listing();
+    let is_gone = |member: &&Member| !listing.contains(&member.instance, member.incarnation);
+    for member in before.members.iter().filter(is_gone) {
+        node.link.disconnect(member.address);
+    }
+}
+
 fn on_listing(node: &Node, asked: Duration) {
     let listing = node.listing();
     let now = node.now();
--- a/crates/node/src/leases.rs
+++ b/crates/node/src/leases.rs
@@ -53,15 +53,18 @@
     }
 }
 
-/// Whether this process is the one to claim a resource that nobody holds.
-pub fn is_preferred(node: &Node, resource: &str) -> bool {
+/// Whether this process is the one to claim what nobody holds: part `index` of
+/// what `subject` is cut into. The parts lie on different instances, in
+/// different zones as far as there are any.
+pub fn is_preferred(node: &Node, subject: &str, index: usize) -> bool {
     let listing = node.listing();
     let servers: Vec<_> = listing
         .live(Role::Entry)
         .map(|member| Server::new(Arc::clone(&member.instance), Arc::clone(&member.zone), 1))
         .collect();
-    let first = rendezvous::first(rendezvous::seed(resource), &servers, 1);
-    first.first().is_some_and(|index| servers[*index].name == node.settings.instance)
+    let order = rendezvous::first(rendezvous::seed(subject), &servers, index + 1);
+    let preferred = order.get(index).or(order.first());
+    preferred.is_some_and(|index| servers[*index].name == node.settings.instance)
 }
 
 fn take_batch(seat: &mut Seat, now: Duration, asked: Duration, batch: &Batch) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -210,6 +210,7 @@
     pub fn answer(&self, call: &Call) -> Option<Reply> {
         match call {
             Call::Sync { next } => Some(Reply::Update(self.replica.read().since(*next))),
+            Call::Leases => Some(Reply::Leases(self.with_seat(|seat| seat.table().clone()))),
             Call::Suspects(reports) => {
                 let now = self.now();
                 self.with_suspects(|list| {
--- a/crates/node/src/snapshot.rs
+++ b/crates/node/src/snapshot.rs
@@ -20,7 +20,7 @@
     loop {
         node.kernel.clock.sleep(due.min(MAX_PAUSE)).await;
         let is_due = due <= node.now() - last;
-        if is_due && leases::is_preferred(&node, "snapshot") && append(&node).await {
+        if is_due && leases::is_preferred(&node, "snapshot", 0) && append(&node).await {
             last = node.now();
         }
     }
--- a/crates/operator/src/session.rs
+++ b/crates/operator/src/session.rs
@@ -161,12 +161,16 @@
             log::warn!("the log cannot be read, asking the instances: {error}");
             self.read_from_instances().await?;
         }
+        if self.replica.is_behind() {
+            log::warn!("old records have expired, asking the instances");
+            self.read_from_instances().await?;
+        }
         self.replica.state().cloned().ok_or(Error::NoState)
     }
 
     async fn read_from_instances(&mut self) -> Result<(), Error> {
         for member in self.listing().await?.members {
-            let call = Call::Sync { next: self.replica.next() };
+            let call = Call::Sync { next: self.replica.wanted() };
             if let Some(Reply::Update(update)) = self.ask(&member, &call).await
                 && update != Update::Nothing
             {
--- a/crates/placement/src/slots.rs
+++ b/crates/placement/src/slots.rs
@@ -45,6 +45,9 @@
 enum Phase {
     Loading,
     Resident,
+    /// The engine seems to have crashed. It stays until the last request that used
+    /// it has ended, in case it has not.
+    Doubtful,
 }
 
 #[derive(Clone, Debug)]
@@ -64,7 +67,7 @@
     Loading,
     /// The caller has to load it, after unloading the victim.
     Load { victim: Option<Key> },
-    /// Every slot is pinned.
+    /// Every slot is pinned, or the adapter's own is in doubt.
     Full,
 }
 
@@ -84,12 +87,14 @@
     /// Pins an adapter for one request.
     pub fn pin(&mut self, now: Moment, key: &Key) -> Pin {
         if let Some(slot) = self.slots.iter_mut().find(|slot| slot.key == *key) {
-            slot.pins += 1;
-            slot.usage = used(slot.usage, now);
-            return match slot.phase {
+            let pin = match slot.phase {
                 Phase::Resident => Pin::Resident,
                 Phase::Loading => Pin::Loading,
+                Phase::Doubtful => return Pin::Full,
             };
+            slot.pins += 1;
+            slot.usage = used(slot.usage, now);
+            return pin;
         }
         let victim = if self.slots.len() < self.capacity { None } else { self.victim(now) };
         if self.capacity <= self.slots.len() && victim.is_none() {
@@ -106,12 +111,15 @@
         if let Some(slot) = self.slots.iter_mut().find(|slot| slot.key == *key) {
             slot.pins = slot.pins.saturating_sub(1);
         }
+        self.slots.retain(|slot| slot.phase != Phase::Doubtful || 0 < slot.pins);
     }
 
     /// The load that `pin` asked for has ended.
     pub fn loaded(&mut self, key: &Key) {
         if let Some(slot) = self.slots.iter_mut().find(|slot| slot.key == *key) {
-            slot.phase = Phase::Resident;
+            if slot.phase == Phase::Loading {
+                slot.phase = Phase::Resident;
+            }
         }
     }
 
@@ -123,7 +131,7 @@
     /// Takes in an adapter that the engine has loaded without this process's order;
     /// tells whether there was room.
     pub fn adopt(&mut self, now: Moment, key: Key) -> bool {
-        if self.capacity <= self.slots.len() || self.is_present(&key) {
+        if self.capacity <= self.slots.len() || self.slots.iter().any(|slot| slot.key == key) {
             return false;
         }
         let usage = Usage { last_used: now, uses: 0.0 };
@@ -131,14 +139,21 @@
         true
     }
 
-    /// The engine restarted: nothing is loaded there.
-    pub fn clear(&mut self) {
-        self.slots.clear();
+    /// The engine seems to have crashed.
+    pub fn doubt(&mut self) {
+        self.slots.retain(|slot| 0 < slot.pins);
+        self.slots.iter_mut().for_each(|slot| slot.phase = Phase::Doubtful);
     }
 
     /// Whether an adapter is loaded or being loaded.
     pub fn is_present(&self, key: &Key) -> bool {
-        self.slots.iter().any(|slot| slot.key == *key)
+        self.slots.iter().any(|slot| slot.key == *key && slot.phase != Phase::Doubtful)
+    }
+
+    /// Whether a request for an adapter could not even begin to wait for it.
+    pub fn is_blocked(&self, key: &Key) -> bool {
+        let own = self.slots.iter().find(|slot| slot.key == *key);
+        own.map_or(!self.has_room(), |slot| slot.phase == Phase::Doubtful)
     }
 
     /// Whether an adapter is loaded.
--- /dev/null
+++ b/crates/scenario/scripts/common.rhai
@@ -0,0 +1,40 @@
+// What most scenarios publish first.
+fn publish(f, rate, burst) {
+    let statements = [
+        `create account council rate ${rate} burst ${burst}`,
+        "issue key for council named k1 secret demo-key",
+        "set route orders key non-idempotent interactive",
+        "set route stock key idempotent interactive",
+    ];
+    for adapter in 1..=5 {
+        for version in 1..=2 {
+            statements.push(`publish council-00${adapter} version ${version} on base`);
+        }
+    }
+    f.operate_all(statements);
+    f.operate("set route news open idempotent batch");
+}
+
+// Sends an order again, as a caller would, until its outcome is settled.
+fn settle(f, entry, order) {
+    for attempt in 0..20 {
+        let answer = f.order(entry, "demo-key", order.key, order.sent);
+        if answer.status == 201 { return "done"; }
+        if answer.outcome == "unknown" && answer.status == 502 { return "unknown"; }
+        sleep_ms(300);
+    }
+    "unsettled"
+}
+
+fn count(records, status) {
+    records.filter(|r| r.status == status).len()
+}
+
+fn statuses(records) {
+    let counts = #{};
+    for r in records {
+        let name = `${r.status} ${r.outcome}`;
+        counts[name] = (if name in counts { counts[name] } else { 0 }) + 1;
+    }
+    counts
+}
--- /dev/null
+++ b/crates/scenario/scripts/quota.rhai
@@ -0,0 +1,41 @@
+// No account gets more than its rate and burst over all instances together,
+// while holders are killed, frozen and resumed; and an account within its rate
+// is not refused.
+import "common" as common;
+let f = fleet(#{ entries: 3 });
+common::publish(f, 400, 800);
+f.operate("create account steady rate 4000 burst 8000");
+f.operate("issue key for steady named k3 secret steady-key");
+sleep_ms(300);
+let began = now_ms();
+let flood = f.chat_load("demo-key", #{ interval_ms: 5, adapters: 3, tokens: 8 });
+sleep_ms(1000);
+f.freeze("entry-2");
+sleep_ms(2500);
+f.thaw("entry-2");
+f.kill("entry-1");
+sleep_ms(2500);
+f.restart("entry-1");
+f.faults("list", #{ down: true });
+sleep_ms(1500);
+f.faults("list", #{});
+f.faults("log", #{ down: true });
+sleep_ms(1500);
+f.faults("log", #{});
+let records = f.finish(flood);
+let seconds = (now_ms() - began) / 1000.0;
+let used = 0;
+for r in records { if r.status == 200 { used += r.tokens; } }
+print(common::statuses(records));
+print(`used ${used} tokens in ${seconds} s; allowed ${800.0 + 400.0 * seconds}`);
+check(used.to_float() <= 800.0 + 400.0 * seconds, "within burst and rate");
+check(used.to_float() >= 400.0 * seconds * 0.5, "at least half of the rate is served through the failures");
+
+// Within the rate and with all instances up nothing is refused.
+sleep_ms(3000);
+let steady = f.chat_load("steady-key", #{ interval_ms: 20, adapters: 3, tokens: 8 });
+sleep_ms(3000);
+let records = f.finish(steady);
+print(common::statuses(records));
+check(records.all(|r| r.status == 200), "nobody within the rate is refused");
+check(f.violations().is_empty(), "no promise is broken: " + f.violations());
--- a/crates/scenario/src/calls.rs
+++ b/crates/scenario/src/calls.rs
@@ -16,6 +16,9 @@
 
 /// Time that any call may take before the caller counts it as unanswered.
 const CALL_LIMIT: Duration = Duration::from_secs(40);
+/// How often a balancer looks at the entries.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const CHECK_LIMIT: Duration = Duration::from_millis(200);
 const DIGEST_CHARACTERS: usize = 16;
 
 /// What a caller sends.
@@ -75,8 +78,32 @@
     records: Arc<Mutex<Vec<Record>>>,
 }
 
+/// The entries that are ready, as a balancer's health checks see them.
+#[derive(Clone, Debug, Default)]
+struct Balancer {
+    ready: Arc<Mutex<Vec<SocketAddr>>>,
+}
+
+impl Balancer {
+    fn pick(&self, turn: u64) -> Option<SocketAddr> {
+        let ready = self.ready.lock();
+        ready.get(turn as usize % ready.len().max(1)).copied()
+    }
+
+    async fn check(&self, kernel: &Kernel, entries: &[SocketAddr]) {
+        let mut ready = Vec::new();
+        for entry in entries {
+            let check = http::fetch(kernel, *entry, http::get("/health/ready"), CHECK_LIMIT);
+            if check.await.is_ok() {
+                ready.push(*entry);
+            }
+        }
+        *self.ready.lock() = ready;
+    }
+}
+
 impl Load {
-    /// Sends calls from `next` every `interval`, in turn to the entries, until stopped.
+    /// Sends calls from `next` every `interval`, in turn to the ready entries, until stopped.
     pub fn start(
         kernel: &Kernel,
         entries: Vec<SocketAddr>,
@@ -89,11 +116,22 @@
         let records = Arc::default();
         let load = Load { stop, done, records: Arc::clone(&records) };
         let spawner = kernel.clone();
+        let balancer = Balancer::default();
+        kernel.spawn_detached(check_forever(
+            kernel.clone(),
+            balancer.clone(),
+            entries,
+            stopped.clone(),
+        ));
         kernel.spawn_detached(async move {
             let mut running = VecDeque::new();
             let mut turn = 0;
             while !stopped.is_closed() {
-                let (entry, key) = (entries[turn as usize % entries.len()], key.clone());
+                let Some(entry) = balancer.pick(turn) else {
+                    spawner.clock.sleep(CHECK_INTERVAL).await;
+                    continue;
+                };
+                let key = key.clone();
                 let (ask, kernel) = (next(turn), spawner.clone());
                 let records = Arc::clone(&records);
                 running.push_back(spawner.spawn(async move {
@@ -119,6 +157,18 @@
     }
 }
 
+async fn check_forever(
+    kernel: Kernel,
+    balancer: Balancer,
+    entries: Vec<SocketAddr>,
+    stopped: async_channel::Receiver<()>,
+) {
+    while !stopped.is_closed() {
+        balancer.check(&kernel, &entries).await;
+        kernel.clock.sleep(CHECK_INTERVAL).await;
+    }
+}
+
 /// The marks by which an engine's answer names what ran.
 pub fn expected_marks(ask: &Ask) -> Option<(String, String)> {
     let Ask::Chat { model, prompt, .. } = ask else { return None };
--- a/crates/scenario/src/checker.rs
+++ b/crates/scenario/src/checker.rs
@@ -44,12 +44,15 @@
     if text.split(' ').count() as u64 != *max_tokens {
         return Some(format!("{request}: not whole: {text}"));
     }
+    // A short answer ends within its marks.
+    let words: Vec<&str> = text.split(' ').collect();
+    let is_mark = |index: usize, mark: &str| words.get(index).is_none_or(|word| *word == mark);
     let (adapter, version) = model.rsplit_once('@').unwrap_or((&model, ""));
-    let names_version = version.is_empty() || text.contains(&format!("version={version} "));
-    if !text.contains(&format!("adapter={adapter} ")) || !names_version {
+    let names_version = version.is_empty() || is_mark(1, &format!("version={version}"));
+    if !is_mark(0, &format!("adapter={adapter}")) || !names_version {
         return Some(format!("{request}: asked for {model}, answered by {text}"));
     }
-    (!text.contains(&digest)).then(|| format!("{request}: another caller's answer: {text}"))
+    (!is_mark(2, &digest)).then(|| format!("{request}: another caller's answer: {text}"))
 }
 
 /// A request said not to have run is in no journal.
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -7,7 +7,11 @@
     net::{SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::Command,
-    sync::{Arc, mpsc},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+        mpsc,
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -397,7 +401,7 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.members.lock().clear();
-        if !thread::panicking() {
+        if std::env::var_os("CHIVELATCH_KEEP").is_none() {
             remove(&self.folder);
         }
     }
@@ -423,12 +427,29 @@
     receiver.recv().expect("the executor starts")
 }
 
+/// Ports below those that the system gives to outgoing connections.
+const FIRST_PORT: u32 = 10_000;
+const PORTS: u32 = 22_000;
+
 fn free_tcp() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("a bound socket has an address")
+    free_port(|address| TcpListener::bind(address).is_ok())
 }
 
 fn free_udp() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
-    socket.local_addr().expect("a bound socket has an address")
+    free_port(|address| UdpSocket::bind(address).is_ok())
+}
+
+/// A port that no fleet of this test run has had, and that is free now.
+fn free_port(is_free: impl Fn(SocketAddr) -> bool) -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id() * 997;
+    loop {
+        let turn = NEXT.fetch_add(1, Ordering::Relaxed);
+        assert!(turn < PORTS, "no port is free");
+        let port = FIRST_PORT + (start + turn) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if is_free(address) {
+            return address;
+        }
+    }
 }
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -2,7 +2,10 @@
 
 use std::{path::Path, sync::Arc, thread, time::Duration};
 
-use rhai::{Array, Dynamic, Engine, EvalAltResult, ImmutableString, Map, serde::from_dynamic};
+use rhai::{
+    Array, Dynamic, Engine, EvalAltResult, ImmutableString, Map,
+    module_resolvers::FileModuleResolver, serde::from_dynamic,
+};
 use serde_json::Value;
 
 use crate::{
@@ -21,6 +24,8 @@
 /// The first failed check or error, with its place in the script.
 pub fn run(path: &Path) -> Result<(), String> {
     let mut engine = Engine::new();
+    let folder = path.parent().unwrap_or(Path::new("."));
+    engine.set_module_resolver(FileModuleResolver::new_with_path(folder));
     engine.set_max_expr_depths(128, 128);
     register_fleet(&mut engine);
     register_calls(&mut engine);
@@ -58,6 +63,10 @@
     engine.register_fn("journals", |fleet: &mut Handle, prefix: &str| {
         rhai::serde::to_dynamic(fleet.journals(prefix))
     });
+    engine.register_fn("now_ms", || {
+        let elapsed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        elapsed.map_or(0, |elapsed| elapsed.as_millis() as i64)
+    });
     engine.register_fn("sleep_ms", |ms: i64| thread::sleep(Duration::from_millis(ms as u64)));
     engine.register_fn("check", |holds: bool, what: &str| {
         if holds { Ok(()) } else { Err(Failure::from(format!("check failed: {what}"))) }
@@ -213,6 +222,10 @@
         "retry_after".into(),
         Dynamic::from(answer.retry_after.map_or(-1, |seconds| seconds as i64)),
     );
+    if let Ask::Order { idempotency_key, body, .. } = &record.ask {
+        map.insert("key".into(), Dynamic::from(idempotency_key.clone()));
+        map.insert("sent".into(), Dynamic::from(body.clone()));
+    }
     let elapsed = record.ended - record.sent;
     map.insert("elapsed_ms".into(), Dynamic::from(elapsed.as_millis() as i64));
     map
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -46,5 +46,15 @@
 }
 
 scenarios! {
+    adapter_version,
+    configuration,
+    failing_engines,
+    keys,
+    orders,
+    outage,
+    planned_stop,
+    poison,
+    quota,
+    replaced_side,
     whole_path,
 }
--- a/crates/schedule/src/retry.rs
+++ b/crates/schedule/src/retry.rs
@@ -4,7 +4,7 @@
 /// Tries are counted in thousandths.
 const UNIT: u64 = 1000;
 /// Retries that may follow each other before the share is earned.
-const RESERVE: u64 = 3 * UNIT;
+const RESERVE: u64 = 20 * UNIT;
 
 /// Budget of one process.
 #[derive(Clone, Copy, Debug)]
--- a/crates/side/src/dispatch.rs
+++ b/crates/side/src/dispatch.rs
@@ -30,20 +30,25 @@
     NotBegun(NotBegun),
 }
 
-/// The right to use the engine for one attempt. Its drop ends the use.
+/// The right to use the engine for one attempt, from the moment it leaves the
+/// queue. Its drop ends the use.
 pub(crate) struct Ticket {
     side: Arc<Side>,
+    /// The adapter that is pinned.
     key: Option<Key>,
     cost: u64,
     exposure: Exposure,
+    stage: Stage,
     /// Crash count of the engine when the attempt started.
     pub(crate) epoch: u64,
 }
 
-/// A popped attempt whose adapter may still be loading. Its drop unpins.
-struct Pinned {
-    side: Arc<Side>,
-    key: Option<Key>,
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Its adapter may still be loading.
+    Admitted,
+    /// It is at the engine.
+    Running,
 }
 
 /// Starts waiting attempts as long as the process runs.
@@ -51,8 +56,8 @@
     loop {
         let woken = side.wake.listen();
         turn_away(&side);
-        while let Some(job) = next(&side) {
-            begin(&side, job);
+        while let Some((job, ticket)) = next(&side) {
+            begin(&side, job, ticket);
         }
         future::or(woken, side.node.kernel.clock.sleep(TICK)).await;
     }
@@ -106,58 +111,61 @@
     drop(gone);
 }
 
-fn next(side: &Side) -> Option<Job> {
+fn next(side: &Arc<Side>) -> Option<(Job, Ticket)> {
     let now = side.node.now();
     let mut core = side.core.lock();
     if core.is_exclusive || side.settings.batch <= core.running {
         return None;
     }
-    let Core { queue, slots, running, .. } = &mut *core;
+    let Core { queue, slots, admitted, .. } = &mut *core;
     let item = queue.pop(now, |item| match (&item.work.key, item.work.exposure) {
-        (_, Exposure::Alone) if 0 < *running => Fit::Blocked,
+        (_, Exposure::Alone) if 0 < *admitted => Fit::Blocked,
         (None, _) => Fit::Ready,
         (Some(key), _) if slots.is_present(key) => Fit::Ready,
-        (Some(_), _) if slots.has_room() => Fit::Loadable,
-        (Some(_), _) => Fit::Blocked,
+        (Some(key), _) if slots.is_blocked(key) => Fit::Blocked,
+        (Some(_), _) => Fit::Loadable,
     })?;
-    Some(item.work)
+    let job = item.work;
+    core.admitted += 1;
+    core.is_exclusive |= job.exposure == Exposure::Alone;
+    let ticket = Ticket {
+        side: Arc::clone(side),
+        key: None,
+        cost: job.cost,
+        exposure: job.exposure,
+        stage: Stage::Admitted,
+        epoch: core.epoch,
+    };
+    Some((job, ticket))
 }
 
 /// Pins the adapter and starts the attempt, at once or after a load.
-fn begin(side: &Arc<Side>, job: Job) {
+fn begin(side: &Arc<Side>, job: Job, mut ticket: Ticket) {
+    let Some(key) = job.key.clone() else { return start(&job, ticket) };
     let now = side.node.now();
-    let pinned = Pinned { side: Arc::clone(side), key: job.key.clone() };
-    let Some(key) = job.key.clone() else { return start(pinned, job) };
-    let (loaded, wait) = async_channel::bounded(1);
-    let mut core = side.core.lock();
-    let pin = core.slots.pin(now, &key);
+    let pin = side.core.lock().slots.pin(now, &key);
+    if pin != Pin::Full {
+        ticket.key = Some(key.clone());
+    }
     match pin {
-        Pin::Resident => {
-            drop(core);
-            start(pinned, job);
-        }
-        Pin::Loading => {
-            core.loading.entry(key).or_default().push(loaded);
-            drop(core);
-            start_after_load(side, pinned, job, wait);
-        }
+        Pin::Resident => start(&job, ticket),
+        Pin::Loading => start_after_load(side, &key, job, ticket),
         Pin::Load { victim } => {
-            core.loading.entry(key.clone()).or_default().push(loaded);
-            drop(core);
+            start_after_load(side, &key, job, ticket);
             side.node.kernel.spawn_detached(load::run(Arc::clone(side), key, victim));
-            start_after_load(side, pinned, job, wait);
         }
         Pin::Full => {
-            drop(core);
             let _gone = job.start.try_send(Start::NotBegun(NotBegun::QueueFull));
         }
     }
 }
 
-fn start_after_load(side: &Side, pinned: Pinned, job: Job, wait: async_channel::Receiver<Loaded>) {
+fn start_after_load(side: &Side, key: &Key, job: Job, ticket: Ticket) {
+    let (loaded, wait) = async_channel::bounded(1);
+    side.core.lock().loading.entry(key.clone()).or_default().push(loaded);
     side.node.kernel.spawn_detached(async move {
         match wait.recv().await {
-            Ok(Loaded::Yes) => start(pinned, job),
+            Ok(Loaded::Yes) => start(&job, ticket),
             Ok(Loaded::No) | Err(_) => {
                 let _gone = job.start.try_send(Start::NotBegun(NotBegun::LoadFailed));
             }
@@ -165,17 +173,14 @@
     });
 }
 
-fn start(mut pinned: Pinned, job: Job) {
-    let side = Arc::clone(&pinned.side);
-    let epoch = {
-        let mut core = side.core.lock();
+fn start(job: &Job, mut ticket: Ticket) {
+    {
+        let mut core = ticket.side.core.lock();
         core.running += 1;
-        core.running_tokens += job.cost;
-        core.is_exclusive |= job.exposure == Exposure::Alone;
-        core.epoch
-    };
-    let key = pinned.key.take();
-    let ticket = Ticket { side, key, cost: job.cost, exposure: job.exposure, epoch };
+        core.running_tokens += ticket.cost;
+        ticket.epoch = core.epoch;
+    }
+    ticket.stage = Stage::Running;
     // An attempt whose caller has gone drops its ticket here.
     let _gone = job.start.try_send(Start::Go(ticket));
 }
@@ -183,8 +188,11 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         let mut core = self.side.core.lock();
-        core.running -= 1;
-        core.running_tokens -= self.cost;
+        core.admitted -= 1;
+        if self.stage == Stage::Running {
+            core.running -= 1;
+            core.running_tokens -= self.cost;
+        }
         core.is_exclusive &= self.exposure != Exposure::Alone;
         if let Some(key) = &self.key {
             core.slots.unpin(key);
@@ -194,14 +202,6 @@
     }
 }
 
-impl Drop for Pinned {
-    fn drop(&mut self) {
-        let Some(key) = &self.key else { return };
-        self.side.core.lock().slots.unpin(key);
-        self.side.wake.notify(usize::MAX);
-    }
-}
-
 impl std::fmt::Debug for Ticket {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Ticket").field("key", &self.key).field("epoch", &self.epoch).finish()
--- a/crates/side/src/engine_watch.rs
+++ b/crates/side/src/engine_watch.rs
@@ -4,6 +4,7 @@
 
 use fleet::Name;
 use placement::slots::Key;
+use platform::http;
 
 use crate::{Side, load};
 
@@ -24,8 +25,9 @@
             continue;
         }
         let before = expected(&side);
-        if let Ok(loaded) = side.engine.loaded(LIST_TIMEOUT).await {
-            compare(&side, &before, &loaded);
+        match side.engine.loaded(LIST_TIMEOUT).await {
+            Ok(loaded) => compare(&side, &before, &loaded),
+            Err(error) => on_silence(&side, before.epoch, &error),
         }
     }
 }
@@ -34,6 +36,7 @@
 struct Expected {
     resident: Vec<Key>,
     is_quiet: bool,
+    epoch: u64,
 }
 
 /// The engine crashed under an attempt that started in `epoch`.
@@ -44,13 +47,27 @@
     }
     core.epoch += 1;
     core.is_engine_down = true;
-    core.slots.clear();
+    core.slots.doubt();
     metrics::counter!("chivelatch_engine_crashes_total").increment(1);
     drop(core);
     log::warn!("the engine of {} crashed", side.settings.server);
     side.wake.notify(usize::MAX);
 }
 
+/// Looks whether the engine is still there after an order failed.
+pub(crate) async fn check(side: &Side, epoch: u64) {
+    if let Err(error) = side.engine.loaded(LIST_TIMEOUT).await {
+        on_silence(side, epoch, &error);
+    }
+}
+
+/// An engine that is merely slow has not crashed.
+fn on_silence(side: &Side, epoch: u64, error: &http::Error) {
+    if !matches!(error, http::Error::Late { .. }) {
+        note_crash(side, epoch);
+    }
+}
+
 /// Whether the engine still has an adapter.
 pub(crate) async fn has(side: &Side, model: &str) -> bool {
     let loaded = side.engine.loaded(LIST_TIMEOUT).await;
@@ -61,7 +78,7 @@
     let core = side.core.lock();
     let keys = core.slots.list().map(|(key, _)| key);
     let resident = keys.filter(|key| core.slots.is_resident(key)).cloned().collect();
-    Expected { resident, is_quiet: core.loading.is_empty() }
+    Expected { resident, is_quiet: core.loading.is_empty(), epoch: core.epoch }
 }
 
 /// The engine is back. Forgets adapters that it lost, and takes in those that it
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -59,7 +59,9 @@
 struct Core {
     slots: Slots,
     queue: Queue<Job>,
-    /// Attempts at the engine.
+    /// Attempts that have left the queue and not ended.
+    admitted: u64,
+    /// Those of them that are at the engine.
     running: u64,
     running_tokens: u64,
     /// An attempt that has to be alone runs.
@@ -119,6 +121,7 @@
         let core = Core {
             slots: Slots::new(settings.slots, settings.victim),
             queue: Queue::new(settings.discipline, settings.queue_limit),
+            admitted: 0,
             running: 0,
             running_tokens: 0,
             is_exclusive: false,
--- a/crates/side/src/load.rs
+++ b/crates/side/src/load.rs
@@ -10,7 +10,7 @@
     identity::Role,
 };
 
-use crate::{Loaded, Side};
+use crate::{Loaded, Side, engine_watch};
 
 /// Longest wait for a permit.
 const PERMIT_PATIENCE: Duration = Duration::from_secs(30);
@@ -64,6 +64,10 @@
             // A load that ended in an engine that has since crashed is void.
             return side.core.lock().epoch == epoch;
         }
+        engine_watch::check(side, epoch).await;
+        if side.core.lock().epoch != epoch {
+            return false;
+        }
         side.node.kernel.clock.sleep(retry::delay(attempt as u32, 1.0)).await;
     }
     false
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -124,6 +124,10 @@
     fn set_faults(&self, faults: Faults) {
         let now = self.kernel.clock.now();
         let mut table = self.table.lock();
+        // What could not be announced while the list was down does not count.
+        if self.faults.lock().down {
+            table.members.values_mut().for_each(|(_, announced)| *announced = now);
+        }
         faults.drop.iter().for_each(|name| table.remove(name));
         table.note(now);
         drop(table);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -6,7 +6,7 @@
     Name,
     change::{Repeat, Urgency},
     digest::Digest,
-    lease::Lease,
+    lease::{Lease, Table},
     replica::Update,
     suspect::Report,
 };
@@ -30,6 +30,8 @@
     ReturnPermit(u64),
     /// Asks for newer configuration.
     Sync { next: u64 },
+    /// Asks for the leases.
+    Leases,
     /// Tells of requests that crashed an engine.
     Suspects(Vec<Report>),
     /// Asks what the process does and knows.
@@ -75,6 +77,7 @@
     Grant(Grant),
     Permit(Permit),
     Update(Update),
+    Leases(Table),
     Status(Box<Status>),
     Explanation(Vec<Step>),
     Done,
--- a/crates/wire/src/identity.rs
+++ b/crates/wire/src/identity.rs
@@ -9,8 +9,12 @@
 };
 
 use quinn::{
-    ClientConfig, IdleTimeout, ServerConfig, TransportConfig, VarInt,
-    crypto::rustls::{QuicClientConfig, QuicServerConfig},
+    ClientConfig, ConnectionId, ConnectionIdGenerator, EndpointConfig, IdleTimeout, ServerConfig,
+    TransportConfig, VarInt,
+    crypto::{
+        CryptoError, HmacKey,
+        rustls::{QuicClientConfig, QuicServerConfig},
+    },
 };
 use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
 use rustls::{
@@ -27,6 +31,8 @@
 const IDLE_TIMEOUT_MS: u32 = 10_000;
 /// Streams that one peer may have open.
 const MAX_STREAMS: u32 = 4096;
+const RESET_CONTEXT: &str = "chivelatch 2026-12 connection resets";
+const CONNECTION_ID_BYTES: usize = 8;
 
 /// What a process may do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +50,42 @@
     key: PrivateKeyDer<'static>,
 }
 
+/// Signs the resets of connections.
+struct ResetKey([u8; blake3::KEY_LEN]);
+
+impl HmacKey for ResetKey {
+    fn sign(&self, data: &[u8], signature: &mut [u8]) {
+        signature.copy_from_slice(blake3::keyed_hash(&self.0, data).as_bytes());
+    }
+
+    fn signature_len(&self) -> usize {
+        blake3::OUT_LEN
+    }
+
+    fn verify(&self, data: &[u8], signature: &[u8]) -> Result<(), CryptoError> {
+        let is_valid = blake3::keyed_hash(&self.0, data) == *signature;
+        if is_valid { Ok(()) } else { Err(CryptoError) }
+    }
+}
+
+/// Makes connection ids that any process of the fleet takes for possible ones, so
+/// that it answers them with a reset when it does not know them.
+struct RandomIds;
+
+impl ConnectionIdGenerator for RandomIds {
+    fn generate_cid(&mut self) -> ConnectionId {
+        ConnectionId::new(&rand::random::<[u8; CONNECTION_ID_BYTES]>())
+    }
+
+    fn cid_len(&self) -> usize {
+        CONNECTION_ID_BYTES
+    }
+
+    fn cid_lifetime(&self) -> Option<Duration> {
+        None
+    }
+}
+
 /// Where an identity is kept.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Files {
@@ -166,6 +208,16 @@
         Ok(config)
     }
 
+    /// Configuration of the endpoint itself. Its keys follow from the private key, so
+    /// that a process that was restarted resets the connections of the one before,
+    /// and their other ends need not wait for a timeout.
+    pub fn endpoint_config(&self) -> EndpointConfig {
+        let reset_key = blake3::derive_key(RESET_CONTEXT, self.key.secret_der());
+        let mut config = EndpointConfig::new(Arc::new(ResetKey(reset_key)));
+        config.cid_generator(|| Box::new(RandomIds));
+        config
+    }
+
     fn roots(&self) -> Result<RootCertStore, Error> {
         let mut roots = RootCertStore::empty();
         for certificate in &self.authority {
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -8,9 +8,7 @@
 
 use kernel::Kernel;
 use parking_lot::Mutex;
-use quinn::{
-    ClientConfig, Connection, Endpoint, EndpointConfig, Incoming, RecvStream, SendStream, VarInt,
-};
+use quinn::{ClientConfig, Connection, Endpoint, Incoming, RecvStream, SendStream, VarInt};
 use rustls::pki_types::CertificateDer;
 use snafu::{ResultExt as _, Snafu};
 
@@ -77,7 +75,7 @@
         let client = identity.client_config().context(IdentitySnafu)?;
         let socket = UdpSocket::bind(address).context(BindSnafu { address })?;
         let runtime = Arc::new(kernel.clone());
-        let endpoint = Endpoint::new(EndpointConfig::default(), Some(server), socket, runtime)
+        let endpoint = Endpoint::new(identity.endpoint_config(), Some(server), socket, runtime)
             .context(BindSnafu { address })?;
         let client = Arc::new(Mutex::new(client));
         let link = Link { kernel: kernel.clone(), endpoint, client, connections: Arc::default() };
@@ -137,6 +135,13 @@
         self.kernel.clock.timeout(limit, exchange).await.context(TimeoutSnafu)?
     }
 
+    /// Breaks the connection to a process that is gone, so that calls to it fail at once.
+    pub fn disconnect(&self, peer: SocketAddr) {
+        if let Some(connection) = self.connections.lock().remove(&peer) {
+            connection.close(VarInt::from_u32(0), b"the process is gone");
+        }
+    }
+
     /// Closes every connection.
     pub async fn close(&self) {
         self.endpoint.close(VarInt::from_u32(0), b"stopped");
