--- /dev/null
+++ b/crates/load/src/fleet_model.rs
@@ -0,0 +1,208 @@
+//! Entry decisions, servers and the weight store's budget on virtual time.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use fleet::lease::Moment;
+use placement::{
+    choice::Costs,
+    policy::{Policy, Question},
+    popularity::Popularity,
+    rendezvous::{self, Server as Place},
+    slots::Key,
+};
+use quota::permit::{Answer, Office};
+use schedule::queue::Item;
+
+use crate::{
+    arms::Arm,
+    measure::{Fate, Measures},
+    rate_model::{Account, Admission},
+    server_model::{Event, Server, Work},
+    workload::{self, Demand, Deployment, Request},
+};
+
+const TICK: Duration = Duration::from_millis(5);
+/// Time that the model goes on after the last arrival.
+const TAIL: Duration = Duration::from_secs(60);
+const LOAD_TIME: Duration = Duration::from_millis(250);
+const HALF_LIFE: Duration = Duration::from_secs(30);
+const PATIENCE: Duration = Duration::from_secs(3600);
+const IDLE_TICKS: u64 = 20;
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+/// Requests a second for one adapter that one server should see.
+const PER_SERVER: f64 = 4.0;
+
+struct Load {
+    server: usize,
+    key: Key,
+    ends: Moment,
+    permit: u64,
+}
+
+struct Model<'a> {
+    deployment: &'a Deployment,
+    requests: &'a [Request],
+    policy: &'static Policy,
+    costs: Costs,
+    now: Moment,
+    places: Vec<Place>,
+    servers: Vec<Server>,
+    popularity: Popularity<usize>,
+    office: Office,
+    wanted: VecDeque<(usize, Key)>,
+    loads: Vec<Load>,
+    accounts: Vec<Account>,
+    admissions: Vec<Option<Admission>>,
+    fates: Vec<Fate>,
+    turn: usize,
+}
+
+/// Runs one arm on one workload; the same seed gives the same figures.
+pub fn run(
+    deployment: &Deployment,
+    arm: &Arm,
+    demand: Demand,
+    length: Duration,
+    seed: u64,
+) -> Measures {
+    let requests = workload::generate(deployment, demand, length, seed);
+    let mut model = Model::new(deployment, arm, &requests);
+    model.run(length + TAIL);
+    let tokens = model.servers.iter().map(|server| server.tokens).sum();
+    let steps = model.servers.iter().map(|server| server.steps).sum();
+    Measures::new(deployment, &requests, &model.fates, tokens, steps)
+}
+
+impl<'a> Model<'a> {
+    fn new(deployment: &'a Deployment, arm: &Arm, requests: &'a [Request]) -> Model<'a> {
+        let place = |index: usize| {
+            let zone = Arc::from(ZONES[index % ZONES.len()]);
+            Place::new(Arc::from(format!("engine-{index}")), zone, 1)
+        };
+        let account = |index| {
+            Account::new(arm.rates, workload::limits(deployment, index), deployment.entries)
+        };
+        let accounts = 1 + requests.iter().map(|request| request.account).max().unwrap_or(0);
+        Model {
+            deployment,
+            requests,
+            policy: arm.find_policy(),
+            costs: Costs { load: LOAD_TIME * 2, per_token: TICK, ..Costs::default() },
+            now: Moment::ZERO,
+            places: (0..deployment.engines).map(place).collect(),
+            servers: (0..deployment.engines).map(|_| Server::new(deployment, arm)).collect(),
+            popularity: Popularity::new(HALF_LIFE),
+            office: Office::new(Moment::ZERO, deployment.budget, deployment.budget.burst),
+            wanted: VecDeque::new(),
+            loads: Vec::new(),
+            accounts: (0..accounts).map(account).collect(),
+            admissions: requests.iter().map(|_| None).collect(),
+            fates: vec![Fate::default(); requests.len()],
+            turn: 0,
+        }
+    }
+
+    fn run(&mut self, length: Duration) {
+        let mut next = 0;
+        for tick in 0.. {
+            self.now = TICK * tick as u32;
+            if length <= self.now {
+                return;
+            }
+            while next < self.requests.len() && self.requests[next].arrived <= self.now {
+                self.arrive(next);
+                next += 1;
+            }
+            self.end_loads();
+            self.begin_loads();
+            for server in 0..self.servers.len() {
+                let events = self.servers[server].tick(self.now, tick);
+                events.into_iter().for_each(|event| self.on_event(server, event));
+            }
+            if tick.is_multiple_of(IDLE_TICKS) {
+                let now = self.now;
+                self.accounts.iter_mut().for_each(|account| account.return_idle(now));
+            }
+        }
+    }
+
+    fn arrive(&mut self, index: usize) {
+        let request = &self.requests[index];
+        let cost = request.prompt + request.max_output;
+        let account = &mut self.accounts[request.account];
+        let Some(admission) = account.admit(self.now, request.entry, cost) else {
+            self.fates[index].refused = true;
+            return;
+        };
+        self.admissions[index] = Some(admission);
+        let server = self.choose(request);
+        let adapter = workload::adapter_name(request.adapter);
+        let work = Work {
+            request: index,
+            key: Key { adapter: Arc::clone(&adapter), version: 1 },
+            output: request.output,
+        };
+        self.servers[server].push(Item {
+            account: workload::account_name(request.account),
+            group: adapter,
+            cost: request.prompt + request.output,
+            urgency: request.urgency,
+            arrived: self.now,
+            deadline: self.now + PATIENCE,
+            work,
+        });
+    }
+
+    fn choose(&mut self, request: &Request) -> usize {
+        let rate = self.popularity.note(self.now, request.adapter);
+        let adapter = workload::adapter_name(request.adapter);
+        self.turn += 1;
+        let question = Question {
+            adapter: rendezvous::seed(&adapter),
+            rate,
+            servers: &self.places,
+            turn: self.turn,
+            per_server: PER_SERVER,
+        };
+        let considered = (self.policy.consider)(&question);
+        let key = Key { adapter, version: 1 };
+        let candidates: Vec<_> =
+            considered.iter().map(|index| self.servers[*index].candidate(&key)).collect();
+        let chosen = (self.policy.choose)(&self.costs, &candidates);
+        considered[chosen.expect("there is always a server to consider")]
+    }
+
+    fn begin_loads(&mut self) {
+        while let Some((server, key)) = self.wanted.front().cloned() {
+            let Answer::Granted(permit) = self.office.ask(self.now) else { return };
+            self.wanted.pop_front();
+            let crowd = (self.loads.len() + 1) as f64 / self.deployment.budget.in_flight as f64;
+            let ends = self.now + LOAD_TIME.mul_f64(crowd.max(1.0));
+            self.loads.push(Load { server, key, ends, permit });
+        }
+    }
+
+    fn end_loads(&mut self) {
+        let now = self.now;
+        let ended: Vec<_> = self.loads.extract_if(.., |load| load.ends <= now).collect();
+        for load in ended {
+            self.office.give_back(load.permit);
+            self.servers[load.server].loaded(&load.key);
+        }
+    }
+
+    fn on_event(&mut self, server: usize, event: Event) {
+        match event {
+            Event::Load(key) => self.wanted.push_back((server, key)),
+            Event::Stalled(request) => self.fates[request].stalled = Some(self.now),
+            Event::First(request) => self.fates[request].first = Some(self.now),
+            Event::Ended(request) => {
+                self.fates[request].ended = Some(self.now);
+                let Request { account, prompt, output, .. } = self.requests[request];
+                if let Some(admission) = self.admissions[request].take() {
+                    self.accounts[account].settle(self.now, &admission, prompt + output);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,10 @@
+//! Load and experiments: the decision crates under seeded workloads on virtual
+//! time, beside baselines, and an open-loop load on a running fleet.
+
+pub mod arms;
+pub mod fleet_model;
+pub mod live;
+pub mod measure;
+pub mod rate_model;
+pub mod server_model;
+pub mod workload;
