Bind pins to one stay of an adapter; pass full buckets on; avoid failed servers

Cause: a request that ended late unpinned whatever stood in the slot by then, after a failed load or a lost adapter. Pins now name one stay; an adapter that seems lost keeps its slot while it is used. - Bystanders of a crash ran into servers that had just failed, and used up the retries. Servers that have just failed are now passed over while others stand.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -19,6 +19,8 @@
 /// Time that a new account's shards get to find a holder.
 const CLAIM_PATIENCE: Duration = Duration::from_secs(2);
 const CLAIM_PAUSE: Duration = Duration::from_millis(25);
+/// A wait for tokens that is shorter than being refused and coming back.
+const SHORT_REFILL: Duration = Duration::from_millis(50);
 /// When to come back while a shard's holder is being replaced.
 const NO_HOLDER_WAIT: Duration = Duration::from_secs(1);
 
@@ -42,6 +44,7 @@
         return Err(Refusal::not_run(Kind::BeyondBurst, message));
     }
     let deadline = entry.node.now() + CLAIM_PATIENCE;
+    let mut has_waited = false;
     loop {
         let obstacle = match try_reserve(entry, account, limits, cost).await {
             Ok(reservation) => return Ok(reservation),
@@ -52,6 +55,10 @@
             Obstacle::Handover | Obstacle::NoHolder if is_short && entry.node.now() < deadline => {
                 entry.node.kernel.clock.sleep(CLAIM_PAUSE).await;
             }
+            Obstacle::Refill(wait) if wait <= SHORT_REFILL && !has_waited => {
+                has_waited = true;
+                entry.node.kernel.clock.sleep(wait).await;
+            }
             obstacle => return Err(rate_limited(account, obstacle)),
         }
     }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -30,6 +30,9 @@
 const FRAME_DEPTH: usize = 16;
 /// When to come back after a failure of the backend servers.
 const FAILURE_WAIT: Duration = Duration::from_secs(1);
+/// Time that a server without a side process gets to be served again.
+const HANDOVER_PATIENCE: Duration = Duration::from_secs(3);
+const HANDOVER_PAUSE: Duration = Duration::from_millis(50);
 /// Time that peers get to take in a report of a crash.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest answer that is not streamed, in bytes.
@@ -102,7 +105,7 @@
     entry.retries.lock().first_try();
     let mut tried: SmallVec<[Name; 4]> = SmallVec::new();
     let mut failures: SmallVec<[Failure; 4]> = SmallVec::new();
-    for attempt in 0..entry.settings.max_tries {
+    for attempt in 0.. {
         if !may_try(entry, job, &failures).await {
             break;
         }
@@ -112,7 +115,13 @@
             Ok(exposure) => exposure,
             Err(refusal) => return Err(after(refusal, &failures)),
         };
-        let Some(choice) = routing::choose(entry, job, &tried).await else { break };
+        let Some(choice) = routing::choose(entry, job, &tried).await else {
+            if !wait_for_handover(entry, job, &failures).await {
+                break;
+            }
+            tried.clear();
+            continue;
+        };
         match try_once(entry, job, attempt, &choice, exposure).await {
             Ok(started) => {
                 if exposure == Exposure::Alone {
@@ -130,6 +139,18 @@
     Err(give_up(job, &failures))
 }
 
+/// When every server that could be tried changes hands, one of them is served
+/// again at once. Tells whether to look again.
+async fn wait_for_handover(entry: &Entry, job: &Job, failures: &[Failure]) -> bool {
+    let is_handover = !failures.is_empty() && failures.iter().all(Failure::is_handover);
+    let deadline = job.deadline.min(job.arrived + HANDOVER_PATIENCE);
+    if !is_handover || deadline <= entry.node.now() {
+        return false;
+    }
+    entry.node.kernel.clock.sleep(HANDOVER_PAUSE).await;
+    true
+}
+
 async fn may_try(entry: &Entry, job: &Job, failures: &[Failure]) -> bool {
     let Some(last) = failures.last() else { return true };
     if job.deadline <= entry.node.now() {
@@ -141,6 +162,10 @@
     if last.is_handover() {
         return true;
     }
+    let tries = failures.iter().filter(|failure| !failure.is_handover()).count();
+    if entry.settings.max_tries as usize <= tries {
+        return false;
+    }
     if !entry.retries.lock().try_retry() {
         return false;
     }
--- a/crates/entry/src/holder.rs
+++ b/crates/entry/src/holder.rs
@@ -56,24 +56,14 @@
 pub(crate) fn draw(entry: &Entry, draw: &Draw) -> Grant {
     let resource = share::resource(&draw.account, draw.shard);
     let now = entry.node.now();
+    ensure_bucket(entry, now, &draw.account, draw.shard);
     let Some(held) = entry.node.with_seat(|seat| seat.holds(now, &resource)) else {
         let starts_in = entry.node.with_seat(|seat| seat.starts_in(now, &resource));
         return Grant::NotHolder { starts_in };
     };
-    let limits = entry.node.state().and_then(|state| limits(&state, &draw.account));
-    let Some(limits) = limits else { return Grant::NotHolder { starts_in: None } };
-    let share = limits.share(draw.shard, entry.settings.shards);
-    let takeover = entry.node.settings.takeover;
     let mut holder = entry.holder.lock();
-    let shard = holder.shards.entry(resource).or_insert_with(|| Shard {
-        fence: held.fence,
-        bucket: Bucket::new(now, share, first_level(held, share, takeover)),
-    });
-    if shard.fence != held.fence {
-        let bucket = Bucket::new(now, share, first_level(held, share, takeover));
-        *shard = Shard { fence: held.fence, bucket };
-    }
-    shard.bucket.resize(now, share);
+    let own = holder.shards.get_mut(&resource).filter(|shard| shard.fence == held.fence);
+    let Some(shard) = own else { return Grant::NotHolder { starts_in: None } };
     let amount = shard.bucket.take(now, draw.want);
     let source = Source { shard: draw.shard, fence: held.fence, granted_at: now };
     Grant::Tokens {
@@ -82,6 +72,34 @@
     }
 }
 
+/// Makes sure that every shard that this instance holds has a bucket, so that
+/// there is something to pass on.
+pub(crate) fn ensure_buckets(entry: &Entry) {
+    let Some(state) = entry.node.state() else { return };
+    let now = entry.node.now();
+    for account in state.accounts.keys() {
+        (0..entry.settings.shards).for_each(|shard| ensure_bucket(entry, now, account, shard));
+    }
+}
+
+/// Makes the bucket of a shard that this instance has come to hold, and follows
+/// changes of the account's limits.
+fn ensure_bucket(entry: &Entry, now: Moment, account: &Name, shard: u64) {
+    let resource = share::resource(account, shard);
+    let Some(held) = entry.node.with_seat(|seat| seat.holds(now, &resource)) else { return };
+    let limits = entry.node.state().and_then(|state| limits(&state, account));
+    let Some(limits) = limits else { return };
+    let share = limits.share(shard, entry.settings.shards);
+    let level = first_level(held, share, entry.node.settings.takeover);
+    let new = || Shard { fence: held.fence, bucket: Bucket::new(now, share, level) };
+    let mut holder = entry.holder.lock();
+    let known = holder.shards.entry(resource).or_insert_with(new);
+    if known.fence != held.fence {
+        *known = new();
+    }
+    known.bucket.resize(now, share);
+}
+
 /// Takes back unused tokens, and charges those used beyond a reservation. What
 /// another holder granted is lost.
 pub(crate) fn settle(entry: &Entry, settlement: &Settlement) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -146,6 +146,7 @@
         clock.sleep(self.node.settings.stop_notice).await;
         self.callers.stop();
         let is_done = self.callers.finish(clock, self.node.settings.stop_limit).await;
+        holder::ensure_buckets(self);
         leases::release(&self.node, |resource| self.holder.lock().carry(self.node.now(), resource))
             .await;
         // The others read of the release before this instance stops answering them.
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -181,11 +181,24 @@
     };
     let considered: SmallVec<_> =
         (entry.settings.policy.consider)(&question).into_iter().filter(is_new).collect();
-    if !considered.is_empty() {
+    if considered.iter().any(|index| !has_failed(entry, &servers[*index])) {
         return considered;
     }
-    let more = rendezvous::first(seed, servers, tried.len() + 1);
-    more.into_iter().filter(is_new).collect()
+    // The next ones in the adapter's order, those that have not just failed first.
+    let order = rendezvous::first(seed, servers, servers.len());
+    let next = |index: &usize| is_new(index) && !has_failed(entry, &servers[*index]);
+    let mut more = order.iter().copied().filter(next);
+    let more = more.next().or_else(|| order.iter().copied().find(is_new));
+    more.into_iter().collect()
+}
+
+fn has_failed(entry: &Entry, server: &Server) -> bool {
+    let now = entry.node.now();
+    let failed = entry
+        .routing
+        .loads
+        .with(&server.name, |loads| loads.get(&server.name).and_then(|known| known.failed));
+    failed.is_some_and(|at| now.saturating_sub(at) < FAILURE_MEMORY)
 }
 
 /// Requests a second for an adapter over the fleet; the balancer spreads them evenly.
@@ -248,7 +261,6 @@
 }
 
 fn candidate(entry: &Entry, job: &Job, server: &Server) -> Candidate {
-    let now = entry.node.now();
     let key = Residency { server: Arc::clone(&server.name), target: job.target.clone() };
     let residency = entry.routing.residencies.with(&key, |known| known.get(&key).copied());
     let known = entry.routing.loads.with(&server.name, |loads| loads.get(&server.name).copied());
@@ -258,7 +270,7 @@
         is_resident: residency.is_some_and(|residency| residency.is_resident),
         has_free_slot: known.reported.is_none() || known.load.has_free_slot,
         is_remote: server.zone != entry.node.settings.zone,
-        is_suspect: known.failed.is_some_and(|at| now.saturating_sub(at) < FAILURE_MEMORY),
+        is_suspect: has_failed(entry, server),
     }
 }
 
--- a/crates/load/src/server_model.rs
+++ b/crates/load/src/server_model.rs
@@ -5,7 +5,7 @@
 use fleet::lease::Moment;
 use placement::{
     choice::Candidate,
-    slots::{Key, Pin, Slots},
+    slots::{Key, Pin, Slots, Stay},
 };
 use schedule::queue::{Fit, Item, Queue};
 
@@ -30,7 +30,7 @@
     slots: Slots,
     queue: Queue<Work>,
     running: Vec<Running>,
-    waiting: BTreeMap<Key, Vec<Work>>,
+    waiting: BTreeMap<Stay, Vec<Work>>,
     pub tokens: u64,
     pub steps: u64,
 }
@@ -38,6 +38,7 @@
 #[derive(Debug)]
 struct Running {
     work: Work,
+    stay: Stay,
     left: u64,
 }
 
@@ -45,7 +46,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
     /// An adapter has to be loaded.
-    Load(Key),
+    Load(Stay),
     /// A request waits for a load.
     Stalled(usize),
     /// A request gave its first token.
@@ -84,10 +85,10 @@
     }
 
     /// A load has ended.
-    pub fn loaded(&mut self, key: &Key) {
-        self.slots.loaded(key);
-        let waiting = self.waiting.remove(key).unwrap_or_default();
-        self.running.extend(waiting.into_iter().map(Running::new));
+    pub fn loaded(&mut self, stay: Stay) {
+        self.slots.loaded(stay);
+        let waiting = self.waiting.remove(&stay).unwrap_or_default();
+        self.running.extend(waiting.into_iter().map(|work| Running::new(work, stay)));
     }
 
     /// Starts what can start, and decodes a step when it is time.
@@ -113,20 +114,20 @@
         });
         let Some(Item { work, .. }) = item else { return false };
         match self.slots.pin(now, &work.key) {
-            Pin::Resident => self.running.push(Running::new(work)),
-            Pin::Loading => self.wait(work, events),
-            Pin::Load { .. } => {
-                events.push(Event::Load(work.key.clone()));
-                self.wait(work, events);
+            Pin::Resident(stay) => self.running.push(Running::new(work, stay)),
+            Pin::Loading(stay) => self.wait(stay, work, events),
+            Pin::Load { stay, .. } => {
+                events.push(Event::Load(stay));
+                self.wait(stay, work, events);
             }
             Pin::Full => {}
         }
         true
     }
 
-    fn wait(&mut self, work: Work, events: &mut Vec<Event>) {
+    fn wait(&mut self, stay: Stay, work: Work, events: &mut Vec<Event>) {
         events.push(Event::Stalled(work.request));
-        self.waiting.entry(work.key.clone()).or_default().push(work);
+        self.waiting.entry(stay).or_default().push(work);
     }
 
     fn step(&mut self, events: &mut Vec<Event>) {
@@ -142,14 +143,14 @@
             running.left -= 1;
         }
         for ended in self.running.extract_if(.., |running| running.left == 0) {
-            self.slots.unpin(&ended.work.key);
+            self.slots.unpin(ended.stay);
             events.push(Event::Ended(ended.work.request));
         }
     }
 }
 
 impl Running {
-    fn new(work: Work) -> Running {
-        Running { left: work.output, work }
+    fn new(work: Work, stay: Stay) -> Running {
+        Running { left: work.output, stay, work }
     }
 }
--- a/crates/load/src/workload.rs
+++ b/crates/load/src/workload.rs
@@ -68,7 +68,7 @@
         slots: 8,
         batch: 8,
         entries: 4,
-        rate: 6.0,
+        rate: 4.0,
         budget: Budget { rate: 3, burst: 4, in_flight: 8, patience: Duration::from_secs(10) },
     },
     Deployment {
@@ -77,7 +77,7 @@
         slots: 8,
         batch: 8,
         entries: 4,
-        rate: 4.0,
+        rate: 2.7,
         budget: Budget { rate: 2, burst: 4, in_flight: 8, patience: Duration::from_secs(10) },
     },
 ];
@@ -108,12 +108,12 @@
     seed: u64,
 ) -> Vec<Request> {
     let mut requests = Vec::new();
-    for account in 0..ACCOUNT_SHARES.len() {
+    for (account, share) in ACCOUNT_SHARES.iter().enumerate() {
         // Each account has its own random numbers, so that a flood moves no other's.
         let mut random = Xoshiro256PlusPlus::seed_from_u64(seed * 1000 + account as u64);
         let floods = demand == Demand::Flood && account == FLOODER;
         let factor = if floods { FLOOD_FACTOR * RATE_HEADROOM } else { 1.0 };
-        let rate = deployment.rate * ACCOUNT_SHARES[account] * factor;
+        let rate = deployment.rate * share * factor;
         let mut at = 0.0;
         loop {
             at += -random.random::<f64>().max(f64::MIN_POSITIVE).ln() / rate;
--- a/crates/placement/src/slots.rs
+++ b/crates/placement/src/slots.rs
@@ -52,21 +52,27 @@
 
 #[derive(Clone, Debug)]
 struct Slot {
+    stay: Stay,
     key: Key,
     phase: Phase,
     pins: u32,
     usage: Usage,
 }
 
+/// Names one stay of an adapter in a slot, so that what belongs to an earlier stay
+/// cannot touch a later one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Stay(u64);
+
 /// What a request for an adapter leads to. In every case but `Full` it is pinned.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Pin {
     /// Loaded.
-    Resident,
+    Resident(Stay),
     /// Somebody else is loading it.
-    Loading,
+    Loading(Stay),
     /// The caller has to load it, after unloading the victim.
-    Load { victim: Option<Key> },
+    Load { stay: Stay, victim: Option<Key> },
     /// Every slot is pinned, or the adapter's own is in doubt.
     Full,
 }
@@ -77,19 +83,20 @@
     capacity: usize,
     rating: fn(Usage, Moment) -> f64,
     slots: Vec<Slot>,
+    last_stay: u64,
 }
 
 impl Slots {
     pub fn new(capacity: usize, victim: &Victim) -> Slots {
-        Slots { capacity, rating: victim.rating, slots: Vec::new() }
+        Slots { capacity, rating: victim.rating, slots: Vec::new(), last_stay: 0 }
     }
 
     /// Pins an adapter for one request.
     pub fn pin(&mut self, now: Moment, key: &Key) -> Pin {
         if let Some(slot) = self.slots.iter_mut().find(|slot| slot.key == *key) {
             let pin = match slot.phase {
-                Phase::Resident => Pin::Resident,
-                Phase::Loading => Pin::Loading,
+                Phase::Resident => Pin::Resident(slot.stay),
+                Phase::Loading => Pin::Loading(slot.stay),
                 Phase::Doubtful => return Pin::Full,
             };
             slot.pins += 1;
@@ -102,30 +109,37 @@
         }
         let victim = victim.map(|index| self.slots.swap_remove(index).key);
         let usage = used(Usage::default(), now);
-        self.slots.push(Slot { key: key.clone(), phase: Phase::Loading, pins: 1, usage });
-        Pin::Load { victim }
+        let stay = self.next_stay();
+        self.slots.push(Slot { stay, key: key.clone(), phase: Phase::Loading, pins: 1, usage });
+        Pin::Load { stay, victim }
     }
 
     /// Ends one request's use.
-    pub fn unpin(&mut self, key: &Key) {
-        if let Some(slot) = self.slots.iter_mut().find(|slot| slot.key == *key) {
+    pub fn unpin(&mut self, stay: Stay) {
+        if let Some(slot) = self.slots.iter_mut().find(|slot| slot.stay == stay) {
             slot.pins = slot.pins.saturating_sub(1);
         }
         self.slots.retain(|slot| slot.phase != Phase::Doubtful || 0 < slot.pins);
     }
 
     /// The load that `pin` asked for has ended.
-    pub fn loaded(&mut self, key: &Key) {
-        if let Some(slot) = self.slots.iter_mut().find(|slot| slot.key == *key)
-            && slot.phase == Phase::Loading
-        {
+    pub fn loaded(&mut self, stay: Stay) {
+        let loading = |slot: &&mut Slot| slot.stay == stay && slot.phase == Phase::Loading;
+        if let Some(slot) = self.slots.iter_mut().find(loading) {
             slot.phase = Phase::Resident;
         }
     }
 
-    /// The load failed, or the engine lost the adapter.
-    pub fn remove(&mut self, key: &Key) {
-        self.slots.retain(|slot| slot.key != *key);
+    /// The load that `pin` asked for has failed.
+    pub fn load_failed(&mut self, stay: Stay) {
+        self.slots.retain(|slot| slot.stay != stay);
+    }
+
+    /// The engine seems to have lost an adapter.
+    pub fn lose(&mut self, key: &Key) {
+        self.slots.retain(|slot| slot.key != *key || 0 < slot.pins);
+        let lost = self.slots.iter_mut().filter(|slot| slot.key == *key);
+        lost.for_each(|slot| slot.phase = Phase::Doubtful);
     }
 
     /// Takes in an adapter that the engine has loaded without this process's order;
@@ -135,7 +149,8 @@
             return false;
         }
         let usage = Usage { last_used: now, uses: 0.0 };
-        self.slots.push(Slot { key, phase: Phase::Resident, pins: 0, usage });
+        let stay = self.next_stay();
+        self.slots.push(Slot { stay, key, phase: Phase::Resident, pins: 0, usage });
         true
     }
 
@@ -171,6 +186,11 @@
         self.slots.iter().map(|slot| (&slot.key, slot.pins))
     }
 
+    fn next_stay(&mut self) -> Stay {
+        self.last_stay += 1;
+        Stay(self.last_stay)
+    }
+
     fn victim(&self, now: Moment) -> Option<usize> {
         let rating = |index: &usize| (self.rating)(self.slots[*index].usage, now);
         (0..self.slots.len())
--- a/crates/side/src/dispatch.rs
+++ b/crates/side/src/dispatch.rs
@@ -5,7 +5,7 @@
 use async_channel::Sender;
 use fleet::{Name, change::Urgency};
 use futures_lite::future;
-use placement::slots::{Key, Pin};
+use placement::slots::{Key, Pin, Stay};
 use schedule::queue::{Fit, Item};
 use wire::frame::{Exposure, NotBegun};
 
@@ -37,8 +37,8 @@
 /// queue. Its drop ends the use.
 pub(crate) struct Ticket {
     side: Arc<Side>,
-    /// The adapter that is pinned.
-    key: Option<Key>,
+    /// The stay of its adapter that it pins.
+    pinned: Option<Stay>,
     cost: u64,
     exposure: Exposure,
     stage: Stage,
@@ -137,7 +137,7 @@
     core.is_exclusive |= job.exposure == Exposure::Alone;
     let ticket = Ticket {
         side: Arc::clone(side),
-        key: None,
+        pinned: None,
         cost: job.cost,
         exposure: job.exposure,
         stage: Stage::Admitted,
@@ -151,15 +151,15 @@
     let Some(key) = job.key.clone() else { return start(&job, ticket) };
     let now = side.node.now();
     let pin = side.core.lock().slots.pin(now, &key);
-    if pin != Pin::Full {
-        ticket.key = Some(key.clone());
-    }
     match pin {
-        Pin::Resident => start(&job, ticket),
-        Pin::Loading => start_after_load(side, &key, job, ticket),
-        Pin::Load { victim } => {
-            start_after_load(side, &key, job, ticket);
-            side.node.kernel.spawn_detached(load::run(Arc::clone(side), key, victim));
+        Pin::Resident(stay) => {
+            ticket.pinned = Some(stay);
+            start(&job, ticket);
+        }
+        Pin::Loading(stay) => start_after_load(side, stay, job, ticket),
+        Pin::Load { stay, victim } => {
+            start_after_load(side, stay, job, ticket);
+            side.node.kernel.spawn_detached(load::run(Arc::clone(side), key, stay, victim));
         }
         Pin::Full => {
             let _gone = job.start.try_send(Start::NotBegun(NotBegun::QueueFull));
@@ -167,9 +167,10 @@
     }
 }
 
-fn start_after_load(side: &Side, key: &Key, job: Job, ticket: Ticket) {
+fn start_after_load(side: &Side, stay: Stay, job: Job, mut ticket: Ticket) {
+    ticket.pinned = Some(stay);
     let (loaded, wait) = async_channel::bounded(1);
-    side.core.lock().loading.entry(key.clone()).or_default().push(loaded);
+    side.core.lock().loading.entry(stay).or_default().push(loaded);
     side.node.kernel.spawn_detached(async move {
         match wait.recv().await {
             Ok(Loaded::Yes) => start(&job, ticket),
@@ -201,8 +202,8 @@
             core.running_tokens -= self.cost;
         }
         core.is_exclusive &= self.exposure != Exposure::Alone;
-        if let Some(key) = &self.key {
-            core.slots.unpin(key);
+        if let Some(stay) = self.pinned {
+            core.slots.unpin(stay);
         }
         drop(core);
         self.side.wake.notify(usize::MAX);
@@ -211,6 +212,6 @@
 
 impl std::fmt::Debug for Ticket {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Ticket").field("key", &self.key).field("epoch", &self.epoch).finish()
+        f.debug_struct("Ticket").field("pinned", &self.pinned).field("epoch", &self.epoch).finish()
     }
 }
--- a/crates/side/src/engine_watch.rs
+++ b/crates/side/src/engine_watch.rs
@@ -92,7 +92,7 @@
     for key in &before.resident {
         if core.slots.is_resident(key) && !names.contains(load::model(key).as_str()) {
             log::warn!("the engine of {} lost {}", side.settings.server, load::model(key));
-            core.slots.remove(key);
+            core.slots.lose(key);
         }
     }
     if before.is_quiet && core.loading.is_empty() {
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -29,7 +29,7 @@
 use parking_lot::Mutex;
 use placement::{
     rendezvous,
-    slots::{Key, Slots},
+    slots::{Key, Slots, Stay},
 };
 use platform::engine::Engine;
 use schedule::queue::Queue;
@@ -67,7 +67,7 @@
     /// An attempt that has to be alone runs.
     is_exclusive: bool,
     /// Jobs that wait for a load.
-    loading: HashMap<Key, Vec<async_channel::Sender<Loaded>>>,
+    loading: HashMap<Stay, Vec<async_channel::Sender<Loaded>>>,
     /// Counts crashes of the engine seen by this process.
     epoch: u64,
     is_engine_down: bool,
--- a/crates/side/src/load.rs
+++ b/crates/side/src/load.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use placement::slots::Key;
+use placement::slots::{Key, Stay};
 use quota::permit;
 use schedule::retry;
 use wire::{
@@ -20,7 +20,7 @@
 const UNLOAD_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Loads an adapter after dropping the victim, and tells the waiters.
-pub(crate) async fn run(side: Arc<Side>, key: Key, victim: Option<Key>) {
+pub(crate) async fn run(side: Arc<Side>, key: Key, stay: Stay, victim: Option<Key>) {
     let began = side.node.now();
     let is_loaded = load(&side, &key, victim.as_ref()).await;
     let waited = side.node.now() - began;
@@ -29,11 +29,11 @@
     let waiters = {
         let mut core = side.core.lock();
         if is_loaded {
-            core.slots.loaded(&key);
+            core.slots.loaded(stay);
         } else {
-            core.slots.remove(&key);
+            core.slots.load_failed(stay);
         }
-        core.loading.remove(&key).unwrap_or_default()
+        core.loading.remove(&stay).unwrap_or_default()
     };
     for waiter in waiters {
         let _gone = waiter.try_send(outcome);
