Share load permits by account, cut up only large bursts, report what loads take

An account that floods took the load permits first come, first served. Small accounts were refused within their rate because half a burst held one request.

Change: a server's queue counts running requests only when its batch is full; side processes report what loads take, and the choice uses it; permits go to the account that has had the fewest for its rate; a burst below 8,192 tokens is not cut into shards.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -35,7 +35,8 @@
     limits: Limits,
     cost: u64,
 ) -> Result<Reservation, Refusal> {
-    let largest = limits.largest_reservation(entry.settings.shards);
+    let shards = limits.shards(entry.settings.shards);
+    let largest = limits.largest_reservation(shards);
     if largest < cost {
         let message = format!(
             "the request reserves {cost} tokens and the account's burst allows {largest}; \
@@ -50,7 +51,7 @@
             Ok(reservation) => return Ok(reservation),
             Err(obstacle) => obstacle,
         };
-        let is_short = obstacle == Obstacle::Handover || is_being_claimed(entry, account);
+        let is_short = obstacle == Obstacle::Handover || is_being_claimed(entry, account, shards);
         match obstacle {
             Obstacle::Handover | Obstacle::NoHolder if is_short && entry.node.now() < deadline => {
                 entry.node.kernel.clock.sleep(CLAIM_PAUSE).await;
@@ -83,7 +84,7 @@
     cost: u64,
 ) -> Result<Reservation, Obstacle> {
     let mut obstacle = Obstacle::NoHolder;
-    for shard in shard_order(entry) {
+    for shard in shard_order(limits.shards(entry.settings.shards)) {
         let now = entry.node.now();
         let reserved = with_pool(entry, account, |pool| pool.reserve(now, cost));
         if let Some(reservation) = reserved {
@@ -97,14 +98,14 @@
 
 /// Whether a shard is about to get a holder: nobody has held it yet, or its
 /// holder gave it up or is leaving. A holder that vanished takes longer to replace.
-fn is_being_claimed(entry: &Entry, account: &Name) -> bool {
+fn is_being_claimed(entry: &Entry, account: &Name, shards: u64) -> bool {
     let listing = entry.node.listing();
     let is_leaving = |holder: &Holder| {
         let mut leaving = listing.members.iter().filter(|member| member.phase == Phase::Leaving);
         leaving.any(|member| member.instance == holder.instance)
     };
     entry.node.with_seat(|seat| {
-        (0..entry.settings.shards).any(|index| {
+        (0..shards).any(|index| {
             let lease = seat.table().lease(&share::resource(account, index));
             lease.is_none_or(|lease| lease.released.is_some() || is_leaving(&lease.holder))
         })
@@ -240,8 +241,7 @@
 }
 
 /// Every shard once, beginning at a random one, so that the shards share the demand.
-fn shard_order(entry: &Entry) -> impl Iterator<Item = u64> + use<> {
-    let shards = entry.settings.shards;
+fn shard_order(shards: u64) -> impl Iterator<Item = u64> {
     let first = rand::random_range(0..shards);
     (0..shards).map(move |index| (first + index) % shards)
 }
--- a/crates/entry/src/holder.rs
+++ b/crates/entry/src/holder.rs
@@ -35,8 +35,9 @@
 /// those it has already.
 pub(crate) fn wanted(node: &Node, settings: &Settings) -> Vec<Name> {
     let Some(state) = node.state() else { return Vec::new() };
-    let shards = state.accounts.keys().flat_map(|account| {
-        (0..settings.shards).filter_map(move |index| {
+    let shards = state.accounts.iter().flat_map(|(account, limits)| {
+        let limits = Limits { rate: limits.rate, burst: limits.burst };
+        (0..limits.shards(settings.shards)).filter_map(move |index| {
             let resource = share::resource(account, index);
             is_wanted(node, &resource, account, index).then_some(resource)
         })
@@ -89,7 +90,11 @@
     let Some(held) = entry.node.with_seat(|seat| seat.holds(now, &resource)) else { return };
     let limits = entry.node.state().and_then(|state| limits(&state, account));
     let Some(limits) = limits else { return };
-    let share = limits.share(shard, entry.settings.shards);
+    let shards = limits.shards(entry.settings.shards);
+    if shards <= shard {
+        return;
+    }
+    let share = limits.share(shard, shards);
     let level = first_level(held, share, entry.node.settings.takeover);
     let new = || Shard { fence: held.fence, bucket: Bucket::new(now, share, level) };
     let mut holder = entry.holder.lock();
@@ -122,11 +127,13 @@
 }
 
 /// Answers a side process that wants to load an adapter.
-pub(crate) fn ask_permit(entry: &Entry) -> Permit {
+pub(crate) fn ask_permit(entry: &Entry, account: &Name) -> Permit {
     let now = entry.node.now();
     let Some(held) = entry.node.with_seat(|seat| seat.holds(now, permit::RESOURCE)) else {
         return Permit::NotHolder;
     };
+    let limits = entry.node.state().and_then(|state| limits(&state, account));
+    let rate = limits.map_or(1, |limits| limits.rate);
     let budget = entry.settings.load_budget;
     let mut holder = entry.holder.lock();
     let is_current = holder.office.as_ref().is_some_and(|(fence, _)| *fence == held.fence);
@@ -138,7 +145,7 @@
         };
         holder.office = Some((held.fence, Office::new(now, budget, level)));
     }
-    match holder.office.as_mut().map(|(_, office)| office.ask(now)) {
+    match holder.office.as_mut().map(|(_, office)| office.ask(now, account, rate)) {
         Some(Answer::Granted(permit)) => Permit::Granted(permit),
         Some(Answer::Later(wait)) => Permit::Later(wait),
         None => Permit::NotHolder,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -167,7 +167,9 @@
             holder::settle(&entry, &settlement);
             Reply::Done
         }
-        Call::AskPermit if role == Role::Side => Reply::Permit(holder::ask_permit(&entry)),
+        Call::AskPermit { account } if role == Role::Side => {
+            Reply::Permit(holder::ask_permit(&entry, &account))
+        }
         Call::ReturnPermit(permit) if role == Role::Side => {
             holder::return_permit(&entry, permit);
             Reply::Done
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -18,7 +18,7 @@
 use kernel::shard;
 use parking_lot::{Mutex, RwLock};
 use placement::{
-    choice::Candidate,
+    choice::{Candidate, Costs},
     policy::Question,
     popularity::Popularity,
     rendezvous::{self, Server},
@@ -41,6 +41,8 @@
 const FAILURE_MEMORY: Duration = Duration::from_secs(2);
 /// Servers probed at once.
 const MAX_PROBES: usize = 3;
+/// Reports that the average wait for a load covers.
+const AVERAGED_REPORTS: u32 = 10;
 /// Residency reports kept in one shard before they are dropped.
 const KEPT_RESIDENCIES: usize = 8192;
 
@@ -51,6 +53,8 @@
     residencies: shard::Map<Residency, Reported>,
     popularity: Mutex<Popularity<Name>>,
     turn: AtomicUsize,
+    /// Average of what loads take, as the side processes report it.
+    load_wait: Mutex<Duration>,
 }
 
 /// The servers of one listing under one configuration.
@@ -100,6 +104,7 @@
             residencies: shard::Map::default(),
             popularity: Mutex::new(Popularity::new(POPULARITY_HALF_LIFE)),
             turn: AtomicUsize::new(0),
+            load_wait: Mutex::new(Costs::default().load),
         }
     }
 }
@@ -121,7 +126,8 @@
     };
     let considered = consider(entry, job, servers, tried);
     let candidates = candidates(entry, job, &table, servers, &considered).await;
-    let chosen = (entry.settings.policy.choose)(&entry.settings.costs, &candidates)?;
+    let costs = Costs { load: *entry.routing.load_wait.lock(), ..entry.settings.costs };
+    let chosen = (entry.settings.policy.choose)(&costs, &candidates)?;
     let server = Arc::clone(&servers[considered[chosen]].name);
     let member = member(entry, &table, &server)?;
     note_sent(entry, &server, job.cost);
@@ -137,6 +143,10 @@
         let known = loads.entry(Arc::clone(server)).or_default();
         *known = ServerLoad { load, reported: Some(now), sent: 0, failed: known.failed };
     });
+    {
+        let mut load_wait = entry.routing.load_wait.lock();
+        *load_wait = (*load_wait * (AVERAGED_REPORTS - 1) + load.load_wait) / AVERAGED_REPORTS;
+    }
     let key = Residency { server: Arc::clone(server), target: target.clone() };
     entry.routing.residencies.with(&key, |residencies| {
         if KEPT_RESIDENCIES <= residencies.len() {
--- a/crates/load/src/fleet_model.rs
+++ b/crates/load/src/fleet_model.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use fleet::lease::Moment;
+use fleet::{Name, lease::Moment};
 use placement::{
     choice::Costs,
     policy::{Policy, Question},
@@ -37,6 +37,10 @@
 struct Wanted {
     server: usize,
     stay: Stay,
+    /// Account of the request that needs it first.
+    account: Name,
+    rate: u64,
+    since: Moment,
 }
 
 struct Load {
@@ -179,15 +183,24 @@
     }
 
     fn begin_loads(&mut self) {
-        while let Some(wanted) = self.wanted.front().cloned() {
-            let Answer::Granted(permit) = self.office.ask(self.now) else { return };
-            self.wanted.pop_front();
-            let crowd = (self.loads.len() + 1) as f64 / self.deployment.budget.in_flight as f64;
-            let ends = self.now + LOAD_TIME.mul_f64(crowd.max(1.0));
-            self.loads.push(Load { wanted, ends, permit });
+        let wanted = std::mem::take(&mut self.wanted);
+        for wanted in wanted {
+            match self.office.ask(self.now, &wanted.account, wanted.rate) {
+                Answer::Granted(permit) => self.begin_load(wanted, permit),
+                Answer::Later(_) => self.wanted.push_back(wanted),
+            }
         }
     }
 
+    fn begin_load(&mut self, wanted: Wanted, permit: u64) {
+        let crowd = (self.loads.len() + 1) as f64 / self.deployment.budget.in_flight as f64;
+        let ends = self.now + LOAD_TIME.mul_f64(crowd.max(1.0));
+        let waited = (ends - wanted.since).as_secs_f64();
+        let known = self.costs.load.as_secs_f64();
+        self.costs.load = Duration::from_secs_f64(known * 0.9 + waited * 0.1);
+        self.loads.push(Load { wanted, ends, permit });
+    }
+
     fn end_loads(&mut self) {
         let now = self.now;
         let ended: Vec<_> = self.loads.extract_if(.., |load| load.ends <= now).collect();
@@ -199,7 +212,12 @@
 
     fn on_event(&mut self, server: usize, event: Event) {
         match event {
-            Event::Load(stay) => self.wanted.push_back(Wanted { server, stay }),
+            Event::Load { stay, request } => {
+                let index = self.requests[request].account;
+                let account = workload::account_name(index);
+                let rate = workload::limits(self.deployment, index).rate;
+                self.wanted.push_back(Wanted { server, stay, account, rate, since: self.now });
+            }
             Event::Stalled(request) => self.fates[request].stalled = Some(self.now),
             Event::First(request) => self.fates[request].first = Some(self.now),
             Event::Ended(request) => {
--- a/crates/load/src/rate_model.rs
+++ b/crates/load/src/rate_model.rs
@@ -9,7 +9,7 @@
 
 use crate::arms::Rates;
 
-const SHARDS: u64 = 2;
+const MAX_SHARDS: u64 = 2;
 
 /// Tokens of one account.
 pub enum Account {
@@ -27,11 +27,12 @@
     pub fn new(rates: Rates, limits: Limits, entries: usize) -> Account {
         match rates {
             Rates::Drawn => {
+                let count = limits.shards(MAX_SHARDS);
                 let shard = |index| {
-                    let share = limits.share(index, SHARDS);
+                    let share = limits.share(index, count);
                     Bucket::new(Moment::ZERO, share, share.capacity)
                 };
-                let shards = (0..SHARDS).map(shard).collect();
+                let shards = (0..count).map(shard).collect();
                 Account::Drawn { limits, shards, pools: vec![Pool::default(); entries] }
             }
             Rates::StaticSplit => {
--- a/crates/load/src/server_model.rs
+++ b/crates/load/src/server_model.rs
@@ -46,7 +46,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
     /// An adapter has to be loaded.
-    Load(Stay),
+    Load {
+        stay: Stay,
+        request: usize,
+    },
     /// A request waits for a load.
     Stalled(usize),
     /// A request gave its first token.
@@ -74,10 +77,8 @@
 
     /// What a probe would tell.
     pub fn candidate(&self, key: &Key) -> Candidate {
-        let running: u64 = self.running.iter().map(|running| running.left).sum();
-        let waiting: u64 = self.waiting.values().flatten().map(|work| work.output).sum();
         Candidate {
-            queued_tokens: self.queue.tokens() + running + waiting,
+            queued_tokens: self.queue.tokens(),
             is_resident: self.slots.is_present(key),
             has_free_slot: self.slots.has_room(),
             ..Candidate::default()
@@ -117,7 +118,7 @@
             Pin::Resident(stay) => self.running.push(Running::new(work, stay)),
             Pin::Loading(stay) => self.wait(stay, work, events),
             Pin::Load { stay, .. } => {
-                events.push(Event::Load(stay));
+                events.push(Event::Load { stay, request: work.request });
                 self.wait(stay, work, events);
             }
             Pin::Full => {}
--- a/crates/quota/src/permit.rs
+++ b/crates/quota/src/permit.rs
@@ -1,9 +1,9 @@
 //! The weight store's load budget: a rate, and a number of loads in flight over
 //! the whole fleet. One holder counts both.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use fleet::lease::Moment;
+use fleet::{Name, lease::Moment};
 
 use crate::{bucket::Bucket, share::Share};
 
@@ -30,6 +30,16 @@
     bucket: Bucket,
     outstanding: BTreeMap<u64, Moment>,
     next: u64,
+    /// Accounts that asked lately.
+    askers: BTreeMap<Name, Asker>,
+}
+
+/// An account that waits for loads, or did lately.
+#[derive(Clone, Copy, Debug)]
+struct Asker {
+    /// Permits that it had, weighted by its rate, on a common scale with the others.
+    served: u64,
+    last: Moment,
 }
 
 /// Answer to a request for a permit.
@@ -40,6 +50,10 @@
     Later(Duration),
 }
 
+/// How long an account that has asked is waited for.
+const ASKER_MEMORY: Duration = Duration::from_millis(500);
+/// Weight of one permit for an account with a rate of one token a second.
+const SERVED_UNIT: u64 = 1 << 32;
 /// Shortest wait that a refused asker is told.
 const MIN_WAIT: Duration = Duration::from_millis(20);
 
@@ -51,25 +65,48 @@
             bucket: Bucket::new(now, share, level),
             outstanding: BTreeMap::new(),
             next: 0,
+            askers: BTreeMap::new(),
         }
     }
 
-    /// Asks for a permit to start one load.
-    pub fn ask(&mut self, now: Moment) -> Answer {
+    /// Asks for a permit to start one load for an account. While several accounts
+    /// ask, each permit goes to the one that has had the fewest for its `rate`.
+    pub fn ask(&mut self, now: Moment, account: &Name, rate: u64) -> Answer {
+        self.note_asker(now, account);
         let patience = self.budget.patience;
         self.outstanding.retain(|_, granted| now < *granted + patience);
         if self.budget.in_flight <= self.outstanding.len() {
             let oldest = self.outstanding.values().min().copied().unwrap_or(now);
             return Answer::Later((oldest + patience).saturating_sub(now).min(MIN_WAIT * 10));
         }
+        if !self.is_next(account) {
+            return Answer::Later(MIN_WAIT);
+        }
         if self.bucket.take(now, 1) == 0 {
             return Answer::Later(self.bucket.wait_for(now, 1).max(MIN_WAIT));
         }
+        if let Some(asker) = self.askers.get_mut(account) {
+            asker.served += SERVED_UNIT / rate.max(1);
+        }
         self.next += 1;
         self.outstanding.insert(self.next, now);
         Answer::Granted(self.next)
     }
 
+    /// An account that comes back starts where the others are, without credit.
+    fn note_asker(&mut self, now: Moment, account: &Name) {
+        self.askers.retain(|_, asker| now <= asker.last + ASKER_MEMORY);
+        let least = self.askers.values().map(|asker| asker.served).min().unwrap_or(0);
+        let asker = self.askers.entry(Arc::clone(account));
+        let asker = asker.or_insert(Asker { served: least, last: now });
+        asker.last = now;
+    }
+
+    fn is_next(&self, account: &Name) -> bool {
+        let least = self.askers.values().map(|asker| asker.served).min().unwrap_or(0);
+        self.askers.get(account).is_some_and(|asker| asker.served <= least)
+    }
+
     /// The load under a permit has ended.
     pub fn give_back(&mut self, permit: u64) {
         self.outstanding.remove(&permit);
--- a/crates/quota/src/share.rs
+++ b/crates/quota/src/share.rs
@@ -6,6 +6,8 @@
 
 /// Longest time that a grant may be kept before it is spent.
 const MAX_GRANT_LIFETIME: Duration = Duration::from_secs(1);
+/// Smallest burst of a shard, in tokens.
+const MIN_SHARD_BURST: u64 = 4096;
 /// Share of the lifetime that the receiver leaves unused, against clock drift.
 const DRIFT_MARGIN_DIVISOR: u32 = 50;
 
@@ -41,6 +43,12 @@
         lifetime - lifetime / DRIFT_MARGIN_DIVISOR
     }
 
+    /// Shards of the account's bucket, at most `most`. A small burst is not cut up,
+    /// so that a reservation fits into one shard.
+    pub fn shards(&self, most: u64) -> u64 {
+        (self.burst / MIN_SHARD_BURST).clamp(1, most.max(1))
+    }
+
     /// The part of shard `index` of `shards`. The parts add up to no more than the whole.
     pub fn share(&self, index: u64, shards: u64) -> Share {
         let rate = part(self.rate, index, shards);
--- a/crates/side/src/attempt.rs
+++ b/crates/side/src/attempt.rs
@@ -61,11 +61,14 @@
         return Ok(End::NotBegun(reason));
     }
     let (start, started) = async_channel::bounded(1);
-    let job =
-        Job { key: key_of(&attempt.target), exposure: attempt.exposure, cost: attempt.cost, start };
-    let account = Arc::clone(&attempt.account);
-    let queued =
-        dispatch::enqueue(side, account, attempt.group(), attempt.urgency, attempt.patience, job);
+    let job = Job {
+        account: Arc::clone(&attempt.account),
+        key: key_of(&attempt.target),
+        exposure: attempt.exposure,
+        cost: attempt.cost,
+        start,
+    };
+    let queued = dispatch::enqueue(side, attempt.group(), attempt.urgency, attempt.patience, job);
     if let Err(reason) = queued {
         return Ok(End::NotBegun(reason));
     }
--- a/crates/side/src/dispatch.rs
+++ b/crates/side/src/dispatch.rs
@@ -9,7 +9,10 @@
 use schedule::queue::{Fit, Item};
 use wire::frame::{Exposure, NotBegun};
 
-use crate::{Core, Loaded, Side, load};
+use crate::{
+    Core, Loaded, Side,
+    load::{self, Order},
+};
 
 /// How often deadlines are looked at.
 const TICK: Duration = Duration::from_millis(20);
@@ -19,6 +22,7 @@
 
 /// An attempt in the queue.
 pub(crate) struct Job {
+    pub(crate) account: Name,
     pub(crate) key: Option<Key>,
     pub(crate) exposure: Exposure,
     pub(crate) cost: u64,
@@ -73,7 +77,6 @@
 /// [`NotBegun::QueueFull`] at the queue's limit.
 pub(crate) fn enqueue(
     side: &Side,
-    account: Name,
     group: Name,
     urgency: Urgency,
     patience: Duration,
@@ -81,7 +84,7 @@
 ) -> Result<(), NotBegun> {
     let now = side.node.now();
     let item = Item {
-        account,
+        account: Arc::clone(&job.account),
         group,
         cost: job.cost,
         urgency,
@@ -158,8 +161,10 @@
         }
         Pin::Loading(stay) => start_after_load(side, stay, job, ticket),
         Pin::Load { stay, victim } => {
+            let account = Arc::clone(&job.account);
             start_after_load(side, stay, job, ticket);
-            side.node.kernel.spawn_detached(load::run(Arc::clone(side), key, stay, victim));
+            let order = Order { key, stay, victim, account };
+            side.node.kernel.spawn_detached(load::run(Arc::clone(side), order));
         }
         Pin::Full => {
             let _gone = job.start.try_send(Start::NotBegun(NotBegun::QueueFull));
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -20,6 +20,7 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use event_listener::Event;
@@ -42,6 +43,9 @@
 
 use crate::{dispatch::Job, settings::Settings};
 
+/// What a load is expected to take before the first one.
+const FIRST_LOAD_WAIT: Duration = Duration::from_millis(400);
+
 /// One side process; shared by all its tasks.
 pub struct Side {
     node: Arc<Node>,
@@ -68,6 +72,8 @@
     is_exclusive: bool,
     /// Jobs that wait for a load.
     loading: HashMap<Stay, Vec<async_channel::Sender<Loaded>>>,
+    /// Average of what loads have taken lately.
+    load_wait: Duration,
     /// Counts crashes of the engine seen by this process.
     epoch: u64,
     is_engine_down: bool,
@@ -126,6 +132,7 @@
             running_tokens: 0,
             is_exclusive: false,
             loading: HashMap::new(),
+            load_wait: FIRST_LOAD_WAIT,
             epoch: 0,
             is_engine_down: false,
         };
@@ -205,13 +212,17 @@
 
     fn load_for(&self, target: &Target) -> Load {
         let core = self.core.lock();
+        // Running requests keep a new one waiting only when the batch is full.
+        let is_full = self.settings.batch <= core.running;
+        let running_tokens = if is_full { core.running_tokens } else { 0 };
         Load {
-            queued_tokens: core.queue.tokens() + core.running_tokens,
+            queued_tokens: core.queue.tokens() + running_tokens,
             is_resident: match key_of(target) {
                 Some(key) => core.slots.is_present(&key),
                 None => true,
             },
             has_free_slot: core.slots.has_room(),
+            load_wait: core.load_wait,
         }
     }
 
--- a/crates/side/src/load.rs
+++ b/crates/side/src/load.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use fleet::Name;
 use placement::slots::{Key, Stay};
 use quota::permit;
 use schedule::retry;
@@ -16,18 +17,32 @@
 const PERMIT_PATIENCE: Duration = Duration::from_secs(30);
 /// Pause while nobody holds the load budget.
 const NO_HOLDER_PAUSE: Duration = Duration::from_millis(200);
+/// Loads that the average of their waits covers.
+const AVERAGED_LOADS: u32 = 10;
 /// Time that an order to unload may take.
 const UNLOAD_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// What has to be loaded, and for whom.
+#[derive(Clone, Debug)]
+pub(crate) struct Order {
+    pub(crate) key: Key,
+    pub(crate) stay: Stay,
+    pub(crate) victim: Option<Key>,
+    /// Account of the request that needs it first.
+    pub(crate) account: Name,
+}
+
 /// Loads an adapter after dropping the victim, and tells the waiters.
-pub(crate) async fn run(side: Arc<Side>, key: Key, stay: Stay, victim: Option<Key>) {
+pub(crate) async fn run(side: Arc<Side>, order: Order) {
+    let Order { key, stay, victim, account } = order;
     let began = side.node.now();
-    let is_loaded = load(&side, &key, victim.as_ref()).await;
+    let is_loaded = load(&side, &key, victim.as_ref(), &account).await;
     let waited = side.node.now() - began;
     metrics::histogram!("chivelatch_load_wait_seconds").record(waited.as_secs_f64());
     let outcome = if is_loaded { Loaded::Yes } else { Loaded::No };
     let waiters = {
         let mut core = side.core.lock();
+        core.load_wait = (core.load_wait * (AVERAGED_LOADS - 1) + waited) / AVERAGED_LOADS;
         if is_loaded {
             core.slots.loaded(stay);
         } else {
@@ -52,12 +67,12 @@
     Some(Key { adapter: Arc::from(adapter), version: version.parse().ok()? })
 }
 
-async fn load(side: &Side, key: &Key, victim: Option<&Key>) -> bool {
+async fn load(side: &Side, key: &Key, victim: Option<&Key>, account: &Name) -> bool {
     if let Some(victim) = victim {
         unload(side, victim).await;
     }
     for attempt in 0..side.settings.load_tries {
-        let Some((permit, epoch)) = permit(side).await else { return false };
+        let Some((permit, epoch)) = permit(side, account).await else { return false };
         let is_loaded = order(side, key).await;
         give_back(side, permit).await;
         if is_loaded {
@@ -96,10 +111,10 @@
 }
 
 /// Waits for a permit; `None` when it is not to be had in time.
-async fn permit(side: &Side) -> Option<(u64, u64)> {
+async fn permit(side: &Side, account: &Name) -> Option<(u64, u64)> {
     let deadline = side.node.now() + PERMIT_PATIENCE;
     while side.node.now() < deadline && !side.core.lock().is_engine_down {
-        let pause = match ask(side).await {
+        let pause = match ask(side, account).await {
             Some(Permit::Granted(permit)) => return Some((permit, side.core.lock().epoch)),
             Some(Permit::Later(wait)) => wait,
             Some(Permit::NotHolder) | None => NO_HOLDER_PAUSE,
@@ -109,8 +124,9 @@
     None
 }
 
-async fn ask(side: &Side) -> Option<Permit> {
-    match to_holder(side, Call::AskPermit).await? {
+async fn ask(side: &Side, account: &Name) -> Option<Permit> {
+    let account = Arc::clone(account);
+    match to_holder(side, Call::AskPermit { account }).await? {
         Reply::Permit(permit) => Some(permit),
         _ => None,
     }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -24,8 +24,8 @@
     Draw(Draw),
     /// Gives back unused tokens, or reports tokens used beyond a reservation.
     Settle(Settlement),
-    /// Asks for a permit to load an adapter from the weight store.
-    AskPermit,
+    /// Asks for a permit to load an adapter from the weight store for an account.
+    AskPermit { account: Name },
     /// The load under a permit has ended.
     ReturnPermit(u64),
     /// Asks for newer configuration.
@@ -170,6 +170,8 @@
     /// Whether the target's adapter is loaded or being loaded.
     pub is_resident: bool,
     pub has_free_slot: bool,
+    /// What loads have taken lately, with the wait for the store's budget.
+    pub load_wait: Duration,
 }
 
 /// Asks for tokens of one shard.
