--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -85,6 +85,8 @@
         Ok(Response::from_parts(head, body.to_bytes()))
     };
     let response = kernel.clock.timeout(limit, exchange).await.context(LateSnafu)??;
+    metrics::counter!("chivelatch_platform_received_bytes_total")
+        .increment(response.body().len() as u64);
     let status = response.status();
     if status.is_success() || status == hyper::StatusCode::NOT_MODIFIED {
         return Ok(response);
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -211,6 +211,19 @@
         self.try_page(self.address(name), path).unwrap_or_default()
     }
 
+    /// Reads a text page.
+    pub fn text(&self, name: &str, path: &str) -> String {
+        let fetched = http::fetch(&self.kernel, self.address(name), http::get(path), HTTP_LIMIT);
+        let response = self.block_on(fetched);
+        response.map(|found| String::from_utf8_lossy(found.body()).into_owned()).unwrap_or_default()
+    }
+
+    /// Id of a running process.
+    pub fn process_id(&self, name: &str) -> u32 {
+        let members = self.members.lock();
+        members[name].process.as_ref().map_or(0, Process::id)
+    }
+
     /// Status of a page.
     pub fn status(&self, name: &str, path: &str) -> u16 {
         let fetched = self.block_on(http::fetch(
--- a/crates/scenario/src/process.rs
+++ b/crates/scenario/src/process.rs
@@ -45,6 +45,11 @@
         Ok(Process { child })
     }
 
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         let name = match signal {
@@ -53,7 +58,7 @@
             Signal::Continue => "-CONT",
             Signal::Terminate => "-TERM",
         };
-        let sent = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
+        let sent = Command::new("kill").arg(name).arg(self.id().to_string()).status();
         assert!(sent.is_ok_and(|status| status.success()), "the signal {name} was not sent");
     }
 
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -56,6 +56,7 @@
 /// Any but [`Error::Read`].
 pub async fn send(stream: &mut SendStream, frame: &impl Serialize) -> Result<(), Error> {
     let bytes = encode(frame)?;
+    metrics::counter!("chivelatch_fleet_sent_bytes_total").increment(bytes.len() as u64);
     stream.write_all(&bytes).await.context(WriteSnafu)
 }
 
@@ -73,5 +74,6 @@
     }
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await.context(ReadSnafu)?;
+    metrics::counter!("chivelatch_fleet_received_bytes_total").increment(length as u64);
     decode(&body)
 }
