--- a/crates/ledger/src/fold.rs
+++ b/crates/ledger/src/fold.rs
@@ -101,7 +101,11 @@
     }
 
     fn begin(&mut self, key: Digest, begun: Begun) {
-        if self.begins.contains_key(&key) || self.abandoned.contains(&begun.id) {
+        if self.abandoned.contains(&begun.id) {
+            cov_mark::hit!(begin_after_its_abandon);
+            return;
+        }
+        if self.begins.contains_key(&key) {
             return;
         }
         self.ages.push_back((begun.at, Aged::Begin(Arc::clone(&begun.id))));
--- a/crates/ledger/tests/once.rs
+++ b/crates/ledger/tests/once.rs
@@ -214,6 +214,7 @@
 
 #[test]
 fn an_attempt_abandoned_before_its_begin_is_ordered_is_void() {
+    cov_mark::check!(begin_after_its_abandon);
     let mut fold = Fold::new(WINDOW);
     let id: Name = Arc::from("r1");
 
--- a/crates/placement/src/slots.rs
+++ b/crates/placement/src/slots.rs
@@ -108,7 +108,10 @@
             let pin = match slot.phase {
                 Phase::Resident => Pin::Resident(slot.stay),
                 Phase::Loading => Pin::Loading(slot.stay),
-                Phase::Doubtful => return Pin::Full,
+                Phase::Doubtful => {
+                    cov_mark::hit!(pin_on_a_doubtful_adapter);
+                    return Pin::Full;
+                }
             };
             slot.pins += 1;
             slot.usage = used(slot.usage, now);
--- a/crates/placement/tests/slots.rs
+++ b/crates/placement/tests/slots.rs
@@ -131,6 +131,7 @@
 
 #[test]
 fn an_adapter_that_seems_lost_keeps_its_slot_while_it_is_used() {
+    cov_mark::check!(pin_on_a_doubtful_adapter);
     let mut slots = Slots::new(1, victim("frequency"));
     let used = stay(&slots.pin(Duration::ZERO, &key(1))).expect("there is room");
     slots.loaded(used);
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -91,6 +91,9 @@
         let since = self.peaks.iter().rev().take_while(|peak| taken_at < peak.until);
         let highest = since.map(|peak| peak.level).fold(self.level, i64::max);
         let room = units(self.share.capacity) - highest;
+        if room < units(amount) {
+            cov_mark::hit!(refund_limited_by_the_past);
+        }
         let credit = units(amount).min(room).max(0) / UNITS_PER_TOKEN * UNITS_PER_TOKEN;
         self.level += credit;
         let since = self.peaks.iter_mut().rev().take_while(|peak| taken_at < peak.until);
--- a/crates/quota/tests/overshoot.rs
+++ b/crates/quota/tests/overshoot.rs
@@ -234,6 +234,20 @@
     }
 }
 
+#[test]
+fn a_refund_is_not_credited_beyond_what_the_bucket_could_have_kept() {
+    cov_mark::check!(refund_limited_by_the_past);
+    let share = LIMITS.share(0, 1);
+    let mut bucket = Bucket::new(Moment::ZERO, share, share.capacity);
+    bucket.take(Moment::ZERO, 500);
+    let full = Duration::from_secs(10);
+    bucket.take(full, share.capacity);
+
+    let credited = bucket.refund(full, 500, Moment::ZERO);
+
+    assert_eq!(credited, 0, "the bucket was full in between");
+}
+
 #[test]
 fn a_refund_is_credited_in_full_under_steady_demand() {
     let share = LIMITS.share(0, 1);
--- a/crates/scenario/src/bin/chivelatch-slopes.rs
+++ b/crates/scenario/src/bin/chivelatch-slopes.rs
@@ -7,7 +7,7 @@
 
 /// Entries and engines of each fleet; a side process stands beside each engine.
 const SIZES: [(usize, usize); 3] = [(4, 4), (12, 12), (36, 36)];
-const SETTLE: Duration = Duration::from_secs(6);
+const SETTLE: Duration = Duration::from_secs(15);
 const WINDOW: Duration = Duration::from_secs(20);
 /// Clock ticks of the processor times in `/proc`, a second.
 const TICKS_PER_SECOND: f64 = 100.0;
@@ -30,7 +30,9 @@
 }
 
 fn measure(entries: usize, engines: usize) {
-    let shape = Shape { entries, engines, services: 0, ..Shape::default() };
+    // The usual timings of the programs, not those of the scenarios.
+    let timing = String::new();
+    let shape = Shape { entries, engines, services: 0, timing, ..Shape::default() };
     let fleet = Fleet::start(&shape);
     fleet.operate(&["create account council rate 1000 burst 20000"], &[]).expect("it is accepted");
     thread::sleep(SETTLE);
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -4,7 +4,8 @@
     collections::BTreeMap,
     fs,
     future::Future,
-    net::{SocketAddr, TcpListener, UdpSocket},
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
     path::{Path, PathBuf},
     process::Command,
     sync::{
@@ -48,6 +49,8 @@
     /// YAML added to the engines' settings.
     pub engine_extra: String,
     pub store: String,
+    /// YAML of the timings of entries and side processes.
+    pub timing: String,
 }
 
 impl Default for Shape {
@@ -59,6 +62,7 @@
             entry_extra: "weight_store:\n  loads_per_second: 20\n  burst: 8\n".to_owned(),
             engine_extra: "step_ms: 5\n".to_owned(),
             store: "rate: 20\nburst: 10\nload_ms: 50\n".to_owned(),
+            timing: sources::SHORT_TIMING.to_owned(),
         }
     }
 }
@@ -102,7 +106,7 @@
             fleet.add_engine(index, shape);
         }
         for index in 1..=shape.services {
-            fleet.add_service(index);
+            fleet.add_service(index, shape);
         }
         for index in 1..=shape.entries {
             fleet.add_entry(index, shape);
@@ -211,6 +215,18 @@
         self.try_page(self.address(name), path).unwrap_or_default()
     }
 
+    /// Sends bytes as they are and returns what comes back, until the connection
+    /// closes or nothing comes for a while.
+    pub fn raw(&self, name: &str, bytes: &[u8]) -> String {
+        let mut answer = Vec::new();
+        if let Ok(mut stream) = TcpStream::connect(self.address(name)) {
+            let _a_refusal_may_come_first = stream.write_all(bytes);
+            let _never_fails = stream.set_read_timeout(Some(HTTP_LIMIT));
+            let _timeout_or_end = stream.read_to_end(&mut answer);
+        }
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
     /// Reads a text page.
     pub fn text(&self, name: &str, path: &str) -> String {
         let fetched = http::fetch(&self.kernel, self.address(name), http::get(path), HTTP_LIMIT);
@@ -284,13 +300,13 @@
         let store = self.address("store");
         let settings = format!("store: {store}\nslots: 4\nbatch: 8\n{}", shape.engine_extra);
         self.add_standin(&name, "standin-engine", &settings);
-        self.add_side(index, &name, &[]);
+        self.add_side(index, &name, &[], shape);
     }
 
-    fn add_service(&self, index: usize) {
+    fn add_service(&self, index: usize, shape: &Shape) {
         let name = format!("service-{index}");
         self.add_standin(&name, "standin-service", "");
-        self.add_side(100 + index, &name, &ROUTES);
+        self.add_side(100 + index, &name, &ROUTES, shape);
     }
 
     fn add_standin(&self, name: &str, program: &'static str, settings: &str) {
@@ -299,7 +315,7 @@
         self.add(name, program, &settings, Some(address), None);
     }
 
-    fn add_side(&self, index: usize, server: &str, routes: &[&str]) {
+    fn add_side(&self, index: usize, server: &str, routes: &[&str], shape: &Shape) {
         let instance = format!("side-{index}");
         let (log, list) = self.relays();
         let certificates = self.certificates();
@@ -309,6 +325,7 @@
             fleet: free_udp(),
             certificates: &certificates,
             role: "side",
+            timing: &shape.timing,
         };
         let platform = Platform { log: log.address, list: list.address };
         let settings = sources::side(&place, platform, server, self.address(server), routes);
@@ -326,6 +343,7 @@
             fleet: free_udp(),
             certificates: &certificates,
             role: "entry",
+            timing: &shape.timing,
         };
         let platform = Platform { log: log.address, list: list.address };
         let settings = sources::entry(&place, platform, listen, &shape.entry_extra);
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -3,7 +3,7 @@
 use std::{path::Path, sync::Arc, thread, time::Duration};
 
 use rhai::{
-    Array, Dynamic, Engine, EvalAltResult, ImmutableString, Map,
+    Array, Blob, Dynamic, Engine, EvalAltResult, ImmutableString, Map,
     module_resolvers::FileModuleResolver, serde::from_dynamic,
 };
 use serde_json::Value;
@@ -63,6 +63,12 @@
     engine.register_fn("journals", |fleet: &mut Handle, prefix: &str| {
         rhai::serde::to_dynamic(fleet.journals(prefix))
     });
+    engine.register_fn("raw", |fleet: &mut Handle, entry: &str, text: &str| {
+        fleet.raw(entry, text.as_bytes())
+    });
+    engine.register_fn("raw_bytes", |fleet: &mut Handle, entry: &str, bytes: Blob| {
+        fleet.raw(entry, &bytes)
+    });
     engine.register_fn("now_ms", || {
         let elapsed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         elapsed.map_or(0, |elapsed| elapsed.as_millis() as i64)
@@ -204,6 +210,7 @@
         entry_extra: text("entry_extra", usual.entry_extra),
         engine_extra: text("engine_extra", usual.engine_extra),
         store: text("store", usual.store),
+        timing: text("timing", usual.timing),
     }
 }
 
--- a/crates/scenario/src/sources.rs
+++ b/crates/scenario/src/sources.rs
@@ -17,8 +17,15 @@
     pub fleet: SocketAddr,
     pub certificates: &'a str,
     pub role: &'a str,
+    /// YAML of the timings.
+    pub timing: &'a str,
 }
 
+/// Short timings, so that scenarios are.
+pub const SHORT_TIMING: &str = "timing:\n  takeover_ms: 1500\n  log_interval_ms: 100\n  \
+     list_interval_ms: 100\n  exchange_interval_ms: 100\n  staleness_limit_ms: 1500\n  \
+     stop_notice_ms: 500\n  stop_limit_ms: 20000\n";
+
 /// Settings of an entry instance.
 pub fn entry(place: &Place<'_>, platform: Platform, listen: SocketAddr, extra: &str) -> String {
     format!("{}listen: {listen}\nledger:\n  window_s: 120\n{extra}", node(place, platform))
@@ -51,18 +58,14 @@
     )
 }
 
-/// Timings are short, so that scenarios are.
 fn node(place: &Place<'_>, platform: Platform) -> String {
-    let Place { instance, zone, fleet, certificates, role } = place;
+    let Place { instance, zone, fleet, certificates, role, timing } = place;
     format!(
         "instance: {instance}\nzone: {zone}\nlog_level: debug\n\
          fleet:\n  address: {fleet}\n  authority: {certificates}/authority.pem\n  \
          certificate: {certificates}/{role}.pem\n  key: {certificates}/{role}.key.pem\n\
          platform:\n  log: {}\n  list: {}\n  timeout_ms: 500\n  retention_s: 600\n  \
-         list_lag_ms: 300\n\
-         timing:\n  takeover_ms: 1500\n  log_interval_ms: 100\n  list_interval_ms: 100\n  \
-         exchange_interval_ms: 100\n  staleness_limit_ms: 1500\n  stop_notice_ms: 500\n  \
-         stop_limit_ms: 20000\n",
+         list_lag_ms: 300\n{timing}",
         platform.log, platform.list
     )
 }
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -47,6 +47,7 @@
 
 scenarios! {
     adapter_version,
+    bad_input,
     configuration,
     failing_engines,
     keys,
--- a/crates/side/src/dispatch.rs
+++ b/crates/side/src/dispatch.rs
@@ -14,7 +14,7 @@
     load::{self, Order},
 };
 
-/// How often deadlines are looked at.
+/// How often deadlines are looked at while anything waits.
 const TICK: Duration = Duration::from_millis(20);
 
 /// Wait after which an attempt that has to be alone keeps others from starting.
@@ -66,7 +66,11 @@
         while let Some((job, ticket)) = next(&side) {
             begin(&side, job, ticket);
         }
-        future::or(woken, side.node.kernel.clock.sleep(TICK)).await;
+        if side.core.lock().queue.is_empty() {
+            woken.await;
+        } else {
+            future::or(woken, side.node.kernel.clock.sleep(TICK)).await;
+        }
     }
 }
 
--- a/crates/wire/src/identity.rs
+++ b/crates/wire/src/identity.rs
@@ -29,8 +29,8 @@
 
 /// Silence after which a connection is given up. Attempts send `Waiting` far more often.
 const IDLE_TIMEOUT_MS: u32 = 10_000;
-/// Streams that one peer may have open.
-const MAX_STREAMS: u32 = 4096;
+/// Streams that one peer may have open. Each connection keeps room for all of them.
+const MAX_STREAMS: u32 = 256;
 const RESET_CONTEXT: &str = "chivelatch 2026-12 connection resets";
 const CONNECTION_ID_BYTES: usize = 8;
 
