--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -1,22 +1,21 @@
 //! Trying a request until it has begun to answer, or is given up.
 
+mod frames;
+
 use std::{sync::Arc, time::Duration};
 
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use fleet::{
     Name,
     change::Repeat,
     member::Role,
     suspect::{Report, Verdict},
 };
-use kernel::clock::Clock;
 use schedule::retry;
 use smallvec::SmallVec;
 use wire::{
-    codec,
-    frame::{AttemptId, Broken, Call, Exposure, Head, NotBegun, Reply},
+    frame::{Call, Exposure, Head},
     identity,
-    link::Exchange,
 };
 
 use crate::{
@@ -26,6 +25,8 @@
     routing::{self, Choice},
 };
 
+pub(crate) use crate::attempt::frames::{Failure, Frame};
+
 /// Frames that wait for a slow caller.
 const FRAME_DEPTH: usize = 16;
 /// When to come back after a failure of the backend servers.
@@ -62,39 +63,6 @@
     pub(crate) frames: Receiver<Frame>,
 }
 
-/// What a running attempt sends, checked.
-#[derive(Debug)]
-pub(crate) enum Frame {
-    Head(Head),
-    Chunk(Vec<u8>),
-    End { tokens: Option<u64> },
-    Failed(Failure),
-}
-
-/// Why a try failed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Failure {
-    /// Nothing was sent.
-    Unreachable,
-    NotBegun(NotBegun),
-    Crashed {
-        crash: u64,
-    },
-    /// It may have begun; its answer is lost.
-    Lost,
-}
-
-impl Failure {
-    fn may_have_begun(&self) -> bool {
-        matches!(self, Failure::Crashed { .. } | Failure::Lost)
-    }
-
-    /// A server that is merely leaving did nothing wrong, and trying elsewhere is no retry.
-    fn is_handover(&self) -> bool {
-        matches!(self, Failure::NotBegun(NotBegun::Leaving | NotBegun::NotHolder))
-    }
-}
-
 /// Tries a request until its answer has begun.
 ///
 /// # Errors
@@ -208,7 +176,7 @@
     })?;
     let (sender, frames) = async_channel::bounded(FRAME_DEPTH);
     let reader =
-        read_frames(Arc::clone(entry), job.clone(), choice.server.clone(), id, exchange, sender);
+        frames::read(Arc::clone(entry), job.clone(), choice.server.clone(), id, exchange, sender);
     entry.node.kernel.spawn_detached(reader);
     begin(frames).await
 }
@@ -244,60 +212,6 @@
     }
 }
 
-/// Reads an attempt's frames until its end, and passes them on checked.
-async fn read_frames(
-    entry: Arc<Entry>,
-    job: Job,
-    server: Name,
-    id: AttemptId,
-    mut exchange: Exchange,
-    sender: Sender<Frame>,
-) {
-    let mut chunks = 0;
-    loop {
-        let clock = &entry.node.kernel.clock;
-        let reply = receive(clock, &mut exchange, entry.settings.silence_limit).await;
-        let frame = match reply {
-            Some(Reply::Waiting { id: named }) if named == id => continue,
-            Some(Reply::Head(head)) if head.id == id => Frame::Head(head),
-            Some(Reply::Chunk { id: named, index, bytes }) if named == id && index == chunks => {
-                chunks += 1;
-                Frame::Chunk(bytes)
-            }
-            Some(Reply::End { id: named, chunks: all, tokens, load })
-                if named == id && all == chunks =>
-            {
-                routing::note_load(&entry, &server, &job.target, load);
-                Frame::End { tokens }
-            }
-            Some(Reply::NotBegun { id: named, reason, load }) if named == id && chunks == 0 => {
-                routing::note_load(&entry, &server, &job.target, load);
-                Frame::Failed(Failure::NotBegun(reason))
-            }
-            Some(Reply::Broken { id: named, reason }) if named == id => {
-                Frame::Failed(failure_of(reason))
-            }
-            // Silence, a broken connection, or a frame of another attempt.
-            _ => Frame::Failed(Failure::Lost),
-        };
-        let is_last = matches!(frame, Frame::End { .. } | Frame::Failed(_));
-        if sender.send(frame).await.is_err() || is_last {
-            return;
-        }
-    }
-}
-
-async fn receive(clock: &Clock, exchange: &mut Exchange, limit: Duration) -> Option<Reply> {
-    clock.timeout(limit, codec::receive(&mut exchange.receive)).await.ok()?.ok()
-}
-
-fn failure_of(reason: Broken) -> Failure {
-    match reason {
-        Broken::EngineCrashed { crash } => Failure::Crashed { crash },
-        Broken::BadAnswer => Failure::Lost,
-    }
-}
-
 async fn on_failure(entry: &Arc<Entry>, job: &Job, choice: &Choice, failure: &Failure) {
     entry.node.note(&job.request, format!("{} failed: {failure:?}", choice.server));
     if !failure.is_handover() {
--- /dev/null
+++ b/crates/entry/src/attempt/frames.rs
@@ -0,0 +1,101 @@
+//! Reading an attempt's frames, and why an attempt fails.
+
+use std::{sync::Arc, time::Duration};
+
+use async_channel::Sender;
+use fleet::Name;
+use kernel::clock::Clock;
+use wire::{
+    codec,
+    frame::{AttemptId, Broken, Head, NotBegun, Reply},
+    link::Exchange,
+};
+
+use crate::{Entry, job::Job, routing};
+
+/// What a running attempt sends, checked.
+#[derive(Debug)]
+pub(crate) enum Frame {
+    Head(Head),
+    Chunk(Vec<u8>),
+    End { tokens: Option<u64> },
+    Failed(Failure),
+}
+
+/// Why a try failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// Nothing was sent.
+    Unreachable,
+    NotBegun(NotBegun),
+    Crashed {
+        crash: u64,
+    },
+    /// It may have begun; its answer is lost.
+    Lost,
+}
+
+impl Failure {
+    pub(super) fn may_have_begun(&self) -> bool {
+        matches!(self, Failure::Crashed { .. } | Failure::Lost)
+    }
+
+    /// A server that is merely leaving did nothing wrong, and trying elsewhere is no retry.
+    pub(super) fn is_handover(&self) -> bool {
+        matches!(self, Failure::NotBegun(NotBegun::Leaving | NotBegun::NotHolder))
+    }
+}
+
+/// Reads an attempt's frames until its end, and passes them on checked.
+pub(super) async fn read(
+    entry: Arc<Entry>,
+    job: Job,
+    server: Name,
+    id: AttemptId,
+    mut exchange: Exchange,
+    sender: Sender<Frame>,
+) {
+    let mut chunks = 0;
+    loop {
+        let clock = &entry.node.kernel.clock;
+        let reply = receive(clock, &mut exchange, entry.settings.silence_limit).await;
+        let frame = match reply {
+            Some(Reply::Waiting { id: named }) if named == id => continue,
+            Some(Reply::Head(head)) if head.id == id => Frame::Head(head),
+            Some(Reply::Chunk { id: named, index, bytes }) if named == id && index == chunks => {
+                chunks += 1;
+                Frame::Chunk(bytes)
+            }
+            Some(Reply::End { id: named, chunks: all, tokens, load })
+                if named == id && all == chunks =>
+            {
+                routing::note_load(&entry, &server, &job.target, load);
+                Frame::End { tokens }
+            }
+            Some(Reply::NotBegun { id: named, reason, load }) if named == id && chunks == 0 => {
+                routing::note_load(&entry, &server, &job.target, load);
+                Frame::Failed(Failure::NotBegun(reason))
+            }
+            Some(Reply::Broken { id: named, reason }) if named == id => {
+                Frame::Failed(failure_of(reason))
+            }
+            // Silence, a broken connection, or a frame of another attempt.
+            _ => Frame::Failed(Failure::Lost),
+        };
+        let is_last = matches!(frame, Frame::End { .. } | Frame::Failed(_));
+        if sender.send(frame).await.is_err() || is_last {
+            return;
+        }
+    }
+}
+
+async fn receive(clock: &Clock, exchange: &mut Exchange, limit: Duration) -> Option<Reply> {
+    clock.timeout(limit, codec::receive(&mut exchange.receive)).await.ok()?.ok()
+}
+
+fn failure_of(reason: Broken) -> Failure {
+    match reason {
+        Broken::EngineCrashed { crash } => Failure::Crashed { crash },
+        Broken::BadAnswer => Failure::Lost,
+    }
+}
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -1,7 +1,8 @@
 //! Choosing the backend server for a try.
 
+mod table;
+
 use std::{
-    collections::BTreeMap,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -12,8 +13,7 @@
 use fleet::{
     Name,
     lease::Moment,
-    member::{Listing, Member, Role},
-    state::State,
+    member::{Member, Role},
 };
 use kernel::shard;
 use parking_lot::{Mutex, RwLock};
@@ -29,7 +29,7 @@
     identity::Role as IdentityRole,
 };
 
-use crate::{Entry, job::Job};
+use crate::{Entry, job::Job, routing::table::Table};
 
 /// Half-life of an adapter's request count.
 const POPULARITY_HALF_LIFE: Duration = Duration::from_secs(30);
@@ -57,17 +57,6 @@
     load_wait: Mutex<Duration>,
 }
 
-/// The servers of one listing under one configuration.
-#[derive(Debug, Default)]
-struct Table {
-    listing: Arc<Listing>,
-    state: Option<Arc<State>>,
-    engines: Vec<Server>,
-    services: BTreeMap<Name, Vec<Server>>,
-    /// A server may have two side processes while one replaces the other.
-    members: BTreeMap<Name, SmallVec<[Member; 1]>>,
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct ServerLoad {
     load: Load,
@@ -119,7 +108,7 @@
 
 /// Chooses a server that was not tried yet.
 pub(crate) async fn choose(entry: &Arc<Entry>, job: &Job, tried: &[Name]) -> Option<Choice> {
-    let table = table(entry);
+    let table = table::current(entry);
     let servers = match &job.target {
         Target::Adapter { .. } => &table.engines,
         Target::Route { route } => table.services.get(route)?,
@@ -129,7 +118,7 @@
     let costs = Costs { load: *entry.routing.load_wait.lock(), ..entry.settings.costs };
     let chosen = (entry.settings.policy.choose)(&costs, &candidates)?;
     let server = Arc::clone(&servers[considered[chosen]].name);
-    let member = member(entry, &table, &server)?;
+    let member = table::member(entry, &table, &server)?;
     note_sent(entry, &server, job.cost);
     let candidate = candidates[chosen];
     entry.node.note(&job.request, format!("chose {server} of {}: {candidate:?}", candidates.len()));
@@ -245,7 +234,7 @@
         .take(MAX_PROBES)
         .filter_map(|index| {
             let server = Arc::clone(&servers[*index].name);
-            let address = member(entry, table, &server)?.address;
+            let address = table::member(entry, table, &server)?.address;
             let (entry, target) = (Arc::clone(entry), job.target.clone());
             let kernel = entry.node.kernel.clone();
             Some(kernel.spawn(async move {
@@ -283,58 +272,3 @@
         is_suspect: has_failed(entry, server),
     }
 }
-
-/// The side process of a server: the one that holds its lease, if it is listed.
-fn member(entry: &Entry, table: &Table, server: &Name) -> Option<Member> {
-    let members = table.members.get(server)?;
-    let lease = format!("server/{server}");
-    let holder =
-        entry.node.with_seat(|seat| seat.table().lease(&lease).map(|lease| lease.holder.clone()));
-    let is_holder = |member: &&Member| {
-        holder.as_ref().is_some_and(|holder| {
-            holder.instance == member.instance && holder.incarnation == member.incarnation
-        })
-    };
-    members.iter().find(is_holder).or(members.first()).cloned()
-}
-
-fn table(entry: &Entry) -> Arc<Table> {
-    let listing = entry.node.listing();
-    let state = entry.node.state();
-    let known = Arc::clone(&entry.routing.table.read());
-    let is_same_state = match (&known.state, &state) {
-        (Some(known), Some(state)) => Arc::ptr_eq(known, state),
-        (known, state) => known.is_none() && state.is_none(),
-    };
-    if Arc::ptr_eq(&known.listing, &listing) && is_same_state {
-        return known;
-    }
-    let built = Arc::new(build_table(listing, state));
-    *entry.routing.table.write() = Arc::clone(&built);
-    built
-}
-
-fn build_table(listing: Arc<Listing>, state: Option<Arc<State>>) -> Table {
-    let mut table = Table::default();
-    let is_drained =
-        |server: &Name| state.as_ref().is_some_and(|state| state.drained_servers.contains(server));
-    for member in listing.live(Role::Side) {
-        let Some(name) = member.server.clone().filter(|server| !is_drained(server)) else {
-            continue;
-        };
-        let server = Server::new(Arc::clone(&name), Arc::clone(&member.zone), member.weight);
-        let members = table.members.entry(name).or_default();
-        members.push(member.clone());
-        if 1 < members.len() {
-            continue;
-        }
-        if member.routes.is_empty() {
-            table.engines.push(server);
-            continue;
-        }
-        for route in &member.routes {
-            table.services.entry(Arc::clone(route)).or_default().push(server.clone());
-        }
-    }
-    Table { listing, state, ..table }
-}
--- a/crates/load/src/bin/chivelatch-load.rs
+++ b/crates/load/src/bin/chivelatch-load.rs
@@ -1,6 +1,6 @@
 //! The load and experiment tool, as a program.
 
-use std::{env, net::SocketAddr, process::ExitCode, sync::Arc, time::Duration};
+use std::{net::SocketAddr, process::ExitCode, sync::Arc, time::Duration};
 
 use getopts::{Matches, Options};
 use load::{
@@ -22,13 +22,10 @@
 
 fn main() -> ExitCode {
     let options = options();
-    let matches = match options.parse(env::args().skip(1)) {
+    let matches = match arguments::parse(ABOUT, &options) {
         Ok(matches) => matches,
-        Err(error) => return arguments::usage_error(ABOUT, &error.to_string()),
+        Err(status) => return status,
     };
-    if let Some(status) = arguments::answer_standard(ABOUT, &options, &matches) {
-        return status;
-    }
     match run(&matches) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => arguments::usage_error(ABOUT, &error.to_string()),
--- a/crates/local/src/bin/chivelatch-local.rs
+++ b/crates/local/src/bin/chivelatch-local.rs
@@ -1,6 +1,6 @@
 //! The quick start, as a program.
 
-use std::{env, net::SocketAddr, process::ExitCode};
+use std::{net::SocketAddr, process::ExitCode};
 
 use settings::arguments::{self, About};
 
@@ -15,13 +15,10 @@
 fn main() -> ExitCode {
     let mut options = arguments::standard_options();
     options.optopt("l", "listen", "address for callers; 127.0.0.1:8080 is usual", "ADDRESS");
-    let matches = match options.parse(env::args().skip(1)) {
+    let matches = match arguments::parse(ABOUT, &options) {
         Ok(matches) => matches,
-        Err(error) => return arguments::usage_error(ABOUT, &error.to_string()),
+        Err(status) => return status,
     };
-    if let Some(status) = arguments::answer_standard(ABOUT, &options, &matches) {
-        return status;
-    }
     match matches.opt_get_default("listen", DEFAULT_LISTEN) {
         Ok(listen) => local::main(listen),
         Err(error) => arguments::usage_error(ABOUT, &format!("--listen: {error}")),
--- a/crates/operator/src/bin/chivelatch.rs
+++ b/crates/operator/src/bin/chivelatch.rs
@@ -1,7 +1,6 @@
 //! The operators' command line.
 
 use std::{
-    env,
     io::{self, BufRead as _, Write as _},
     path::{Path, PathBuf},
     process::ExitCode,
@@ -31,13 +30,10 @@
 
 fn main() -> ExitCode {
     let options = options();
-    let matches = match options.parse(env::args().skip(1)) {
+    let matches = match arguments::parse(ABOUT, &options) {
         Ok(matches) => matches,
-        Err(error) => return arguments::usage_error(ABOUT, &error.to_string()),
+        Err(status) => return status,
     };
-    if let Some(status) = arguments::answer_standard(ABOUT, &options, &matches) {
-        return status;
-    }
     if let Some(folder) = matches.opt_str("make-certificates") {
         return make_certificates(Path::new(&folder));
     }
--- a/crates/report/src/bin/chivelatch-report.rs
+++ b/crates/report/src/bin/chivelatch-report.rs
@@ -1,7 +1,6 @@
 //! The report on service-level burn, as a program.
 
 use std::{
-    env,
     fs::File,
     io::{self, Write as _},
     path::{Path, PathBuf},
@@ -33,13 +32,10 @@
 
 fn main() -> ExitCode {
     let options = options();
-    let matches = match options.parse(env::args().skip(1)) {
+    let matches = match arguments::parse(ABOUT, &options) {
         Ok(matches) => matches,
-        Err(error) => return arguments::usage_error(ABOUT, &error.to_string()),
+        Err(status) => return status,
     };
-    if let Some(status) = arguments::answer_standard(ABOUT, &options, &matches) {
-        return status;
-    }
     let (Some(path), Some(samples)) = (matches.opt_str("settings"), matches.opt_str("samples"))
     else {
         return arguments::usage_error(ABOUT, "pass --settings FILE and --samples FILE");
--- a/crates/scenario/scripts/configuration.rhai
+++ b/crates/scenario/scripts/configuration.rhai
@@ -9,6 +9,19 @@
 check(printed.contains("in force on 7 of 7"), "a lost answer is settled by reading back: " + printed);
 check(now_ms() - began < 5000, "within 5 s");
 
+// Of racing operators one wins; the others are told to look again.
+for round in 1..=3 {
+    let rates = [100, 200, 300, 400];
+    let ended = f.race(rates.map(|rate| `set account council rate ${rate + round} burst 9000`));
+    let won = ended.filter(|text| text.contains("accepted at revision"));
+    check(won.len() >= 1, "somebody wins: " + ended);
+    check(ended.all(|text| text.contains("accepted at revision") || text.contains("issue the command again")), "the others are told: " + ended);
+    let revisions = won.map(|text| text.split("revision ")[1].split(";")[0]);
+    revisions.sort();
+    revisions.dedup();
+    check(revisions.len() == won.len(), "each winner has its own revision: " + ended);
+}
+
 // An instance cut from the log gets it from its peers.
 f.cut("entry-3", "log");
 printed = f.operate("set account council rate 4000 burst 8000");
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -1,18 +1,16 @@
 //! A fleet of real processes on loopback.
 
+mod build;
+
 use std::{
     collections::BTreeMap,
     fs,
     future::Future,
     io::{Read as _, Write as _},
-    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
+    net::{SocketAddr, TcpStream},
     path::{Path, PathBuf},
     process::Command,
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-        mpsc,
-    },
+    sync::{Arc, mpsc},
     thread,
     time::{Duration, Instant},
 };
@@ -27,16 +25,13 @@
     checker::{self, Journals},
     process::{self, Process, Signal},
     relay::Relay,
-    sources::{self, Place, Platform},
+    sources,
 };
 
 const START_LIMIT: Duration = Duration::from_secs(20);
 const STOP_LIMIT: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(20);
 const HTTP_LIMIT: Duration = Duration::from_secs(2);
-const ZONES: [&str; 4] = ["a", "b", "c", "d"];
-/// Routes of the plain services.
-const ROUTES: [&str; 2] = ["orders", "stock"];
 
 /// How many of each there are, and what differs from the usual settings.
 #[derive(Clone, Debug)]
@@ -133,6 +128,24 @@
         if output.status.success() { Ok(printed) } else { Err(failed) }
     }
 
+    /// Runs statements at the same time; returns how each ended.
+    pub fn race(&self, statements: &[&str]) -> Vec<Result<String, String>> {
+        thread::scope(|scope| {
+            let operators: Vec<_> = statements
+                .iter()
+                .map(|statement| scope.spawn(|| self.operate(&[*statement], &[])))
+                .collect();
+            let ended = operators.into_iter().map(thread::ScopedJoinHandle::join);
+            ended.map(|ended| ended.expect("an operator does not panic")).collect()
+        })
+    }
+
+    /// Starts a second side process beside an engine, as in a replacement.
+    pub fn add_second_side(&self, number: usize, engine: &str) {
+        self.add_side(number, engine, &[], &Shape::default());
+        self.spawn(&format!("side-{number}"));
+    }
+
     /// Sends one call and remembers it for the checker.
     pub fn call(&self, entry: &str, key: &str, ask: &Ask) -> Record {
         let address = self.address(entry);
@@ -282,89 +295,6 @@
         futures_block_on(future)
     }
 
-    fn add_platform(&self, shape: &Shape) {
-        for (name, program, settings) in [
-            ("log", "standin-log", "retention_s: 600\n"),
-            ("list", "standin-list", "expiry_ms: 700\nlag_ms: 50\n"),
-            ("store", "standin-store", shape.store.as_str()),
-        ] {
-            self.add_standin(name, program, settings);
-        }
-        let platform = Platform { log: self.address("log"), list: self.address("list") };
-        let settings = sources::operator(platform, &self.certificates());
-        fs::write(self.folder.join("operator.yaml"), settings).expect("the folder can be written");
-    }
-
-    fn add_engine(&self, index: usize, shape: &Shape) {
-        let name = format!("engine-{index}");
-        let store = self.address("store");
-        let settings = format!("store: {store}\nslots: 4\nbatch: 8\n{}", shape.engine_extra);
-        self.add_standin(&name, "standin-engine", &settings);
-        self.add_side(index, &name, &[], shape);
-    }
-
-    fn add_service(&self, index: usize, shape: &Shape) {
-        let name = format!("service-{index}");
-        self.add_standin(&name, "standin-service", "");
-        self.add_side(100 + index, &name, &ROUTES, shape);
-    }
-
-    fn add_standin(&self, name: &str, program: &'static str, settings: &str) {
-        let address = free_tcp();
-        let settings = format!("listen: {address}\n{settings}");
-        self.add(name, program, &settings, Some(address), None);
-    }
-
-    fn add_side(&self, index: usize, server: &str, routes: &[&str], shape: &Shape) {
-        let instance = format!("side-{index}");
-        let (log, list) = self.relays();
-        let certificates = self.certificates();
-        let place = Place {
-            instance: &instance,
-            zone: ZONES[index % ZONES.len()],
-            fleet: free_udp(),
-            certificates: &certificates,
-            role: "side",
-            timing: &shape.timing,
-        };
-        let platform = Platform { log: log.address, list: list.address };
-        let settings = sources::side(&place, platform, server, self.address(server), routes);
-        self.add(&instance, "chivelatch-side", &settings, None, Some((log, list)));
-    }
-
-    fn add_entry(&self, index: usize, shape: &Shape) {
-        let instance = format!("entry-{index}");
-        let (log, list) = self.relays();
-        let listen = free_tcp();
-        let certificates = self.certificates();
-        let place = Place {
-            instance: &instance,
-            zone: ZONES[index % ZONES.len()],
-            fleet: free_udp(),
-            certificates: &certificates,
-            role: "entry",
-            timing: &shape.timing,
-        };
-        let platform = Platform { log: log.address, list: list.address };
-        let settings = sources::entry(&place, platform, listen, &shape.entry_extra);
-        self.add(&instance, "chivelatch-entry", &settings, Some(listen), Some((log, list)));
-    }
-
-    fn add(
-        &self,
-        name: &str,
-        program: &'static str,
-        settings: &str,
-        address: Option<SocketAddr>,
-        relays: Option<(Relay, Relay)>,
-    ) {
-        let path = self.folder.join(format!("{name}.yaml"));
-        fs::write(&path, settings).expect("the folder can be written");
-        let (log, list) = relays.unzip();
-        let member = Member { program, settings: path, process: None, address, log, list };
-        self.members.lock().insert(name.to_owned(), member);
-    }
-
     fn start_all(&self) {
         let names: Vec<_> = self.members.lock().keys().cloned().collect();
         names.iter().for_each(|name| self.spawn(name));
@@ -400,11 +330,6 @@
         member.process = Some(process.expect("the program starts"));
     }
 
-    fn relays(&self) -> (Relay, Relay) {
-        let open = |name| Relay::open(self.address(name)).expect("a port is free");
-        (open("log"), open("list"))
-    }
-
     fn relay(&self, name: &str, service: &str) -> Relay {
         let members = self.members.lock();
         let relay = match service {
@@ -457,30 +382,3 @@
     });
     receiver.recv().expect("the executor starts")
 }
-
-/// Ports below those that the system gives to outgoing connections.
-const FIRST_PORT: u32 = 10_000;
-const PORTS: u32 = 22_000;
-
-fn free_tcp() -> SocketAddr {
-    free_port(|address| TcpListener::bind(address).is_ok())
-}
-
-fn free_udp() -> SocketAddr {
-    free_port(|address| UdpSocket::bind(address).is_ok())
-}
-
-/// A port that no fleet of this test run has had, and that is free now.
-fn free_port(is_free: impl Fn(SocketAddr) -> bool) -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let start = std::process::id() * 997;
-    loop {
-        let turn = NEXT.fetch_add(1, Ordering::Relaxed);
-        assert!(turn < PORTS, "no port is free");
-        let port = FIRST_PORT + (start + turn) % PORTS;
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if is_free(address) {
-            return address;
-        }
-    }
-}
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod calls;
 pub mod checker;
+pub mod cli;
 pub mod fleet;
 pub mod process;
 pub mod relay;
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -50,6 +50,15 @@
         let statements: Vec<&str> = statements.iter().map(String::as_str).collect();
         fleet.operate(&statements, &["--no-wait"]).map_err(Failure::from)
     });
+    engine.register_fn("race", |fleet: &mut Handle, statements: Array| -> Array {
+        let statements: Vec<String> = statements.iter().map(Dynamic::to_string).collect();
+        let statements: Vec<&str> = statements.iter().map(String::as_str).collect();
+        let text = |ended: Result<String, String>| ended.unwrap_or_else(|error| error);
+        fleet.race(&statements).into_iter().map(|ended| Dynamic::from(text(ended))).collect()
+    });
+    engine.register_fn("add_second_side", |fleet: &mut Handle, number: i64, engine: &str| {
+        fleet.add_second_side(number as usize, engine);
+    });
     engine.register_fn("violations", |fleet: &mut Handle| -> Array {
         fleet.violations().into_iter().map(Dynamic::from).collect()
     });
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -57,5 +57,6 @@
     poison,
     quota,
     replaced_side,
+    second_side,
     whole_path,
 }
--- a/crates/settings/src/arguments.rs
+++ b/crates/settings/src/arguments.rs
@@ -3,7 +3,7 @@
 
 use std::{env, path::PathBuf, process::ExitCode};
 
-use getopts::Options;
+use getopts::{Matches, Options};
 
 use crate::{
     document::{Document, Section},
@@ -32,13 +32,10 @@
     let mut options = standard_options();
     options.optopt("s", "settings", "YAML file with the settings", "FILE");
     options.optflag("", "check", "check the settings and exit");
-    let matches = match options.parse(env::args().skip(1)) {
+    let matches = match parse(about, &options) {
         Ok(matches) => matches,
-        Err(error) => return usage_error(about, &error.to_string()),
+        Err(status) => return status,
     };
-    if let Some(status) = answer_standard(about, &options, &matches) {
-        return status;
-    }
     let Some(path) = matches.opt_str("settings") else {
         return usage_error(about, "no settings given; pass --settings FILE");
     };
@@ -63,12 +60,29 @@
     options
 }
 
+/// Parses the command line.
+///
+/// # Errors
+///
+/// The status to exit with: the line is wrong, or asked for `--help` or `--version`.
+pub fn parse(about: About, options: &Options) -> Result<Matches, ExitCode> {
+    let matches = options
+        .parse(env::args().skip(1))
+        .map_err(|error| usage_error(about, &error.to_string()))?;
+    match answer_standard(about, options, &matches) {
+        Some(status) => Err(status),
+        None => Ok(matches),
+    }
+}
+
+/// Reports a wrong command line.
+pub fn usage_error(about: About, message: &str) -> ExitCode {
+    eprintln!("{}: {message}; see {} --help", about.name, about.name);
+    ExitCode::from(USAGE_STATUS)
+}
+
 /// Answers `--help` and `--version`.
-pub fn answer_standard(
-    about: About,
-    options: &Options,
-    matches: &getopts::Matches,
-) -> Option<ExitCode> {
+fn answer_standard(about: About, options: &Options, matches: &Matches) -> Option<ExitCode> {
     if matches.opt_present("help") {
         let brief = format!("{}\n\nUsage: {} [OPTIONS]", about.summary, about.name);
         print!("{}", options.usage(&brief));
@@ -81,12 +95,6 @@
     None
 }
 
-/// Reports a wrong command line.
-pub fn usage_error(about: About, message: &str) -> ExitCode {
-    eprintln!("{}: {message}; see {} --help", about.name, about.name);
-    ExitCode::from(USAGE_STATUS)
-}
-
 fn load<T>(path: PathBuf, read: impl FnOnce(&Section<'_>) -> T) -> Result<T, Error> {
     Document::open(&path)?.read(read)
 }
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -15,6 +15,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     process::ExitCode,
     sync::{
         Arc,
@@ -25,7 +26,9 @@
 
 use event_listener::Event;
 use fleet::{Name, lease::Held};
-use kernel::{Kernel, plugin};
+use front::{body, server};
+use hyper::StatusCode;
+use kernel::{Kernel, drain::Drain, monitor, plugin};
 use node::{Kind, Node, leases, program};
 use parking_lot::Mutex;
 use placement::{
@@ -91,8 +94,14 @@
     let threads = settings.node.threads;
     let log_level = settings.node.log_level;
     program::run(threads, log_level, |kernel| async move {
+        let metrics = settings.metrics;
         match open(&kernel, settings) {
-            Ok(side) => side.run_to_stop().await,
+            Ok(side) => {
+                if let Some(address) = metrics {
+                    kernel.spawn_detached(serve_metrics(kernel.clone(), address));
+                }
+                side.run_to_stop().await
+            }
             Err(error) => {
                 log::error!("{error}");
                 ExitCode::FAILURE
@@ -249,6 +258,17 @@
     }
 }
 
+/// Serves the metrics page as long as the process runs.
+async fn serve_metrics(kernel: Kernel, address: SocketAddr) {
+    match server::listen(address).await {
+        Ok(listener) => {
+            let page = |_| async { body::whole(StatusCode::OK, "text/plain", monitor::render()) };
+            server::serve(&kernel, listener, &Drain::default(), page).await;
+        }
+        Err(error) => log::error!("there is no metrics page: {error}"),
+    }
+}
+
 /// The adapter that a target needs.
 fn key_of(target: &Target) -> Option<Key> {
     match target {
--- a/crates/side/src/settings.rs
+++ b/crates/side/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a side process.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use ::settings::document::Section;
 use fleet::Name;
@@ -17,6 +17,8 @@
 #[derive(Clone, Debug)]
 pub struct Settings {
     pub node: node::settings::Settings,
+    /// Where the metrics page is, if there is one.
+    pub metrics: Option<SocketAddr>,
     /// Name of the backend server.
     pub server: Name,
     /// Where the backend server answers.
@@ -52,6 +54,7 @@
         let victim = backend.choice("victim", &victims, "frequency");
         Settings {
             node: node::settings::Settings::read(section),
+            metrics: section.optional_address("metrics"),
             server: backend.text("name"),
             backend: backend.address("address"),
             routes,
@@ -65,11 +68,6 @@
             load_tries: backend.number("load_tries", 1..=10, 3),
         }
     }
-
-    /// Name of the backend server, for logs.
-    pub fn server_name(&self) -> Name {
-        Arc::clone(&self.server)
-    }
 }
 
 fn find_discipline(name: &str) -> &'static Discipline {
--- /dev/null
+++ b/crates/xtask/src/main.rs
@@ -0,0 +1,54 @@
+//! Chores: `cargo xtask CHORE`.
+
+use std::{
+    env,
+    process::{Command, ExitCode},
+};
+
+const USAGE: &str = "\
+cargo xtask soak N     runs the scenario scripts N times and stops at the first failure
+cargo xtask seeds N    runs the seeded trials with N seeds each, in release mode
+cargo xtask slopes     measures idle fleets for the capacity page";
+
+/// Crates with seeded trials.
+const SEEDED: [&str; 4] = ["fleet", "quota", "ledger", "placement"];
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let is_done = match arguments.as_slice() {
+        ["soak", times] => times.parse().is_ok_and(soak),
+        ["seeds", count] => seeds(count),
+        ["slopes"] => slopes(),
+        _ => {
+            eprintln!("{USAGE}");
+            return ExitCode::from(64);
+        }
+    };
+    if is_done { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn soak(times: u32) -> bool {
+    cargo(&["build", "--workspace"], &[])
+        && (1..=times).all(|time| {
+            eprintln!("soak: run {time} of {times}");
+            cargo(&["test", "-p", "scenario", "--test", "scenarios"], &[])
+        })
+}
+
+fn seeds(count: &str) -> bool {
+    let run =
+        |name: &&str| cargo(&["test", "--release", "-p", name], &[("CHIVELATCH_SEEDS", count)]);
+    SEEDED.iter().all(run)
+}
+
+fn slopes() -> bool {
+    cargo(&["build", "--release", "--workspace"], &[])
+        && cargo(&["run", "--release", "--bin", "chivelatch-slopes"], &[])
+}
+
+fn cargo(arguments: &[&str], variables: &[(&str, &str)]) -> bool {
+    let mut command = Command::new(env::var("CARGO").unwrap_or("cargo".to_owned()));
+    let status = command.args(arguments).envs(variables.iter().copied()).status();
+    status.is_ok_and(|status| status.success())
+}
