Rank accounts before asking what fits; compare zones by number

Cause of a decision's time at 600 servers and 400 waiting requests: the queue asked every account's requests whether they fit before it ranked the accounts, and the order of servers compared zones as text for each pair.

--- a/crates/load/src/bin/chivelatch-load.rs
+++ b/crates/load/src/bin/chivelatch-load.rs
@@ -5,7 +5,7 @@
 use getopts::{Matches, Options};
 use load::{
     arms::ARMS,
-    fleet_model,
+    fleet_model, hot_path,
     live::{self, Plan},
     measure::Measures,
     workload::{DEPLOYMENTS, Demand, Deployment},
@@ -38,6 +38,7 @@
     options.optopt("", "seed", "seed of the workload; 1 is usual", "N");
     options.optopt("", "slots", "adapter slots of an engine; 8 is usual", "N");
     options.optflag("", "json", "print JSON lines");
+    options.optflag("", "hot-path", "time the decisions of a request at the two-year size");
     options.optopt("", "target", "address of an entry instance to load", "ADDRESS");
     options.optopt("", "key", "key to send; demo-key is usual", "KEY");
     options.optopt("", "rate", "calls a second; 20 is usual", "N");
@@ -47,6 +48,10 @@
 }
 
 fn run(matches: &Matches) -> Result<(), getopts::Fail> {
+    if matches.opt_present("hot-path") {
+        println!("{}", json!(hot_path::measure()));
+        return Ok(());
+    }
     let length = Duration::from_secs(number(matches, "seconds", 600)?);
     match matches.opt_get::<SocketAddr>("target") {
         Ok(Some(target)) => run_live(matches, target, length),
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod arms;
 pub mod fleet_model;
+pub mod hot_path;
 pub mod live;
 pub mod measure;
 pub mod rate_model;
--- a/crates/placement/src/rendezvous.rs
+++ b/crates/placement/src/rendezvous.rs
@@ -18,6 +18,7 @@
     /// Relative capacity.
     pub weight: u32,
     seed: u64,
+    zone_seed: u64,
 }
 
 /// Positions in the list of servers, best first.
@@ -25,8 +26,8 @@
 
 impl Server {
     pub fn new(name: Name, zone: Name, weight: u32) -> Server {
-        let seed = seed(&name);
-        Server { name, zone, weight, seed }
+        let (seed, zone_seed) = (seed(&name), seed(&zone));
+        Server { name, zone, weight, seed, zone_seed }
     }
 }
 
@@ -41,18 +42,21 @@
     let mut order = Order::new();
     let scores: Vec<f64> = servers.iter().map(|server| score(adapter, server)).collect();
     while order.len() < count.min(servers.len()) {
-        let next = (0..servers.len()).filter(|index| !order.contains(index)).min_by(|a, b| {
-            let zones = zone_count(servers, &order, *a).cmp(&zone_count(servers, &order, *b));
-            zones.then(scores[*b].total_cmp(&scores[*a]))
+        let left = (0..servers.len()).filter(|index| !order.contains(index));
+        let rated = left.map(|index| (index, zone_count(servers, &order, index)));
+        let next = rated.min_by(|(a, zone_a), (b, zone_b)| {
+            zone_a.cmp(zone_b).then_with(|| scores[*b].total_cmp(&scores[*a]))
         });
-        let Some(next) = next else { break };
+        let Some((next, _)) = next else { break };
         order.push(next);
     }
     order
 }
 
+/// Servers chosen so far in the zone of another one.
 fn zone_count(servers: &[Server], order: &Order, index: usize) -> usize {
-    order.iter().filter(|chosen| servers[**chosen].zone == servers[index].zone).count()
+    let zone = servers[index].zone_seed;
+    order.iter().filter(|chosen| servers[**chosen].zone_seed == zone).count()
 }
 
 fn score(adapter: u64, server: &Server) -> f64 {
--- a/crates/schedule/src/queue.rs
+++ b/crates/schedule/src/queue.rs
@@ -8,7 +8,7 @@
 use fleet::{Name, change::Urgency, lease::Moment};
 use snafu::Snafu;
 
-use crate::discipline::{Discipline, Lane};
+use crate::discipline::{Discipline, Lane, Rank};
 
 /// Wait after which a batch request counts as interactive.
 const BATCH_PATIENCE: Duration = Duration::from_secs(10);
@@ -62,6 +62,13 @@
     items: VecDeque<Item<T>>,
 }
 
+/// An account's turn to be served.
+struct Turn<'a> {
+    urgency: Urgency,
+    rank: Rank,
+    account: &'a Name,
+}
+
 impl<T> Queue<T> {
     pub fn new(discipline: &'static Discipline, limit: usize) -> Queue<T> {
         Queue { discipline, limit, lanes: BTreeMap::new(), virtual_time: 0 }
@@ -138,28 +145,53 @@
         self.lanes.values().flat_map(|lane| &lane.items).map(|item| item.cost).sum()
     }
 
+    /// The first account in the discipline's order that has a request that fits,
+    /// interactive requests before batch ones.
     fn select(&self, now: Moment, fit: &impl Fn(&Item<T>) -> Fit) -> Option<(Name, usize)> {
-        let candidates = self.lanes.iter().filter_map(|(account, lane)| {
-            let index = self.select_in(lane, fit)?;
-            let rank = (self.discipline.rank)(&Lane {
-                start_tag: lane.finish_tag,
-                oldest: lane.items.front()?.arrived,
-            });
-            Some((urgency(now, &lane.items[index]), rank, account, index))
-        });
-        let (_, _, account, index) =
-            candidates.min_by_key(|(urgency, rank, ..)| (*urgency, *rank))?;
-        Some((Arc::clone(account), index))
+        let mut order: Vec<_> =
+            self.lanes.iter().flat_map(|(account, lane)| self.turns(now, account, lane)).collect();
+        order.sort_unstable_by_key(|turn| (turn.urgency, turn.rank));
+        order.iter().find_map(|turn| {
+            let lane = &self.lanes[turn.account];
+            let index = self.select_in(now, lane, turn.urgency, fit)?;
+            Some((Arc::clone(turn.account), index))
+        })
+    }
+
+    /// An account's turns, one for each urgency that it has requests of.
+    fn turns<'a>(
+        &self,
+        now: Moment,
+        account: &'a Name,
+        lane: &Waiting<T>,
+    ) -> impl Iterator<Item = Turn<'a>> + use<'a, T> {
+        let turn = |wanted: Urgency| {
+            let oldest = lane.items.iter().find(|item| urgency(now, item) == wanted)?;
+            let view = Lane { start_tag: lane.finish_tag, oldest: oldest.arrived };
+            Some(Turn { urgency: wanted, rank: (self.discipline.rank)(&view), account })
+        };
+        [turn(Urgency::Interactive), turn(Urgency::Batch)].into_iter().flatten()
     }
 
     /// The account's oldest request that fits, or one that suits the server better
     /// while the oldest has not been overtaken too often.
-    fn select_in(&self, lane: &Waiting<T>, fit: &impl Fn(&Item<T>) -> Fit) -> Option<usize> {
-        let oldest = lane.items.iter().position(|item| fit(item) != Fit::Blocked)?;
-        if self.discipline.overtakes <= lane.overtaken || fit(&lane.items[oldest]) == Fit::Ready {
+    fn select_in(
+        &self,
+        now: Moment,
+        lane: &Waiting<T>,
+        wanted: Urgency,
+        fit: &impl Fn(&Item<T>) -> Fit,
+    ) -> Option<usize> {
+        let fit = |index: &usize| match urgency(now, &lane.items[*index]) == wanted {
+            true => fit(&lane.items[*index]),
+            false => Fit::Blocked,
+        };
+        let mut indexes = 0..lane.items.len();
+        let oldest = indexes.find(|index| fit(index) != Fit::Blocked)?;
+        if self.discipline.overtakes <= lane.overtaken || fit(&oldest) == Fit::Ready {
             return Some(oldest);
         }
-        let ready = lane.items.iter().position(|item| fit(item) == Fit::Ready);
+        let ready = indexes.find(|index| fit(index) == Fit::Ready);
         Some(ready.unwrap_or(oldest))
     }
 
