--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,8 +27,10 @@
     },
 };
 
+use async_net::TcpListener;
 use fleet::{Name, member};
-use front::server;
+use front::{server, tls};
+use futures_rustls::TlsAcceptor;
 use kernel::{Kernel, drain::Drain, shard};
 use node::{Kind, Node, follow, leases, program, snapshot};
 use parking_lot::Mutex;
@@ -66,6 +68,8 @@
     Fleet { source: OpenError },
     #[snafu(display("{source}"))]
     Callers { source: server::ListenError },
+    #[snafu(display("{source}"))]
+    Tls { source: tls::Error },
 }
 
 /// Runs an entry instance until SIGTERM.
@@ -91,6 +95,7 @@
 pub async fn open(kernel: &Kernel, settings: Settings) -> Result<Arc<Entry>, StartError> {
     let files = settings.node.identity.clone();
     let link = Link::open(kernel, settings.node.fleet_address, files).context(FleetSnafu)?;
+    let acceptor = settings.tls.as_ref().map(tls::acceptor).transpose().context(TlsSnafu)?;
     let listener = server::listen(settings.listen).await.context(CallersSnafu)?;
     let kind = Kind { role: member::Role::Entry, server: None, weight: 1, routes: Vec::new() };
     let node = Node::new(kernel, settings.node.clone(), kind, link);
@@ -105,12 +110,12 @@
         node,
         settings,
     });
-    entry.start(listener);
+    entry.start(listener, acceptor);
     Ok(entry)
 }
 
 impl Entry {
-    fn start(self: &Arc<Entry>, listener: async_net::TcpListener) {
+    fn start(self: &Arc<Entry>, listener: TcpListener, acceptor: Option<TlsAcceptor>) {
         let kernel = &self.node.kernel;
         program::start(&self.node);
         kernel.spawn_detached(snapshot::run(Arc::clone(&self.node)));
@@ -129,7 +134,12 @@
             let callers = entry.callers.clone();
             let kernel = entry.node.kernel.clone();
             let handle = move |request| handler::handle(Arc::clone(&entry), request);
-            server::serve(&kernel, listener, &callers, handle).await;
+            match acceptor {
+                Some(acceptor) => {
+                    server::serve_tls(&kernel, listener, acceptor, &callers, handle).await;
+                }
+                None => server::serve(&kernel, listener, &callers, handle).await,
+            }
         });
     }
 
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use ::settings::document::Section;
+use front::tls::Files;
 use kernel::plugin::inventory;
 use placement::{choice::Costs, policy::Policy};
 use quota::permit::Budget;
@@ -20,6 +21,8 @@
     pub node: node::settings::Settings,
     /// Where callers reach this instance.
     pub listen: SocketAddr,
+    /// Certificate that callers see; plain HTTP without one.
+    pub tls: Option<Files>,
     /// Largest request body, in bytes.
     pub max_body: usize,
     pub body_timeout: Duration,
@@ -70,6 +73,7 @@
         Settings {
             node,
             listen: section.address("listen"),
+            tls: read_tls(section),
             max_body: limits.number("max_body_bytes", 1024..=MAX_BODY_BYTES, 1024 * 1024) as usize,
             body_timeout: limits.milliseconds("body_timeout_ms", 10..=MAX_MS, 10_000),
             default_max_tokens: limits.number("default_max_tokens", 1..=MAX_TOKENS, 256),
@@ -97,6 +101,11 @@
     }
 }
 
+fn read_tls(section: &Section<'_>) -> Option<Files> {
+    let tls = section.section("tls");
+    section.has("tls").then(|| Files { certificate: tls.path("certificate"), key: tls.path("key") })
+}
+
 fn find_policy(name: &str) -> &'static Policy {
     let mut known = inventory::iter::<Policy>.into_iter();
     known.find(|plugin| plugin.name == name).expect("the name was checked against the plug-ins")
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -3,3 +3,4 @@
 
 pub mod body;
 pub mod server;
+pub mod tls;
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -3,7 +3,8 @@
 use std::{convert::Infallible, future::Future, io, net::SocketAddr, pin::pin, time::Duration};
 
 use async_net::{TcpListener, TcpStream};
-use futures_lite::future;
+use futures_lite::{AsyncRead, AsyncWrite, future};
+use futures_rustls::TlsAcceptor;
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use kernel::{
     Kernel,
@@ -47,14 +48,51 @@
     handle: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
 ) where
     F: Future<Output = Response<Body>> + Send + 'static,
+{
+    accept(kernel, listener, drain, |stream, guard| {
+        serve_connection(stream, drain.clone(), guard, handle.clone())
+    })
+    .await;
+}
+
+/// Serves requests over TLS until `drain` stops.
+pub async fn serve_tls<F>(
+    kernel: &Kernel,
+    listener: TcpListener,
+    acceptor: TlsAcceptor,
+    drain: &Drain,
+    handle: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+) where
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    accept(kernel, listener, drain, |stream, guard| {
+        let (acceptor, clock) = (acceptor.clone(), kernel.clock.clone());
+        let (drain, handle) = (drain.clone(), handle.clone());
+        async move {
+            match clock.timeout(HEAD_TIMEOUT, acceptor.accept(stream)).await {
+                Ok(Ok(stream)) => serve_connection(stream, drain, guard, handle).await,
+                Ok(Err(error)) => log::debug!("a caller's TLS handshake failed: {error}"),
+                Err(error) => log::debug!("a caller's TLS handshake: {error}"),
+            }
+        }
+    })
+    .await;
+}
+
+async fn accept<F>(
+    kernel: &Kernel,
+    listener: TcpListener,
+    drain: &Drain,
+    connect: impl Fn(TcpStream, Guard) -> F,
+) where
+    F: Future<Output = ()> + Send + 'static,
 {
     let accept = async {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let connection =
-                        serve_connection(stream, drain.clone(), drain.guard(), handle.clone());
-                    kernel.spawn_detached(connection);
+                    let _only_slower = stream.set_nodelay(true);
+                    kernel.spawn_detached(connect(stream, drain.guard()));
                 }
                 Err(error) => {
                     log::warn!("a connection was refused: {error}");
@@ -67,14 +105,13 @@
 }
 
 async fn serve_connection<F>(
-    stream: TcpStream,
+    stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
     drain: Drain,
     guard: Guard,
     handle: impl Fn(Request<Incoming>) -> F + Send + 'static,
 ) where
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let _only_slower = stream.set_nodelay(true);
     let service = service_fn(move |request| {
         let response = handle(request);
         async move { Ok::<_, Infallible>(response.await) }
