Hold a pin until the engine has noticed that an exchange was given up

Cause: an answer that was found to be another's, or whose caller had gone, was given up and unpinned at once, while the engine decoded it until its next step. Change: a given-up exchange keeps its pin, its place in the batch and its being alone for 500 ms.

--- /dev/null
+++ b/crates/scenario/scripts/given_up.rhai
@@ -0,0 +1,15 @@
+// Answers are given up on while the engine still decodes them; their adapters are
+// not evicted before the engine has noticed.
+import "common" as common;
+let f = fleet(#{ engines: 1, entry_extra: "weight_store:\n  loads_per_second: 100\n  burst: 50\n", store: "rate: 100\nburst: 50\nload_ms: 5\n", engine_extra: "step_ms: 120\n" });
+common::publish(f, 1000000, 2000000);
+let load = f.chat_load("demo-key", #{ interval_ms: 60, adapters: 5, tokens: 1 });
+for round in 0..8 {
+    f.faults("engine-1", #{ cross: 3 });
+    f.stream("entry-1", "demo-key", `council-00${round % 5 + 1}@1`, `given up ${round}`, 40);
+}
+f.finish(load);
+let unloads = 0;
+for journal in f.journals("engine-") { unloads += journal.unloads; }
+check(unloads > 5, "adapters were evicted all the while: " + unloads);
+check(f.violations().is_empty(), "no promise is broken: " + f.violations());
--- a/crates/scenario/src/calls.rs
+++ b/crates/scenario/src/calls.rs
@@ -8,6 +8,7 @@
 };
 
 use fleet::digest::Digest;
+use futures_lite::future;
 use http_body_util::BodyExt as _;
 use kernel::Kernel;
 use parking_lot::Mutex;
@@ -128,7 +129,7 @@
             let mut turn = 0;
             while !stopped.is_closed() {
                 let Some(entry) = balancer.pick(turn) else {
-                    spawner.clock.sleep(CHECK_INTERVAL).await;
+                    spawner.clock.sleep(CHECK_INTERVAL / 10).await;
                     continue;
                 };
                 let key = key.clone();
@@ -139,7 +140,10 @@
                     records.lock().push(record);
                 }));
                 turn += 1;
-                spawner.clock.sleep(interval).await;
+                let stop = async {
+                    let _closed = stopped.recv().await;
+                };
+                future::or(spawner.clock.sleep(interval), stop).await;
             }
             for call in running {
                 call.await;
--- a/crates/side/src/answer.rs
+++ b/crates/side/src/answer.rs
@@ -45,6 +45,7 @@
     match response {
         Ok(response) => relay(side, attempt, &ticket, outlet, response).await,
         Err(http::Error::Connect { .. }) => {
+            ticket.set_over();
             engine_watch::note_crash(side, ticket.epoch);
             Ok(End::NotBegun(NotBegun::EngineDown))
         }
@@ -76,6 +77,7 @@
     response: Response<Incoming>,
 ) -> Result<End, Gone> {
     if is_lost_adapter(side, attempt, &response).await {
+        ticket.set_over();
         forget_adapter(side, attempt);
         return Ok(End::NotBegun(NotBegun::LoadFailed));
     }
@@ -123,6 +125,7 @@
         }
         outlet.chunk(&checked).await?;
     }
+    ticket.set_over();
     match checker.finish() {
         Ok(tokens) => Ok(End::Whole { tokens }),
         Err(fault) => Ok(bad(attempt, fault)),
@@ -139,6 +142,7 @@
 ) -> Result<End, Gone> {
     let collected = outlet.patiently(side, Limited::new(body, MAX_WHOLE_BYTES).collect()).await?;
     let Ok(collected) = collected else { return Ok(broken(side, attempt, ticket).await) };
+    ticket.set_over();
     let body = collected.to_bytes();
     let is_completion = key_of(&attempt.target).is_some() && head.status == StatusCode::OK.as_u16();
     let tokens = match is_completion.then(|| events::check_whole(&body, &attempt.group())) {
@@ -161,6 +165,7 @@
 
 /// The exchange broke off: either the engine crashed or only this answer did.
 async fn broken(side: &Arc<Side>, attempt: &Attempt, ticket: &Ticket) -> End {
+    ticket.set_over();
     let Target::Adapter { .. } = attempt.target else {
         return End::Broken(Broken::BadAnswer);
     };
--- a/crates/side/src/dispatch.rs
+++ b/crates/side/src/dispatch.rs
@@ -1,6 +1,12 @@
 //! Deciding which waiting attempt starts next.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use async_channel::Sender;
 use fleet::{Name, change::Urgency};
@@ -20,6 +26,9 @@
 /// Wait after which an attempt that has to be alone keeps others from starting.
 const ALONE_PATIENCE: Duration = Duration::from_millis(200);
 
+/// Time that an engine gets to notice that an exchange was given up.
+const CANCEL_GRACE: Duration = Duration::from_millis(500);
+
 /// An attempt in the queue.
 pub(crate) struct Job {
     pub(crate) account: Name,
@@ -46,6 +55,8 @@
     cost: u64,
     exposure: Exposure,
     stage: Stage,
+    /// The engine has ended its part of the exchange.
+    is_over: AtomicBool,
     /// Crash count of the engine when the attempt started.
     pub(crate) epoch: u64,
 }
@@ -148,6 +159,7 @@
         cost: job.cost,
         exposure: job.exposure,
         stage: Stage::Admitted,
+        is_over: AtomicBool::new(false),
         epoch: core.epoch,
     };
     Some((job, ticket))
@@ -202,8 +214,38 @@
     let _gone = job.start.try_send(Start::Go(ticket));
 }
 
+impl Ticket {
+    /// The engine has ended its part of the exchange, so that the adapter is not in
+    /// use any more once the ticket is dropped.
+    pub(crate) fn set_over(&self) {
+        self.is_over.store(true, Ordering::Relaxed);
+    }
+
+    /// An engine takes a moment to notice that an exchange was given up, and uses
+    /// the adapter until then.
+    fn is_given_up(&self) -> bool {
+        self.stage == Stage::Running && !self.is_over.load(Ordering::Relaxed)
+    }
+}
+
 impl Drop for Ticket {
     fn drop(&mut self) {
+        if self.is_given_up() {
+            let ticket = Ticket {
+                side: Arc::clone(&self.side),
+                pinned: self.pinned,
+                cost: self.cost,
+                exposure: self.exposure,
+                stage: self.stage,
+                is_over: AtomicBool::new(true),
+                epoch: self.epoch,
+            };
+            self.side.node.kernel.spawn_detached(async move {
+                ticket.side.node.kernel.clock.sleep(CANCEL_GRACE).await;
+                drop(ticket);
+            });
+            return;
+        }
         let mut core = self.side.core.lock();
         core.admitted -= 1;
         if self.stage == Stage::Running {
