--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
-use front::body::{self, Body};
 use hyper::{Response, StatusCode};
+
+use front::body::{self, Body};
 use quota::pool::Reservation;
 
 use crate::{
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -5,6 +5,8 @@
 use std::{sync::Arc, time::Duration};
 
 use async_channel::Receiver;
+use smallvec::SmallVec;
+
 use fleet::{
     Name,
     change::Repeat,
@@ -12,7 +14,6 @@
     suspect::{Report, Verdict},
 };
 use schedule::retry;
-use smallvec::SmallVec;
 use wire::{
     frame::{Call, Exposure, Head},
     identity,
--- a/crates/entry/src/attempt/frames.rs
+++ b/crates/entry/src/attempt/frames.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use async_channel::Sender;
+
 use fleet::Name;
 use kernel::clock::Clock;
 use wire::{
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
-use fleet::{Name, digest::Digest, state::State};
 use hyper::{HeaderMap, header::AUTHORIZATION};
 
+use fleet::{Name, digest::Digest, state::State};
+
 use crate::{
     Entry,
     refusal::{Kind, Refusal},
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -2,15 +2,16 @@
 
 use std::sync::Arc;
 
+use hyper::{Request, Response, body::Incoming, header::CONTENT_TYPE};
+use serde_json::{Value, json};
+
 use fleet::{
     Name,
     change::{Repeat, Urgency},
     state::State,
 };
 use front::body::{self, Body, BodyError};
-use hyper::{Request, Response, body::Incoming, header::CONTENT_TYPE};
 use quota::pool::Reservation;
-use serde_json::{Value, json};
 use wire::frame::Target;
 
 use crate::{
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -2,11 +2,12 @@
 
 use std::{sync::Arc, sync::atomic::Ordering};
 
-use fleet::Name;
-use front::body::{self, Body};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use serde_json::json;
 
+use fleet::Name;
+use front::body::{self, Body};
+
 use crate::{
     Entry, caller, completion,
     refusal::{Kind, Outcome, Refusal, label},
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,15 +28,16 @@
 };
 
 use async_net::TcpListener;
+use futures_rustls::TlsAcceptor;
+use parking_lot::Mutex;
+use snafu::{ResultExt as _, Snafu};
+
 use fleet::{Name, member};
 use front::{server, tls};
-use futures_rustls::TlsAcceptor;
 use kernel::{Kernel, drain::Drain, shard};
 use node::{Kind, Node, follow, leases, program, snapshot};
-use parking_lot::Mutex;
 use quota::pool::Pool;
 use schedule::retry;
-use snafu::{ResultExt as _, Snafu};
 use wire::{
     codec,
     frame::{Call, Reply, Status},
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -2,17 +2,18 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use fleet::{Name, digest::Digest};
-use front::body::Body;
 use hyper::{
     Response,
     header::{HeaderName, HeaderValue},
 };
+use parking_lot::Mutex;
+
+use fleet::{Name, digest::Digest};
+use front::body::Body;
 use ledger::{
     fold::{Begun, End, Fold},
     record::{self, Answer, Record},
 };
-use parking_lot::Mutex;
 use platform::log::{self, Batch};
 use schedule::retry;
 
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
-use front::body::{self, Body};
 use hyper::{
     Response, StatusCode,
     header::{HeaderName, HeaderValue, RETRY_AFTER},
 };
 use serde_json::json;
 
+use front::body::{self, Body};
+
 /// Header that tells whether a request ran.
 pub const OUTCOME_HEADER: &str = "chivelatch-outcome";
 /// Header that names the request.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -4,10 +4,11 @@
 
 use async_channel::Sender;
 use bytes::Bytes;
-use front::body::{self, Body, Cut};
 use futures_lite::future;
 use hyper::{Response, StatusCode};
 
+use front::body::{self, Body, Cut};
+
 use crate::{
     Entry,
     answer::{self, Receipt},
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -10,20 +10,21 @@
     time::Duration,
 };
 
+use parking_lot::{Mutex, RwLock};
+use smallvec::SmallVec;
+
 use fleet::{
     Name,
     lease::Moment,
     member::{Member, Role},
 };
 use kernel::shard;
-use parking_lot::{Mutex, RwLock};
 use placement::{
     choice::{Candidate, Costs},
     policy::Question,
     popularity::Popularity,
     rendezvous::{self, Server},
 };
-use smallvec::SmallVec;
 use wire::{
     frame::{Call, Load, Reply, Target},
     identity::Role as IdentityRole,
--- a/crates/entry/src/routing/table.rs
+++ b/crates/entry/src/routing/table.rs
@@ -3,13 +3,14 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use smallvec::SmallVec;
+
 use fleet::{
     Name,
     member::{Listing, Member, Role},
     state::State,
 };
 use placement::rendezvous::Server;
-use smallvec::SmallVec;
 
 use crate::Entry;
 
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -2,13 +2,14 @@
 
 use std::sync::Arc;
 
+use hyper::{HeaderMap, Request, Response, body::Incoming, header::CONTENT_TYPE};
+
 use fleet::{
     Name,
     change::{Access, Repeat},
     state::{Route, State},
 };
 use front::body::Body;
-use hyper::{HeaderMap, Request, Response, body::Incoming, header::CONTENT_TYPE};
 use ledger::record;
 use quota::pool::Reservation;
 use wire::frame::Target;
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -3,13 +3,14 @@
 
 use std::sync::Arc;
 
+use rand::RngExt as _;
+
 use fleet::{
     change::{Change, Record, Rejection},
     digest::Digest,
     replica::{Entry, Replica, Update},
     state::State,
 };
-use rand::RngExt as _;
 use seeds::Random;
 
 /// A log whose oldest records may have expired.
--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -16,9 +16,10 @@
     body::{Frame, Incoming},
     header::CONTENT_TYPE,
 };
-use kernel::clock::Clock;
 use snafu::Snafu;
 
+use kernel::clock::Clock;
+
 /// Pieces of a streamed answer that wait for a slow caller.
 const STREAM_DEPTH: usize = 16;
 
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -6,12 +6,13 @@
 use futures_lite::{AsyncRead, AsyncWrite, future};
 use futures_rustls::TlsAcceptor;
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use snafu::{ResultExt as _, Snafu};
+
 use kernel::{
     Kernel,
     drain::{Drain, Guard},
 };
-use smol_hyper::rt::{FuturesIo, SmolTimer};
-use snafu::{ResultExt as _, Snafu};
 
 use crate::body::Body;
 
--- a/crates/front/tests/tls.rs
+++ b/crates/front/tests/tls.rs
@@ -3,20 +3,21 @@
 use std::{fs, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use async_net::TcpStream;
-use front::{
-    body, server,
-    tls::{self, Files},
-};
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _};
 use futures_rustls::TlsConnector;
 use hyper::StatusCode;
-use kernel::drain::Drain;
 use rcgen::{CertifiedKey, generate_simple_self_signed};
 use rustls::{
     ClientConfig, RootCertStore,
     pki_types::{CertificateDer, ServerName},
 };
 
+use front::{
+    body, server,
+    tls::{self, Files},
+};
+use kernel::drain::Drain;
+
 const LIMIT: Duration = Duration::from_secs(5);
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: localhost\r\nconnection: close\r\n\r\n";
 
--- a/crates/kernel/tests/clock.rs
+++ b/crates/kernel/tests/clock.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use futures_lite::future;
+
 use kernel::{
     clock::Clock,
     drain::Drain,
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -1,8 +1,9 @@
 //! Records of the ledger streams.
 
-use fleet::{Name, digest::Digest, lease::Holder};
 use serde::{Deserialize, Serialize};
 
+use fleet::{Name, digest::Digest, lease::Holder};
+
 /// One record of a ledger stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "kind", deny_unknown_fields)]
--- a/crates/ledger/tests/once.rs
+++ b/crates/ledger/tests/once.rs
@@ -3,12 +3,13 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use rand::RngExt as _;
+
 use fleet::{Name, digest::Digest, lease::Holder};
 use ledger::{
     fold::{End, Fold},
     record::{Answer, Record, key},
 };
-use rand::RngExt as _;
 use seeds::Random;
 
 const WINDOW: Duration = Duration::from_secs(3600);
--- a/crates/load/src/arms.rs
+++ b/crates/load/src/arms.rs
@@ -2,6 +2,7 @@
 //! plug-in that the programs could use as well.
 
 use inventory::iter;
+
 use placement::{policy::Policy, slots::Victim};
 use schedule::discipline::Discipline;
 
--- a/crates/load/src/bin/chivelatch-load.rs
+++ b/crates/load/src/bin/chivelatch-load.rs
@@ -3,6 +3,8 @@
 use std::{net::SocketAddr, process::ExitCode, sync::Arc, time::Duration};
 
 use getopts::{Matches, Options};
+use serde_json::json;
+
 use load::{
     arms::ARMS,
     fleet_model, hot_path,
@@ -10,7 +12,6 @@
     measure::Measures,
     workload::{DEPLOYMENTS, Demand, Deployment},
 };
-use serde_json::json;
 use settings::arguments::{self, About};
 
 const ABOUT: About = About {
--- a/crates/load/src/hot_path.rs
+++ b/crates/load/src/hot_path.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use serde::Serialize;
+
 use fleet::{change::Urgency, lease::Moment};
 use kernel::clock::Clock;
 use placement::{
@@ -17,7 +19,6 @@
     share::Limits,
 };
 use schedule::queue::{Fit, Item, Queue};
-use serde::Serialize;
 
 use crate::{arms::ARMS, workload};
 
--- a/crates/load/src/live.rs
+++ b/crates/load/src/live.rs
@@ -4,11 +4,12 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use http_body_util::BodyExt as _;
-use kernel::Kernel;
-use platform::http;
 use serde::Serialize;
 use serde_json::json;
 
+use kernel::Kernel;
+use platform::http;
+
 use crate::measure::{histogram, record};
 
 /// What to send.
--- a/crates/load/src/measure.rs
+++ b/crates/load/src/measure.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use fleet::lease::Moment;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
+use fleet::lease::Moment;
+
 use crate::workload::{self, Deployment, Request};
 
 /// Highest value of the histograms, in milliseconds.
--- a/crates/load/src/workload.rs
+++ b/crates/load/src/workload.rs
@@ -2,11 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fleet::{Name, change::Urgency, lease::Moment};
-use quota::{permit::Budget, share::Limits};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
+use fleet::{Name, change::Urgency, lease::Moment};
+use quota::{permit::Budget, share::Limits};
+
 const ADAPTERS: usize = 3000;
 /// Exponent of the Zipf distribution of popularity.
 const SKEW: f64 = 1.1;
--- a/crates/local/src/demo.rs
+++ b/crates/local/src/demo.rs
@@ -2,12 +2,13 @@
 
 use std::net::SocketAddr;
 
+use snafu::ResultExt as _;
+
 use kernel::Kernel;
 use operator::{
     session::{Patience, Session},
     settings::Settings,
 };
-use snafu::ResultExt as _;
 
 use crate::{DemoSnafu, Error, FleetSnafu};
 
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -13,16 +13,17 @@
     time::Duration,
 };
 
+use async_net::TcpListener;
+use logforth::record::{Level, LevelFilter};
+use snafu::{ResultExt as _, Snafu};
+
 use ::settings::{
     document::{Document, Section},
     problem,
 };
-use async_net::TcpListener;
 use front::server;
 use kernel::{Kernel, drain::Drain};
-use logforth::record::{Level, LevelFilter};
 use operator::session;
-use snafu::{ResultExt as _, Snafu};
 use standins::{
     engine::{self, Fencing},
     list, log, service, store,
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
-use fleet::member::{Member, Role};
 use rand::seq::IndexedRandom as _;
+
+use fleet::member::{Member, Role};
 use wire::frame::{Call, Reply};
 
 use crate::Node;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration, time::Instant};
 
 use event_listener::{Event, EventListener};
+use parking_lot::{Mutex, RwLock};
+
 use fleet::{
     Name,
     freshness::Freshness,
@@ -26,7 +28,6 @@
     suspect,
 };
 use kernel::{Kernel, drain::Drain};
-use parking_lot::{Mutex, RwLock};
 use platform::{list::List, log::Log};
 use wire::{
     frame::{Call, HoldStatus, Reply, Status},
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -2,11 +2,12 @@
 
 use std::{future::Future, process::ExitCode, sync::Arc};
 
+use logforth::record::LevelFilter;
+
 use kernel::{
     Kernel,
     drain::{self},
 };
-use logforth::record::LevelFilter;
 
 use crate::{Node, exchange, follow};
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,11 +2,12 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use logforth::record::{Level, LevelFilter};
+
 use fleet::{
     Name,
     lease::{ListRule, Rules},
 };
-use logforth::record::{Level, LevelFilter};
 use settings::document::Section;
 use wire::identity::Files;
 
--- a/crates/node/src/trace.rs
+++ b/crates/node/src/trace.rs
@@ -2,8 +2,9 @@
 
 use std::{collections::VecDeque, sync::Arc};
 
-use fleet::Name;
 use parking_lot::Mutex;
+
+use fleet::Name;
 use wire::frame::Step;
 
 /// Decisions remembered.
--- a/crates/operator/src/bin/chivelatch.rs
+++ b/crates/operator/src/bin/chivelatch.rs
@@ -7,8 +7,9 @@
 };
 
 use getopts::{Matches, Options};
-use kernel::Kernel;
 use logforth::record::{Level, LevelFilter};
+
+use kernel::Kernel;
 use operator::{
     session::{Outcome, Patience, Session},
     settings::Settings,
--- a/crates/operator/src/publish.rs
+++ b/crates/operator/src/publish.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use snafu::{ResultExt as _, Snafu};
+
 use fleet::{
     change::{Change, Record, Rejection},
     replica::{Entry, Replica},
@@ -11,7 +13,6 @@
     http,
     log::{self, Batch, Log},
 };
-use snafu::{ResultExt as _, Snafu};
 
 /// Time to find out whether an unacknowledged change was taken.
 const SETTLE_PATIENCE: Duration = Duration::from_secs(10);
--- a/crates/operator/src/session.rs
+++ b/crates/operator/src/session.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use snafu::{ResultExt as _, Snafu};
+
 use fleet::{
     change::Change,
     digest::Digest,
@@ -22,7 +24,6 @@
     table::{NoColumn, Table},
     verb,
 };
-use snafu::{ResultExt as _, Snafu};
 use wire::{
     frame::{Call, Reply, Status},
     link::{Link, OpenError},
--- a/crates/placement/src/rendezvous.rs
+++ b/crates/placement/src/rendezvous.rs
@@ -4,9 +4,10 @@
 //! rates", IEEE/ACM Transactions on Networking 6(1), 1998; the weights are the
 //! logarithmic method of Schindelhauer and Schomaker (SPAA 2005).
 
-use fleet::Name;
 use smallvec::SmallVec;
 
+use fleet::Name;
+
 /// Replicas of one adapter that fit on the stack.
 pub const USUAL_REPLICAS: usize = 8;
 
--- a/crates/placement/tests/slots.rs
+++ b/crates/placement/tests/slots.rs
@@ -3,8 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use inventory::iter;
-use placement::slots::{Key, Pin, Slots, Stay, Victim};
 use rand::RngExt as _;
+
+use placement::slots::{Key, Pin, Slots, Stay, Victim};
 use seeds::Random;
 
 const CAPACITY: usize = 4;
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -8,15 +8,16 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use fleet::Name;
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming};
+use serde::Deserialize;
+use serde_json::json;
+
+use fleet::Name;
 use kernel::{
     Kernel,
     plugin::{self, Plugin},
 };
-use serde::Deserialize;
-use serde_json::json;
 
 use crate::http::{self, Error};
 
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -6,10 +6,11 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{Request, Response, body::Incoming, client::conn::http1, header::HOST};
-use kernel::{Kernel, clock::Timeout};
 use smol_hyper::rt::FuturesIo;
 use snafu::{ResultExt as _, Snafu};
 
+use kernel::{Kernel, clock::Timeout};
+
 /// Largest answer read as a whole, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -7,12 +7,13 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use fleet::member::{Listing, Member};
 use http_body_util::Full;
 use hyper::{
     Request,
     header::{ETAG, IF_NONE_MATCH},
 };
+
+use fleet::member::{Listing, Member};
 use kernel::Kernel;
 
 use crate::{Answer, http};
--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -6,9 +6,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use kernel::Kernel;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
+use kernel::Kernel;
+
 use crate::{Answer, http};
 
 /// Records read at once.
--- a/crates/query/src/verb.rs
+++ b/crates/query/src/verb.rs
@@ -1,12 +1,13 @@
 //! The verbs of the language, each a plug-in.
 
-use fleet::change::{Access, Repeat, Urgency};
 use winnow::{
     ModalResult, Parser as _,
     combinator::{alt, fail, opt, preceded},
     error::{StrContext, StrContextValue},
 };
 
+use fleet::change::{Access, Repeat, Urgency};
+
 use crate::{
     parse::{Input, cut, keyword, name, number, show},
     statement::{Command, Statement},
--- a/crates/query/tests/language.rs
+++ b/crates/query/tests/language.rs
@@ -1,6 +1,7 @@
 //! The operators' language: what is understood, and how errors point at the place.
 
 use proptest::prelude::*;
+
 use query::{
     parse::{Error, statement},
     statement::{Command, Comparison, Direction, Show, Statement, Subject},
--- a/crates/quota/src/pool.rs
+++ b/crates/quota/src/pool.rs
@@ -2,10 +2,11 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use fleet::lease::Moment;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use fleet::lease::Moment;
+
 /// Half-life of the demand estimate.
 const DEMAND_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Share of a lifetime after which an unspent grant goes back.
--- a/crates/quota/tests/overshoot.rs
+++ b/crates/quota/tests/overshoot.rs
@@ -4,13 +4,14 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use rand::RngExt as _;
+
 use fleet::lease::Moment;
 use quota::{
     bucket::Bucket,
     pool::{Part, Pool, Reservation, Source},
     share::{Limits, Share},
 };
-use rand::RngExt as _;
 use seeds::Random;
 
 const LIMITS: Limits = Limits { rate: 1000, burst: 3000 };
--- a/crates/report/src/bin/chivelatch-report.rs
+++ b/crates/report/src/bin/chivelatch-report.rs
@@ -9,6 +9,7 @@
 };
 
 use getopts::{Matches, Options};
+
 use kernel::Kernel;
 use report::{
     burn,
--- a/crates/report/src/sample.rs
+++ b/crates/report/src/sample.rs
@@ -7,12 +7,13 @@
     time::Duration,
 };
 
-use kernel::Kernel;
-use platform::http;
 use prometheus_parse::{Scrape, Value};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt as _, Snafu};
 
+use kernel::Kernel;
+use platform::http;
+
 use crate::objective::{Kind, Objective};
 
 const FETCH_LIMIT: Duration = Duration::from_secs(2);
--- a/crates/scenario/src/calls.rs
+++ b/crates/scenario/src/calls.rs
@@ -7,14 +7,15 @@
     time::{Duration, Instant},
 };
 
-use fleet::digest::Digest;
 use futures_lite::future;
 use http_body_util::BodyExt as _;
-use kernel::Kernel;
 use parking_lot::Mutex;
-use platform::http;
 use serde_json::{Value, json};
 
+use fleet::digest::Digest;
+use kernel::Kernel;
+use platform::http;
+
 /// Time that any call may take before the caller counts it as unanswered.
 const CALL_LIMIT: Duration = Duration::from_secs(40);
 /// How often a balancer looks at the entries.
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -15,11 +15,12 @@
     time::{Duration, Instant},
 };
 
-use kernel::Kernel;
 use parking_lot::Mutex;
-use platform::http;
 use serde_json::Value;
 
+use kernel::Kernel;
+use platform::http;
+
 use crate::{
     calls::{self, Ask, Load, Record},
     checker::{self, Journals},
--- a/crates/scenario/tests/checker.rs
+++ b/crates/scenario/tests/checker.rs
@@ -2,11 +2,12 @@
 
 use std::time::Instant;
 
+use serde_json::{Value, json};
+
 use scenario::{
     calls::{Answer, Ask, Delivery, Record},
     checker::{Journals, violations},
 };
-use serde_json::{Value, json};
 
 const DIGEST_OF_HELLO: &str = "digest=913943507625143f";
 
--- a/crates/schedule/src/queue.rs
+++ b/crates/schedule/src/queue.rs
@@ -5,9 +5,10 @@
 
 use std::{collections::BTreeMap, collections::VecDeque, sync::Arc, time::Duration};
 
-use fleet::{Name, change::Urgency, lease::Moment};
 use snafu::Snafu;
 
+use fleet::{Name, change::Urgency, lease::Moment};
+
 use crate::discipline::{Discipline, Lane, Rank};
 
 /// Wait after which a batch request counts as interactive.
--- a/crates/schedule/tests/fairness.rs
+++ b/crates/schedule/tests/fairness.rs
@@ -2,8 +2,9 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use fleet::{change::Urgency, lease::Moment};
 use inventory::iter;
+
+use fleet::{change::Urgency, lease::Moment};
 use schedule::{
     discipline::Discipline,
     queue::{Fit, Item, Queue},
--- a/crates/side/src/answer.rs
+++ b/crates/side/src/answer.rs
@@ -9,6 +9,7 @@
     body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
 };
+
 use platform::{engine::REQUEST_HEADER, http};
 use wire::frame::{Attempt, AttemptId, Broken, Head, NotBegun, Reply, Target};
 
--- a/crates/side/src/dispatch.rs
+++ b/crates/side/src/dispatch.rs
@@ -9,8 +9,9 @@
 };
 
 use async_channel::Sender;
-use fleet::{Name, change::Urgency};
 use futures_lite::future;
+
+use fleet::{Name, change::Urgency};
 use placement::slots::{Key, Pin, Stay};
 use schedule::queue::{Fit, Item};
 use wire::frame::{Exposure, NotBegun};
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -25,12 +25,13 @@
 };
 
 use event_listener::Event;
+use hyper::StatusCode;
+use parking_lot::Mutex;
+
 use fleet::{Name, lease::Held};
 use front::{body, server};
-use hyper::StatusCode;
 use kernel::{Kernel, drain::Drain, monitor, plugin};
 use node::{Kind, Node, leases, program};
-use parking_lot::Mutex;
 use placement::{
     rendezvous,
     slots::{Key, Slots, Stay},
--- a/crates/standins/src/engine/completion.rs
+++ b/crates/standins/src/engine/completion.rs
@@ -4,17 +4,18 @@
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
-use fleet::digest::Digest;
-use front::body::{self, Body, Cut};
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
     header::{HeaderName, HeaderValue},
 };
-use platform::engine::REQUEST_HEADER;
 use serde::Deserialize;
 use serde_json::{Value, json};
 
+use fleet::digest::Digest;
+use front::body::{self, Body, Cut};
+use platform::engine::REQUEST_HEADER;
+
 use crate::{
     engine::{Engine, Run, orders},
     http, service,
--- a/crates/standins/src/engine/orders.rs
+++ b/crates/standins/src/engine/orders.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use front::body::{self, Body, Cut};
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use platform::{engine::FENCE_HEADER, http as client};
 use serde::Deserialize;
 use serde_json::json;
 
+use front::body::{self, Body, Cut};
+use platform::{engine::FENCE_HEADER, http as client};
+
 use crate::{
     engine::{Engine, Fencing},
     http,
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use front::body::{self, Body};
 use hyper::{Request, Response, StatusCode, Uri, body::Incoming};
-use kernel::{Kernel, clock::Clock};
 use serde::{Serialize, de::DeserializeOwned};
 
+use front::body::{self, Body};
+use kernel::{Kernel, clock::Clock};
+
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -7,17 +7,18 @@
 };
 
 use async_net::TcpListener;
-use fleet::member::{Listing, Member};
-use front::{body::Body, server};
 use hyper::{
     Method, Request, Response, StatusCode,
     body::Incoming,
     header::{ETAG, HeaderValue, IF_NONE_MATCH},
 };
-use kernel::{Kernel, drain::Drain};
 use parking_lot::Mutex;
 use serde::Deserialize;
 
+use fleet::member::{Listing, Member};
+use front::{body::Body, server};
+use kernel::{Kernel, drain::Drain};
+
 use crate::http;
 
 /// How the list behaves.
--- a/crates/standins/src/log.rs
+++ b/crates/standins/src/log.rs
@@ -3,13 +3,14 @@
 use std::{collections::BTreeMap, collections::VecDeque, sync::Arc, time::Duration};
 
 use async_net::TcpListener;
-use front::{body::Body, server};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
-use kernel::{Kernel, drain::Drain};
 use parking_lot::Mutex;
-use platform::log::{Appended, Batch, Record};
 use serde::{Deserialize, Serialize};
 
+use front::{body::Body, server};
+use kernel::{Kernel, drain::Drain};
+use platform::log::{Appended, Batch, Record};
+
 use crate::http;
 
 /// Scripted faults.
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -3,12 +3,13 @@
 use std::{future::Future, net::SocketAddr, process::ExitCode};
 
 use async_net::TcpListener;
+use logforth::record::{Level, LevelFilter};
+
 use front::server;
 use kernel::{
     Kernel,
     drain::{self, Drain},
 };
-use logforth::record::{Level, LevelFilter};
 use settings::{
     arguments::{self, About},
     document::Section,
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -4,14 +4,15 @@
 use std::{sync::Arc, time::Duration};
 
 use async_net::TcpListener;
-use front::{body::Body, server};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
-use kernel::{Kernel, drain::Drain};
 use parking_lot::Mutex;
-use platform::engine::REQUEST_HEADER;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
+use front::{body::Body, server};
+use kernel::{Kernel, drain::Drain};
+use platform::engine::REQUEST_HEADER;
+
 use crate::http;
 
 /// Scripted faults.
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -6,12 +6,13 @@
 };
 
 use async_net::TcpListener;
-use front::{body::Body, server};
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use kernel::{Kernel, drain::Drain};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
+use front::{body::Body, server};
+use kernel::{Kernel, drain::Drain};
+
 use crate::http;
 
 /// What the store allows.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 use fleet::{
     Name,
     change::{Repeat, Urgency},
@@ -11,7 +13,6 @@
     suspect::Report,
 };
 use quota::pool::Part;
-use serde::{Deserialize, Serialize};
 
 /// First frame of a stream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -6,12 +6,13 @@
     time::Duration,
 };
 
-use kernel::Kernel;
 use parking_lot::Mutex;
 use quinn::{ClientConfig, Connection, Endpoint, Incoming, RecvStream, SendStream, VarInt};
 use rustls::pki_types::CertificateDer;
 use snafu::{ResultExt as _, Snafu};
 
+use kernel::Kernel;
+
 use crate::{
     codec,
     frame::{Call, Reply},
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -2,13 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
+use proptest::prelude::*;
+
 use fleet::{
     change::{Access, Change, Record, Repeat, Urgency},
     digest::Digest,
     replica::{Entry, Update},
     state::State,
 };
-use proptest::prelude::*;
 use quota::pool::{Part, Source};
 use wire::{
     codec,
