--- a/crates/query/tests/language.rs
+++ b/crates/query/tests/language.rs
@@ -1,6 +1,6 @@
 //! The operators' language: what is understood, and how errors point at the place.
 
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 use query::{
     parse::{Error, statement},
@@ -101,7 +101,11 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn arbitrary_text_never_crashes_the_parser(text in "\\PC{0,120}") {
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 use fleet::{
     change::{Access, Change, Record, Repeat, Urgency},
@@ -78,7 +78,11 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn arbitrary_bytes_never_crash_the_decoder(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
