Pass on a shard that was never drawn from, also while its witnesses are old

Cause: a stopping holder whose witnesses were old at that moment made no bucket and passed on nothing. Ruled out: a lost release and a late claim (another message would have been given). Now what it claimed counts; a tenure that has not started is not released, since the holder before may still act; and a wait for tokens below 50 ms may be repeated.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -21,6 +21,7 @@
 const CLAIM_PAUSE: Duration = Duration::from_millis(25);
 /// A wait for tokens that is shorter than being refused and coming back.
 const SHORT_REFILL: Duration = Duration::from_millis(50);
+const MIN_REFILL: Duration = Duration::from_millis(2);
 /// When to come back while a shard's holder is being replaced.
 const NO_HOLDER_WAIT: Duration = Duration::from_secs(1);
 
@@ -45,7 +46,7 @@
         return Err(Refusal::not_run(Kind::BeyondBurst, message));
     }
     let deadline = entry.node.now() + CLAIM_PATIENCE;
-    let mut has_waited = false;
+    let refill_deadline = entry.node.now() + SHORT_REFILL;
     loop {
         let obstacle = match try_reserve(entry, account, limits, cost).await {
             Ok(reservation) => return Ok(reservation),
@@ -56,9 +57,8 @@
             Obstacle::Handover | Obstacle::NoHolder if is_short && entry.node.now() < deadline => {
                 entry.node.kernel.clock.sleep(CLAIM_PAUSE).await;
             }
-            Obstacle::Refill(wait) if wait <= SHORT_REFILL && !has_waited => {
-                has_waited = true;
-                entry.node.kernel.clock.sleep(wait).await;
+            Obstacle::Refill(wait) if entry.node.now() + wait <= refill_deadline => {
+                entry.node.kernel.clock.sleep(wait.max(MIN_REFILL)).await;
             }
             obstacle => return Err(rate_limited(account, obstacle)),
         }
--- a/crates/entry/src/holder.rs
+++ b/crates/entry/src/holder.rs
@@ -57,8 +57,9 @@
 pub(crate) fn draw(entry: &Entry, draw: &Draw) -> Grant {
     let resource = share::resource(&draw.account, draw.shard);
     let now = entry.node.now();
-    ensure_bucket(entry, now, &draw.account, draw.shard);
-    let Some(held) = entry.node.with_seat(|seat| seat.holds(now, &resource)) else {
+    let held = entry.node.with_seat(|seat| seat.holds(now, &resource));
+    ensure_bucket(entry, now, &draw.account, draw.shard, held);
+    let Some(held) = held else {
         let starts_in = entry.node.with_seat(|seat| seat.starts_in(now, &resource));
         return Grant::NotHolder { starts_in };
     };
@@ -79,15 +80,19 @@
     let Some(state) = entry.node.state() else { return };
     let now = entry.node.now();
     for account in state.accounts.keys() {
-        (0..entry.settings.shards).for_each(|shard| ensure_bucket(entry, now, account, shard));
+        for shard in 0..entry.settings.shards {
+            let resource = share::resource(account, shard);
+            let claimed = entry.node.with_seat(|seat| seat.claimed(now, &resource));
+            ensure_bucket(entry, now, account, shard, claimed);
+        }
     }
 }
 
 /// Makes the bucket of a shard that this instance has come to hold, and follows
 /// changes of the account's limits.
-fn ensure_bucket(entry: &Entry, now: Moment, account: &Name, shard: u64) {
+fn ensure_bucket(entry: &Entry, now: Moment, account: &Name, shard: u64, held: Option<Held>) {
+    let Some(held) = held else { return };
     let resource = share::resource(account, shard);
-    let Some(held) = entry.node.with_seat(|seat| seat.holds(now, &resource)) else { return };
     let limits = entry.node.state().and_then(|state| limits(&state, account));
     let Some(limits) = limits else { return };
     let shards = limits.shards(entry.settings.shards);
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -280,6 +280,12 @@
         is_held.then_some(Held { fence: tenure.fence, origin: tenure.origin })
     }
 
+    /// How this process claimed `resource`, whether or not its witnesses are recent.
+    pub fn claimed(&self, now: Moment, resource: &str) -> Option<Held> {
+        let tenure = self.tenures.get(resource).filter(|tenure| tenure.starts <= now)?;
+        Some(Held { fence: tenure.fence, origin: tenure.origin })
+    }
+
     /// Time until this process holds `resource`, if it has claimed it.
     pub fn starts_in(&self, now: Moment, resource: &str) -> Option<Duration> {
         let tenure = self.tenures.get(resource)?;
@@ -304,9 +310,11 @@
     }
 
     /// Records that give up everything held, for an orderly stop. `carry` tells
-    /// what each resource passes on to its next holder.
-    pub fn releases(&mut self, carry: impl Fn(&Name) -> u64) -> Vec<Record> {
-        let tenures = std::mem::take(&mut self.tenures);
+    /// what each resource passes on to its next holder. A tenure that has not
+    /// started is not released: the holder before may still act.
+    pub fn releases(&mut self, now: Moment, carry: impl Fn(&Name) -> u64) -> Vec<Record> {
+        let mut tenures = std::mem::take(&mut self.tenures);
+        tenures.retain(|_, tenure| tenure.starts <= now);
         let release = |(resource, tenure): (Name, Tenure)| {
             let carry = carry(&resource);
             Record::Release { resource, fence: tenure.fence, carry }
--- a/crates/node/src/leases.rs
+++ b/crates/node/src/leases.rs
@@ -47,7 +47,8 @@
 /// Gives up everything that this process holds. `carry` tells what each
 /// resource passes on.
 pub async fn release(node: &Node, carry: impl Fn(&Name) -> u64) {
-    let releases = node.with_seat(|seat| seat.releases(carry));
+    let now = node.now();
+    let releases = node.with_seat(|seat| seat.releases(now, carry));
     for record in releases {
         append(node, &record).await;
     }
