Count an exchange as over only when the answer was whole or the engine crashed

Cause: an answer that stops short, or breaks off while the engine stays up, was taken for the end of its decoding, and its pin was released at once.

--- a/crates/side/src/answer.rs
+++ b/crates/side/src/answer.rs
@@ -126,9 +126,11 @@
         }
         outlet.chunk(&checked).await?;
     }
-    ticket.set_over();
     match checker.finish() {
-        Ok(tokens) => Ok(End::Whole { tokens }),
+        Ok(tokens) => {
+            ticket.set_over();
+            Ok(End::Whole { tokens })
+        }
         Err(fault) => Ok(bad(attempt, fault)),
     }
 }
@@ -143,7 +145,6 @@
 ) -> Result<End, Gone> {
     let collected = outlet.patiently(side, Limited::new(body, MAX_WHOLE_BYTES).collect()).await?;
     let Ok(collected) = collected else { return Ok(broken(side, attempt, ticket).await) };
-    ticket.set_over();
     let body = collected.to_bytes();
     let is_completion = key_of(&attempt.target).is_some() && head.status == StatusCode::OK.as_u16();
     let tokens = match is_completion.then(|| events::check_whole(&body, &attempt.group())) {
@@ -151,6 +152,7 @@
         Some(Err(fault)) => return Ok(bad(attempt, fault)),
         None => None,
     };
+    ticket.set_over();
     outlet.send(&Reply::Head(head)).await?;
     for piece in body.chunks(CHUNK_BYTES) {
         outlet.chunk(piece).await?;
@@ -166,7 +168,6 @@
 
 /// The exchange broke off: either the engine crashed or only this answer did.
 async fn broken(side: &Arc<Side>, attempt: &Attempt, ticket: &Ticket) -> End {
-    ticket.set_over();
     let Target::Adapter { .. } = attempt.target else {
         return End::Broken(Broken::BadAnswer);
     };
@@ -175,6 +176,7 @@
     if is_up && !has_crashed {
         return End::Broken(Broken::BadAnswer);
     }
+    ticket.set_over();
     engine_watch::note_crash(side, ticket.epoch);
     End::Broken(Broken::EngineCrashed { crash: side.crash_id(ticket.epoch) })
 }
