--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -14,8 +14,8 @@
     fold::{Begun, End, Fold},
     record::{self, Answer, Record},
 };
-use platform::log::{self, Batch};
 use schedule::retry;
+use services::log::{self, Batch};
 
 use crate::{
     Entry, answer,
@@ -114,7 +114,7 @@
     let author = entry.node.with_seat(|seat| seat.me().clone());
     let begin = Record::Begin { id: begin_id(job), key, request: job.fingerprint, author };
     let appended = (entry.node.log.append)(stream, log::encode(&begin)).await;
-    if appended.as_ref().is_err_and(platform::http::Error::is_without_effect) {
+    if appended.as_ref().is_err_and(services::http::Error::is_without_effect) {
         return Err(unavailable());
     }
     let deadline = entry.node.now() + SETTLE_PATIENCE;
--- a/crates/load/src/live.rs
+++ b/crates/load/src/live.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 
 use kernel::Kernel;
-use platform::http;
+use services::http;
 
 use crate::measure::{histogram, record};
 
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -7,7 +7,7 @@
     member::{Listing, Member, Role},
     replica::Entry,
 };
-use platform::{
+use services::{
     list::{News, Tag},
     log::{self, Batch},
 };
--- a/crates/node/src/leases.rs
+++ b/crates/node/src/leases.rs
@@ -9,7 +9,7 @@
     member::Role,
 };
 use placement::rendezvous::{self, Server};
-use platform::log::{self, Batch};
+use services::log::{self, Batch};
 
 use crate::{Node, follow};
 
@@ -34,7 +34,7 @@
 /// # Errors
 ///
 /// The log could not be read; what was read before counts.
-pub async fn read(node: &Node) -> Result<(), platform::http::Error> {
+pub async fn read(node: &Node) -> Result<(), services::http::Error> {
     let asked = node.now();
     let from = node.with_seat(|seat| seat.table().next);
     let mut batches = Vec::new();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,7 +28,7 @@
     suspect,
 };
 use kernel::{Kernel, drain::Drain};
-use platform::{list::List, log::Log};
+use services::{list::List, log::Log};
 use wire::{
     frame::{Call, HoldStatus, Reply, Status},
     identity,
--- a/crates/node/src/snapshot.rs
+++ b/crates/node/src/snapshot.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use fleet::change::Record;
-use platform::log;
+use services::log;
 
 use crate::{Node, follow, leases};
 
--- a/crates/operator/src/publish.rs
+++ b/crates/operator/src/publish.rs
@@ -9,7 +9,7 @@
     replica::{Entry, Replica},
 };
 use kernel::Kernel;
-use platform::{
+use services::{
     http,
     log::{self, Batch, Log},
 };
--- a/crates/operator/src/session.rs
+++ b/crates/operator/src/session.rs
@@ -13,17 +13,17 @@
 };
 use kernel::Kernel;
 use node::identity_role;
-use platform::{
-    http,
-    list::{List, News},
-    log::Log,
-};
 use query::{
     parse,
     statement::{Command, Show, Statement},
     table::{NoColumn, Table},
     verb,
 };
+use services::{
+    http,
+    list::{List, News},
+    log::Log,
+};
 use wire::{
     frame::{Call, Reply, Status},
     link::{Link, OpenError},
--- a/crates/report/src/sample.rs
+++ b/crates/report/src/sample.rs
@@ -12,7 +12,7 @@
 use snafu::{ResultExt as _, Snafu};
 
 use kernel::Kernel;
-use platform::http;
+use services::http;
 
 use crate::objective::{Kind, Objective};
 
--- a/crates/scenario/src/calls.rs
+++ b/crates/scenario/src/calls.rs
@@ -14,7 +14,7 @@
 
 use fleet::digest::Digest;
 use kernel::Kernel;
-use platform::http;
+use services::http;
 
 /// Time that any call may take before the caller counts it as unanswered.
 const CALL_LIMIT: Duration = Duration::from_secs(40);
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -19,7 +19,7 @@
 use serde_json::Value;
 
 use kernel::Kernel;
-use platform::http;
+use services::http;
 
 use crate::{
     calls::{self, Ask, Load, Record},
--- a/crates/side/src/answer.rs
+++ b/crates/side/src/answer.rs
@@ -10,7 +10,7 @@
     header::{CONTENT_TYPE, HeaderValue},
 };
 
-use platform::{engine::REQUEST_HEADER, http};
+use services::{engine::REQUEST_HEADER, http};
 use wire::frame::{Attempt, AttemptId, Broken, Head, NotBegun, Reply, Target};
 
 use crate::{
--- a/crates/side/src/engine_watch.rs
+++ b/crates/side/src/engine_watch.rs
@@ -4,7 +4,7 @@
 
 use fleet::Name;
 use placement::slots::Key;
-use platform::http;
+use services::http;
 
 use crate::{Side, load};
 
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -36,8 +36,8 @@
     rendezvous,
     slots::{Key, Slots, Stay},
 };
-use platform::engine::Engine;
 use schedule::queue::Queue;
+use services::engine::Engine;
 use wire::{
     codec,
     frame::{Call, Load, NotBegun, Reply, SlotStatus, Status, Target},
--- a/crates/standins/src/engine/completion.rs
+++ b/crates/standins/src/engine/completion.rs
@@ -14,7 +14,7 @@
 
 use fleet::digest::Digest;
 use front::body::{self, Body, Cut};
-use platform::engine::REQUEST_HEADER;
+use services::engine::REQUEST_HEADER;
 
 use crate::{
     engine::{Engine, Run, orders},
--- a/crates/standins/src/engine/orders.rs
+++ b/crates/standins/src/engine/orders.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 
 use front::body::{self, Body, Cut};
-use platform::{engine::FENCE_HEADER, http as client};
+use services::{engine::FENCE_HEADER, http as client};
 
 use crate::{
     engine::{Engine, Fencing},
--- a/crates/standins/src/log.rs
+++ b/crates/standins/src/log.rs
@@ -9,7 +9,7 @@
 
 use front::{body::Body, server};
 use kernel::{Kernel, drain::Drain};
-use platform::log::{Appended, Batch, Record};
+use services::log::{Appended, Batch, Record};
 
 use crate::http;
 
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -11,7 +11,7 @@
 
 use front::{body::Body, server};
 use kernel::{Kernel, drain::Drain};
-use platform::engine::REQUEST_HEADER;
+use services::engine::REQUEST_HEADER;
 
 use crate::http;
 
