--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -23,6 +23,35 @@
 /// Pause after the system refused a connection, so that the loop does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// What callers may do on a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Time that a caller may take to send a request's head.
+    pub head_timeout: Duration,
+    /// Largest request head, in bytes.
+    pub head_bytes: usize,
+    pub half_close: HalfClose,
+}
+
+/// What it means that a caller has closed its sending side.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HalfClose {
+    /// It still reads the answer.
+    Waits,
+    /// It is gone, and its request is given up.
+    Gone,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            head_timeout: HEAD_TIMEOUT,
+            head_bytes: MAX_HEAD_BYTES,
+            half_close: HalfClose::Waits,
+        }
+    }
+}
+
 /// A port could not be opened.
 #[derive(Debug, Snafu)]
 #[snafu(display("cannot listen on {address}: {source}; free the port or set another one"))]
@@ -49,9 +78,22 @@
     handle: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
 ) where
     F: Future<Output = Response<Body>> + Send + 'static,
+{
+    serve_within(kernel, listener, drain, Limits::default, handle).await;
+}
+
+/// Like [`serve`], with limits that are asked for at each new connection.
+pub async fn serve_within<F>(
+    kernel: &Kernel,
+    listener: TcpListener,
+    drain: &Drain,
+    limits: impl Fn() -> Limits,
+    handle: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+) where
+    F: Future<Output = Response<Body>> + Send + 'static,
 {
     accept(kernel, listener, drain, |stream, guard| {
-        serve_connection(stream, drain.clone(), guard, handle.clone())
+        serve_connection(stream, limits(), drain.clone(), guard, handle.clone())
     })
     .await;
 }
@@ -71,7 +113,9 @@
         let (drain, handle) = (drain.clone(), handle.clone());
         async move {
             match clock.timeout(HEAD_TIMEOUT, acceptor.accept(stream)).await {
-                Ok(Ok(stream)) => serve_connection(stream, drain, guard, handle).await,
+                Ok(Ok(stream)) => {
+                    serve_connection(stream, Limits::default(), drain, guard, handle).await;
+                }
                 Ok(Err(error)) => log::debug!("a caller's TLS handshake failed: {error}"),
                 Err(error) => log::debug!("a caller's TLS handshake: {error}"),
             }
@@ -107,6 +151,7 @@
 
 async fn serve_connection<F>(
     stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    limits: Limits,
     drain: Drain,
     guard: Guard,
     handle: impl Fn(Request<Incoming>) -> F + Send + 'static,
@@ -119,9 +164,9 @@
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES)
-        .half_close(true)
+        .header_read_timeout(limits.head_timeout)
+        .max_buf_size(limits.head_bytes)
+        .half_close(limits.half_close == HalfClose::Waits)
         .serve_connection(FuturesIo::new(stream), service);
     let mut connection = pin!(connection);
     let stopped = async {
--- /dev/null
+++ b/crates/gateway/src/entry.rs
@@ -0,0 +1,266 @@
+//! An entry instance: its state, its tasks and its orderly stop.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    process::ExitCode,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use event_listener::Event;
+use parking_lot::{Mutex, RwLock};
+
+use kernel::{
+    Kernel,
+    drain::{self, Drain},
+    shard,
+};
+use services::pool::Pool;
+use serving::{
+    Moment, Name,
+    allowance::Ledger,
+    directory::Listing,
+    knowledge::{Knowledge, Topic},
+    manifest::Manifest,
+    retry::Budget,
+};
+
+use crate::{
+    follow, listen, mesh,
+    mesh::Peers,
+    ports::{Dialect, Model, Settings, Store},
+    roster::{Roster, Server},
+};
+
+/// Time after a stop signal in which new connections are still served: the
+/// balancer notices two missed checks only.
+const BALANCER_NOTICE: Duration = Duration::from_millis(2500);
+/// Part of the stop limit in which running requests may end.
+const STOP_SHARE: f64 = 0.9;
+/// First pause after a failure of a server; it doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(400);
+/// Longest such pause.
+const MAX_PAUSE: Duration = Duration::from_secs(3);
+
+/// State of an entry instance; shared by all its tasks.
+pub struct Entry {
+    pub kernel: Kernel,
+    pub settings: Settings,
+    pub dialect: Dialect,
+    pub pool: Pool,
+    pub store: Store,
+    pub incarnation: u64,
+    pub drain: Drain,
+    /// Notified when a server's adapters change.
+    pub residency: Event,
+    /// Notified when a side process should hear from this instance at once.
+    pub guidance: Event,
+    pub servers: shard::Map<Name, Server>,
+    pub budgets: shard::Map<Name, Budget>,
+    pub ledger: Mutex<Ledger>,
+    pub peers: Mutex<Peers>,
+    knowledge: RwLock<Knowledge>,
+    roster: RwLock<Arc<Roster>>,
+    health: Mutex<Health>,
+    is_stopping: AtomicBool,
+    start: Instant,
+}
+
+/// Whether the store answers.
+#[derive(Debug, Default)]
+struct Health {
+    answered: Moment,
+    is_failing: bool,
+}
+
+/// Runs an entry instance until it is told to stop.
+pub async fn run(
+    kernel: Kernel,
+    settings: Settings,
+    dialect: Dialect,
+    pool: Pool,
+    store: Store,
+) -> ExitCode {
+    let entry = Arc::new(Entry::new(&kernel, settings, dialect, pool, store));
+    log::info!(
+        event = "start", instance = &*entry.settings.instance, zone = &*entry.settings.zone;
+        "entry instance starts"
+    );
+    if let Err(error) = listen::start(&entry).await {
+        log::error!(event = "start"; "{error}");
+        return ExitCode::FAILURE;
+    }
+    if let Err(error) = mesh::start_entry(&entry).await {
+        log::error!(event = "start"; "{error}");
+        return ExitCode::FAILURE;
+    }
+    follow::start(&entry);
+    drain::termination().await;
+    stop(&entry).await;
+    ExitCode::SUCCESS
+}
+
+/// Takes no new connections once the balancer has noticed, and lets requests end.
+async fn stop(entry: &Entry) {
+    let limit = entry.settings.stop_limit.mul_f64(STOP_SHARE);
+    log::info!(event = "stop", limit_ms = limit.as_millis() as u64; "stopping: not ready any more");
+    entry.is_stopping.store(true, Ordering::Relaxed);
+    let notice = BALANCER_NOTICE.min(limit / 2);
+    entry.kernel.clock.sleep(notice).await;
+    entry.drain.stop();
+    let is_finished = entry.drain.finish(&entry.kernel.clock, limit - notice).await;
+    log::info!(event = "stop", is_finished; "stopped");
+    log::logger().flush();
+}
+
+impl Entry {
+    fn new(
+        kernel: &Kernel,
+        settings: Settings,
+        dialect: Dialect,
+        pool: Pool,
+        store: Store,
+    ) -> Entry {
+        let seeds = settings.seeds.iter().copied().filter(|seed| *seed != settings.mesh);
+        Entry {
+            kernel: kernel.clone(),
+            dialect,
+            pool,
+            store,
+            incarnation: rand::random(),
+            drain: Drain::default(),
+            residency: Event::new(),
+            guidance: Event::new(),
+            servers: shard::Map::default(),
+            budgets: shard::Map::default(),
+            ledger: Mutex::default(),
+            peers: Mutex::new(Peers::new(seeds)),
+            knowledge: RwLock::default(),
+            roster: RwLock::default(),
+            health: Mutex::default(),
+            is_stopping: AtomicBool::new(false),
+            start: kernel.clock.now(),
+            settings,
+        }
+    }
+
+    /// Monotonic time since the process started.
+    pub fn now(&self) -> Moment {
+        self.kernel.clock.now().saturating_duration_since(self.start)
+    }
+
+    pub fn manifest(&self) -> Option<Arc<Manifest>> {
+        self.knowledge.read().manifest.clone()
+    }
+
+    pub fn roster(&self) -> Arc<Roster> {
+        Arc::clone(&self.roster.read())
+    }
+
+    /// Whether new connections should come here.
+    pub fn is_ready(&self) -> bool {
+        let knowledge = self.knowledge.read();
+        !self.is_stopping() && knowledge.manifest.is_some() && !knowledge.directory.is_empty()
+    }
+
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Reads what is known.
+    pub fn with_knowledge<T>(&self, read: impl FnOnce(&Knowledge) -> T) -> T {
+        read(&self.knowledge.read())
+    }
+
+    /// Changes what is known and makes the roster anew.
+    pub fn update_knowledge<T>(&self, update: impl FnOnce(Moment, &mut Knowledge) -> T) -> T {
+        let now = self.now();
+        let mut knowledge = self.knowledge.write();
+        let result = update(now, &mut knowledge);
+        let roster = Roster::new(&knowledge.directory);
+        drop(knowledge);
+        *self.roster.write() = Arc::new(roster);
+        self.residency.notify(usize::MAX);
+        result
+    }
+
+    /// Like [`Entry::update_knowledge`], without a new roster when nothing came of it.
+    pub fn update_if<T>(&self, update: impl FnOnce(Moment, &mut Knowledge) -> Vec<T>) -> Vec<T> {
+        let now = self.now();
+        let changed = update(now, &mut self.knowledge.write());
+        if !changed.is_empty() {
+            self.update_knowledge(|_, _| ());
+        }
+        changed
+    }
+
+    /// The store answered.
+    pub fn store_answered(&self, topic: Topic) {
+        let now = self.now();
+        let mut health = self.health.lock();
+        health.answered = now;
+        if !std::mem::take(&mut health.is_failing) {
+            return;
+        }
+        drop(health);
+        log::info!(event = "dependency_regained", dependency = "store", topic:? = topic; "the store answers again");
+        self.knowledge.write().directory.store_returned(now);
+    }
+
+    /// The store gave no usable answer.
+    pub fn store_failed(&self, topic: Topic, error: &services::http::Error) {
+        let mut health = self.health.lock();
+        if std::mem::replace(&mut health.is_failing, true) {
+            return;
+        }
+        drop(health);
+        log::warn!(event = "dependency_lost", dependency = "store", topic:? = topic; "{error}");
+    }
+
+    /// Time since the store last answered, while it does not.
+    pub fn store_silence(&self) -> Duration {
+        let health = self.health.lock();
+        self.now().saturating_sub(health.answered)
+    }
+
+    /// The oldest version of a model's adapter that may run.
+    pub fn version(&self, model: &Model) -> u64 {
+        let Some(adapter) = &model.adapter else { return 0 };
+        self.knowledge.read().version(&model.base, adapter)
+    }
+
+    /// Runs `update` with the state of a server.
+    pub fn with_server<T>(&self, id: &Name, update: impl FnOnce(&mut Server) -> T) -> T {
+        self.servers.with(id, |servers| update(servers.entry(id.clone()).or_default()))
+    }
+
+    /// Notes that a server failed, so that others are preferred for a while.
+    pub fn note_failure(&self, id: &Name) {
+        let now = self.now();
+        self.with_server(id, |server| {
+            let pause = FIRST_PAUSE * 2u32.saturating_pow(server.failures.min(8));
+            server.failures += 1;
+            server.suspect_until = now + pause.min(MAX_PAUSE);
+        });
+    }
+
+    pub fn note_success(&self, id: &Name) {
+        self.with_server(id, |server| {
+            server.failures = 0;
+            server.suspect_until = Moment::ZERO;
+        });
+    }
+
+    /// The server of a model engine that runs on a host.
+    pub fn engine_on(&self, host: IpAddr) -> Option<Listing> {
+        self.knowledge.read().directory.iter().find(|listing| listing.address.ip() == host).cloned()
+    }
+
+    /// Where the side process beside a server listens.
+    pub fn side_of(&self, listing: &Listing) -> SocketAddr {
+        SocketAddr::new(listing.address.ip(), self.settings.mesh.port())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/message.rs
@@ -0,0 +1,61 @@
+//! Datagrams between the system's processes, encoded with postcard. Each says
+//! the whole of what its sender has to say, so that a lost one is made good by
+//! the next.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use serving::{Name, allowance::Totals, knowledge::Positions};
+
+/// Largest datagram that is sent, in bytes.
+pub const MAX_BYTES: usize = 8 * 1024;
+
+/// One datagram.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Message {
+    /// From an entry instance to the side process of a model engine.
+    Guide(Guide),
+    /// From a side process to the entry instances that it hears.
+    Status(Status),
+    /// Between entry instances.
+    Gossip(Gossip),
+}
+
+/// What an entry instance wants of a model engine.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Guide {
+    pub server: Option<Name>,
+    pub model: Option<Name>,
+    pub places: usize,
+    /// Prompt tokens sent and not yet answered.
+    pub tokens: u64,
+    /// Requests in flight.
+    pub requests: u32,
+    pub in_flight: Vec<(Name, u32)>,
+    pub used: Vec<Name>,
+    /// Base model, adapter and oldest version that requests wait for.
+    pub wants: Vec<(Name, Name, u64)>,
+}
+
+/// What a model engine holds, and what entry instances have in flight there.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    pub born_ms: u64,
+    pub orders: u64,
+    pub models: Vec<Name>,
+    /// Adapters with their versions.
+    pub adapters: Vec<(Name, u64)>,
+    pub pending: Vec<(Name, u64)>,
+    /// Tokens and requests by entry instance.
+    pub work: Vec<(SocketAddr, u64, u32)>,
+}
+
+/// What an entry instance tells its peers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Gossip {
+    pub incarnation: u64,
+    pub positions: Positions,
+    pub revision: u64,
+    pub totals: Totals,
+}
--- /dev/null
+++ b/crates/gateway/src/roster.rs
@@ -0,0 +1,67 @@
+//! The servers of a service as requests see them: a copy that is made anew when
+//! the directory changes, with what placement needs worked out once.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+
+use placement::rendezvous;
+use serving::{
+    Moment, Name,
+    backlog::Backlog,
+    directory::{Directory, Listing, Phase},
+};
+
+use crate::message::Status;
+
+/// Servers that take new work, by service.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    services: HashMap<Name, Arc<Vec<Listing>>>,
+    hashes: HashMap<Name, Arc<Vec<rendezvous::Server>>>,
+}
+
+impl Roster {
+    pub fn new(directory: &Directory) -> Roster {
+        let mut services: HashMap<Name, Vec<Listing>> = HashMap::new();
+        for listing in directory.iter().filter(|listing| listing.phase == Phase::Ready) {
+            services.entry(listing.service.clone()).or_default().push(listing.clone());
+        }
+        let mut roster = Roster::default();
+        for (service, mut servers) in services {
+            servers.sort_by(|a, b| a.id.cmp(&b.id));
+            let hashes = servers.iter().map(|listing| {
+                rendezvous::Server::new(listing.id.clone(), listing.zone.clone(), 1)
+            });
+            roster.hashes.insert(service.clone(), Arc::new(hashes.collect()));
+            roster.services.insert(service, Arc::new(servers));
+        }
+        roster
+    }
+
+    /// Servers of a service, in a fixed order.
+    pub fn servers(&self, service: &str) -> Arc<Vec<Listing>> {
+        self.services.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Positions of the servers at which an adapter is at home, best first.
+    pub fn homes(&self, service: &str, adapter: &str, count: usize) -> rendezvous::Order {
+        let Some(hashes) = self.hashes.get(service) else { return rendezvous::Order::new() };
+        rendezvous::first(rendezvous::seed(adapter), hashes, count)
+    }
+}
+
+/// What an entry instance knows of one server beside its listing.
+#[derive(Debug, Default)]
+pub struct Server {
+    pub backlog: Backlog,
+    /// Last status of its side process.
+    pub status: Option<(Moment, Status)>,
+    /// Requests that wait for an adapter, by base model, adapter and version.
+    pub wants: HashMap<(Name, Name, u64), u32>,
+    /// Own requests in flight by adapter.
+    pub in_flight: HashMap<Name, u32>,
+    /// Adapters used since the last guide.
+    pub used: Vec<Name>,
+    pub failures: u32,
+    pub suspect_until: Moment,
+    pub side: Option<SocketAddr>,
+}
--- /dev/null
+++ b/crates/gateway/src/side.rs
@@ -0,0 +1,236 @@
+//! A side process: it keeps the right adapters on the model engine next to it
+//! and tells entry instances what is there. It is the only one that gives the
+//! engine orders, so no lease is needed for that.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    process::ExitCode,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use async_net::UdpSocket;
+use event_listener::Event;
+use parking_lot::Mutex;
+
+use kernel::{Kernel, drain};
+use serving::{
+    Moment, Name,
+    residency::{Holding, Order, Planner, Report, Resident},
+};
+
+use crate::{
+    listen, mesh,
+    message::{Guide, Message, Status},
+    ports::{Engine, Settings},
+};
+
+/// Time between looks at an engine that has nothing to do.
+const IDLE_INTERVAL: Duration = Duration::from_millis(400);
+/// Time between looks at an engine with an adapter on its way.
+const BUSY_INTERVAL: Duration = Duration::from_millis(12);
+/// Entry instances that are silent for longer are not written to.
+const ENTRY_SILENCE: Duration = Duration::from_secs(3);
+/// A status is repeated after this time, also without news.
+const STATUS_INTERVAL: Duration = Duration::from_millis(200);
+
+struct Side {
+    kernel: Kernel,
+    engine: Engine,
+    socket: UdpSocket,
+    start: Instant,
+    state: Mutex<State>,
+    changed: Event,
+}
+
+#[derive(Default)]
+struct State {
+    planner: Planner,
+    entries: HashMap<SocketAddr, Listener>,
+    /// Name of the engine, as entry instances have it from the list.
+    engine_id: Option<Name>,
+    told: Option<Status>,
+    told_at: Moment,
+}
+
+/// An entry instance that follows this engine.
+struct Listener {
+    heard: Moment,
+    tokens: u64,
+    requests: u32,
+}
+
+/// Runs a side process until it is told to stop.
+pub async fn run(kernel: Kernel, settings: Settings, engine: Engine) -> ExitCode {
+    log::info!(
+        event = "start", instance = &*settings.instance, zone = &*settings.zone;
+        "side process starts"
+    );
+    let socket = match mesh::open(settings.mesh).await {
+        Ok(socket) => socket,
+        Err(error) => {
+            log::error!(event = "start"; "{error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if let Err(error) = listen::serve_metrics(&kernel, settings.metrics).await {
+        log::error!(event = "start"; "{error}");
+        return ExitCode::FAILURE;
+    }
+    let side = Arc::new(Side {
+        start: kernel.clock.now(),
+        kernel: kernel.clone(),
+        engine,
+        socket,
+        state: Mutex::default(),
+        changed: Event::new(),
+    });
+    kernel.spawn_detached(listen_to_entries(Arc::clone(&side)));
+    kernel.spawn_detached(look_after_engine(side));
+    drain::termination().await;
+    log::info!(event = "stop"; "stopped");
+    log::logger().flush();
+    ExitCode::SUCCESS
+}
+
+impl Side {
+    fn now(&self) -> Moment {
+        self.kernel.clock.now().saturating_duration_since(self.start)
+    }
+}
+
+async fn listen_to_entries(side: Arc<Side>) {
+    loop {
+        if let Some((from, Message::Guide(guide))) = mesh::next(&side.socket).await {
+            note_guide(&side, from, guide);
+        }
+    }
+}
+
+fn note_guide(side: &Side, from: SocketAddr, guide: Guide) {
+    let now = side.now();
+    let is_wanted = !guide.wants.is_empty();
+    let mut state = side.state.lock();
+    let listener = Listener { heard: now, tokens: guide.tokens, requests: guide.requests };
+    let is_first = state.entries.insert(from, listener).is_none();
+    state.engine_id = guide.server.clone();
+    let wants = guide.wants.into_iter();
+    let report = Report {
+        model: guide.model,
+        places: guide.places,
+        in_flight: guide.in_flight,
+        used: guide.used,
+        wants: wants
+            .map(|(model, adapter, version)| Resident { model, adapter, version })
+            .collect(),
+    };
+    state.planner.report(now, from, report);
+    if is_first {
+        state.told = None;
+    }
+    drop(state);
+    if is_first || is_wanted {
+        side.changed.notify(usize::MAX);
+    }
+}
+
+async fn look_after_engine(side: Arc<Side>) {
+    let mut is_lost = false;
+    loop {
+        let changed = side.changed.listen();
+        let mut interval = IDLE_INTERVAL;
+        match (side.engine.look)().await {
+            Ok(holding) => {
+                if std::mem::take(&mut is_lost) {
+                    log::info!(event = "dependency_regained", dependency = "engine"; "the engine answers again");
+                }
+                tell(&side, &holding).await;
+                if act(&side, &holding).await {
+                    continue;
+                }
+                let is_wanted = side.state.lock().planner.is_wanted();
+                if is_wanted || holding.is_busy || !holding.pending.is_empty() {
+                    interval = BUSY_INTERVAL;
+                }
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut is_lost, true) {
+                    log::warn!(event = "dependency_lost", dependency = "engine"; "{error}");
+                }
+            }
+        }
+        if interval == BUSY_INTERVAL {
+            side.kernel.clock.sleep(interval).await;
+        } else {
+            let _sooner_or_later = side.kernel.clock.timeout(interval, changed).await;
+        }
+    }
+}
+
+/// Gives the engine its next order; tells whether there was one.
+async fn act(side: &Side, holding: &Holding) -> bool {
+    let (order, engine_id) = {
+        let mut state = side.state.lock();
+        let now = side.now();
+        (state.planner.next(now, holding), state.engine_id.clone())
+    };
+    let Some(order) = order else { return false };
+    let outcome = (side.engine.give)(&order, holding.orders, engine_id.as_deref()).await;
+    let orders = holding.orders;
+    match &outcome {
+        Ok(()) => {
+            log::info!(event = "order", order:? = order, orders; "the engine accepted an order");
+        }
+        Err(error) => {
+            log::warn!(event = "order", order:? = order, orders; "{error}");
+            side.state.lock().planner.unanswered(side.now());
+        }
+    }
+    metrics::counter!("chivelatch_orders_total", "kind" => kind(&order)).increment(1);
+    outcome.is_ok()
+}
+
+fn kind(order: &Order) -> &'static str {
+    match order {
+        Order::LoadModel { .. } => "load_model",
+        Order::Load { .. } => "load",
+        Order::Unload { .. } => "unload",
+    }
+}
+
+/// Tells entry instances what the engine holds.
+async fn tell(side: &Side, holding: &Holding) {
+    let Some((status, listeners)) = news(side, holding) else { return };
+    let message = Message::Status(status);
+    for listener in listeners {
+        mesh::send(&side.socket, listener, &message).await;
+    }
+}
+
+fn news(side: &Side, holding: &Holding) -> Option<(Status, Vec<SocketAddr>)> {
+    let now = side.now();
+    let mut state = side.state.lock();
+    state.entries.retain(|_, listener| now < listener.heard + ENTRY_SILENCE);
+    let pairs = |list: &[Resident]| {
+        list.iter().map(|resident| (resident.adapter.clone(), resident.version)).collect()
+    };
+    let held = Status {
+        born_ms: holding.born_ms,
+        orders: holding.orders,
+        models: holding.models.clone(),
+        adapters: pairs(&holding.adapters),
+        pending: pairs(&holding.pending),
+        work: Vec::new(),
+    };
+    let is_due = state.told_at + STATUS_INTERVAL <= now;
+    if !is_due && state.told.as_ref() == Some(&held) {
+        return None;
+    }
+    state.told = Some(held.clone());
+    state.told_at = now;
+    let work = state.entries.iter().filter(|(_, entry)| (entry.tokens, entry.requests) != (0, 0));
+    let work = work.map(|(address, entry)| (*address, entry.tokens, entry.requests)).collect();
+    let listeners = state.entries.keys().copied().collect();
+    Some((Status { work, ..held }, listeners))
+}
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -62,7 +62,7 @@
 
 /// Runs the quick start until SIGTERM or Ctrl-C.
 pub fn main(listen: SocketAddr) -> ExitCode {
-    kernel::logs::install(LevelFilter::MoreSevereEqual(Level::Warn));
+    kernel::logs::install_to(io::stderr(), LevelFilter::MoreSevereEqual(Level::Warn));
     kernel::monitor::install();
     let folder =
         std::env::temp_dir().join(format!("chivelatch-local-{:016x}", rand::random::<u64>()));
--- a/crates/operator/src/bin/chivelatch.rs
+++ b/crates/operator/src/bin/chivelatch.rs
@@ -48,7 +48,7 @@
             ExitCode::SUCCESS
         }
         Ok(settings) => {
-            kernel::logs::install(LevelFilter::MoreSevereEqual(Level::Error));
+            kernel::logs::install_to(io::stderr(), LevelFilter::MoreSevereEqual(Level::Error));
             kernel::run(THREADS, |kernel| work(kernel, settings, matches))
         }
         Err(error) => {
--- a/crates/scenario/src/process.rs
+++ b/crates/scenario/src/process.rs
@@ -39,7 +39,7 @@
             .arg("--settings")
             .arg(settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
         Ok(Process { child })
--- a/crates/services/src/http.rs
+++ b/crates/services/src/http.rs
@@ -12,7 +12,7 @@
 use kernel::{Kernel, clock::Timeout};
 
 /// Largest answer read as a whole, in bytes.
-const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+pub(crate) const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
 /// Why a service gave no usable answer.
 #[derive(Debug, Snafu)]
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod http;
 pub mod list;
 pub mod log;
+pub mod pool;
 
 use std::{future::Future, pin::Pin};
 
--- /dev/null
+++ b/crates/serving/src/residency.rs
@@ -0,0 +1,210 @@
+//! Which adapters one model engine holds: decided by the side process next to
+//! it, the only one that gives it orders.
+//!
+//! Entry instances say what their requests wait for and what they have in
+//! flight. An adapter in use is never dropped; among the others the least used
+//! one makes way. Uses fade, so that what was popular once does not stay.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use crate::{Moment, Name};
+
+/// Reports of entry instances older than this are forgotten.
+const REPORT_LIFETIME: Duration = Duration::from_secs(3);
+/// Wants older than this are forgotten; entry instances repeat theirs.
+const WANT_LIFETIME: Duration = Duration::from_millis(600);
+/// Time after its last use in which an adapter is not dropped: its requests may be on their way.
+const USE_GRACE: Duration = Duration::from_millis(150);
+/// Time in which half of an adapter's uses fade.
+const USE_HALF_LIFE: Duration = Duration::from_secs(8);
+/// Adapters that may be on their way to one engine.
+const MAX_PENDING: usize = 4;
+/// Time for which an order without an answer keeps further ones back.
+const UNANSWERED_PAUSE: Duration = Duration::from_millis(300);
+
+/// What the engine says that it holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Holding {
+    /// Start of the engine's process, in milliseconds since the Unix epoch.
+    pub born_ms: u64,
+    /// Orders that it accepted since.
+    pub orders: u64,
+    /// A base model is being loaded or dropped.
+    pub is_busy: bool,
+    pub models: Vec<Name>,
+    pub adapters: Vec<Resident>,
+    /// On their way.
+    pub pending: Vec<Resident>,
+}
+
+/// An adapter in a version.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Resident {
+    pub model: Name,
+    pub adapter: Name,
+    pub version: u64,
+}
+
+/// What one entry instance says.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Base model that the engine should hold.
+    pub model: Option<Name>,
+    /// Places for adapters.
+    pub places: usize,
+    /// Requests in flight by adapter.
+    pub in_flight: Vec<(Name, u32)>,
+    /// Adapters used since the report before.
+    pub used: Vec<Name>,
+    /// Adapters that requests wait for, in the oldest version that will do.
+    pub wants: Vec<Resident>,
+}
+
+/// What to tell the engine next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    LoadModel { model: Name },
+    Load { model: Name, adapter: Name },
+    Unload { model: Name, adapter: Name },
+}
+
+/// What a side process knows of its engine's users.
+#[derive(Clone, Debug, Default)]
+pub struct Planner {
+    reports: HashMap<SocketAddr, (Moment, Report)>,
+    wants: BTreeMap<Resident, Want>,
+    uses: HashMap<Name, Uses>,
+    paused_until: Moment,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Want {
+    since: Moment,
+    renewed: Moment,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Uses {
+    count: f64,
+    at: Moment,
+}
+
+impl Planner {
+    /// Takes an entry instance's report.
+    pub fn report(&mut self, now: Moment, from: SocketAddr, report: Report) {
+        for adapter in &report.used {
+            self.note_use(now, adapter);
+        }
+        for (adapter, _) in &report.in_flight {
+            self.uses.entry(adapter.clone()).or_insert(Uses { count: 1.0, at: now }).at = now;
+        }
+        for want in &report.wants {
+            let entry = self.wants.entry(want.clone());
+            entry.or_insert(Want { since: now, renewed: now }).renewed = now;
+        }
+        self.reports.insert(from, (now, report));
+    }
+
+    /// An order was not answered: it may still be carried out.
+    pub fn unanswered(&mut self, now: Moment) {
+        self.paused_until = now + UNANSWERED_PAUSE;
+    }
+
+    /// The next order for an engine that holds `holding`.
+    pub fn next(&mut self, now: Moment, holding: &Holding) -> Option<Order> {
+        self.reports.retain(|_, (at, _)| now < *at + REPORT_LIFETIME);
+        self.wants.retain(|_, want| now < want.renewed + WANT_LIFETIME);
+        if holding.is_busy || now < self.paused_until {
+            return None;
+        }
+        if let Some(model) = self.missing_model(holding) {
+            return Some(Order::LoadModel { model });
+        }
+        if MAX_PENDING <= holding.pending.len() {
+            return None;
+        }
+        let want = self.oldest_want(holding)?.clone();
+        let is_replacement =
+            holding.adapters.iter().any(|resident| resident.adapter == want.adapter);
+        let taken = holding.adapters.len() + holding.pending.len();
+        if is_replacement || taken < self.places() {
+            return Some(Order::Load { model: want.model, adapter: want.adapter });
+        }
+        let victim = self.victim(now, holding)?;
+        Some(Order::Unload { model: victim.model.clone(), adapter: victim.adapter.clone() })
+    }
+
+    /// Whether somebody waits for an adapter.
+    pub fn is_wanted(&self) -> bool {
+        !self.wants.is_empty()
+    }
+
+    /// Requests in flight of other entry instances than `except`.
+    pub fn in_flight(&self, adapter: &str) -> u32 {
+        let reports = self.reports.values().flat_map(|(_, report)| &report.in_flight);
+        reports.filter(|(name, _)| &**name == adapter).map(|(_, count)| count).sum()
+    }
+
+    fn missing_model(&self, holding: &Holding) -> Option<Name> {
+        let (_, report) = self.reports.values().max_by_key(|(at, _)| *at)?;
+        let model = report.model.as_ref()?;
+        holding.models.is_empty().then(|| model.clone())
+    }
+
+    fn places(&self) -> usize {
+        let newest = self.reports.values().max_by_key(|(at, _)| *at);
+        newest.map_or(0, |(_, report)| report.places)
+    }
+
+    fn oldest_want(&self, holding: &Holding) -> Option<&Resident> {
+        let open = self.wants.iter().filter(|(want, _)| {
+            let satisfies = |resident: &Resident| {
+                resident.model == want.model
+                    && resident.adapter == want.adapter
+                    && want.version <= resident.version
+            };
+            let is_held = holding.models.contains(&want.model);
+            is_held
+                && !holding.adapters.iter().any(satisfies)
+                && !holding.pending.iter().any(|pending| pending.adapter == want.adapter)
+        });
+        open.min_by_key(|(_, want)| want.since).map(|(want, _)| want)
+    }
+
+    fn victim<'a>(&self, now: Moment, holding: &'a Holding) -> Option<&'a Resident> {
+        let wanted = |name: &str| self.wants.keys().any(|want| &*want.adapter == name);
+        let idle = holding.adapters.iter().filter(|resident| {
+            self.in_flight(&resident.adapter) == 0
+                && !wanted(&resident.adapter)
+                && self.uses.get(&resident.adapter).is_none_or(|uses| uses.at + USE_GRACE < now)
+        });
+        idle.min_by(|a, b| self.value(now, &a.adapter).total_cmp(&self.value(now, &b.adapter)))
+    }
+
+    fn value(&self, now: Moment, adapter: &str) -> f64 {
+        self.uses.get(adapter).map_or(0.0, |uses| uses.faded(now))
+    }
+
+    fn note_use(&mut self, now: Moment, adapter: &Name) {
+        let uses = self.uses.entry(adapter.clone()).or_insert(Uses { count: 0.0, at: now });
+        *uses = Uses { count: uses.faded(now) + 1.0, at: now };
+        if 4 * MAX_TRACKED < self.uses.len() {
+            let faded = |uses: &Uses| 0.05 < uses.faded(now);
+            self.uses.retain(|_, uses| faded(uses));
+        }
+    }
+}
+
+/// Adapters whose uses are remembered before faded ones are dropped, a quarter of the bound.
+const MAX_TRACKED: usize = 256;
+
+impl Uses {
+    fn faded(&self, now: Moment) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        self.count * 0.5f64.powf(age / USE_HALF_LIFE.as_secs_f64())
+    }
+}
--- /dev/null
+++ b/crates/serving/src/selection.rs
@@ -0,0 +1,121 @@
+//! Which backend server runs a request.
+//!
+//! For model engines: the one that is expected to give the first event soonest,
+//! counting the prompts ahead, the server's learnt pace, and the load of an
+//! adapter that is not there. A load away from the adapter's home costs more,
+//! since it takes a place from another adapter, so copies spread only under load.
+//! For plain services: the one with the fewest requests in flight for its slots.
+
+use std::time::Duration;
+
+/// Prompt tokens that an engine reads in a millisecond.
+pub const PROMPT_TOKENS_PER_MS: f64 = 19.2;
+/// Usual time to the first event of an idle engine, beside reading the prompt, in milliseconds.
+const FIRST_EVENT_MS: f64 = 25.0;
+/// Cost of loading an adapter at one of its homes, in milliseconds.
+const HOME_LOAD_MS: f64 = 80.0;
+/// Cost of loading it elsewhere: it is fetched from the weight store and displaces another.
+const FOREIGN_LOAD_MS: f64 = 450.0;
+/// Cost of an adapter that is on its way, in milliseconds.
+const PENDING_LOAD_MS: f64 = 60.0;
+/// Cost of leaving the availability zone, in milliseconds.
+const CROSS_ZONE_MS: f64 = 3.0;
+/// Cost of a server that failed lately; it is the last resort.
+const SUSPECT_MS: f64 = 5000.0;
+/// Cost of a request beyond the slots, in milliseconds.
+const OVER_SLOTS_MS: f64 = 60.0;
+/// Cost of a request that decodes, in milliseconds: it slows each step a little.
+const DECODING_MS: f64 = 1.5;
+
+/// Where an adapter is, seen from one server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Adapter {
+    /// Loaded, in the version that is wanted; or none is asked for.
+    Present,
+    Pending,
+    /// Not there; the server is one of its homes.
+    Home,
+    /// Not there, and at home elsewhere.
+    Foreign,
+    /// Not there, and nobody to load it.
+    Unreachable,
+}
+
+/// A backend server that could run a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    pub adapter: Adapter,
+    /// Prompt tokens ahead.
+    pub tokens: u64,
+    /// Requests in flight.
+    pub requests: u32,
+    pub slots: u32,
+    pub pace: f64,
+    pub is_same_zone: bool,
+    /// Failed lately.
+    pub is_suspect: bool,
+}
+
+/// A choice with the time to the first event that it promises.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    pub index: usize,
+    pub expected: Duration,
+}
+
+/// The engine that is expected to answer first.
+pub fn engine(prompt_tokens: u64, candidates: &[Candidate]) -> Option<Choice> {
+    let usable = candidates.iter().enumerate();
+    let usable = usable.filter(|(_, candidate)| candidate.adapter != Adapter::Unreachable);
+    let rated = usable.map(|(index, candidate)| {
+        let wait = first_event_ms(prompt_tokens, candidate);
+        (index, wait, wait + placement_ms(candidate))
+    });
+    let (index, wait, _) = rated.min_by(|(_, _, a), (_, _, b)| a.total_cmp(b))?;
+    Some(Choice { index, expected: millis(wait) })
+}
+
+/// The plain server with the least work for its slots.
+pub fn plain(candidates: &[Candidate]) -> Option<usize> {
+    let rated = candidates.iter().enumerate().map(|(index, candidate)| {
+        let busy = f64::from(candidate.requests + 1) / f64::from(candidate.slots.max(1));
+        let over = f64::from(candidate.requests.saturating_sub(candidate.slots)) * OVER_SLOTS_MS;
+        let suspect = if candidate.is_suspect { SUSPECT_MS } else { 0.0 };
+        let zone = if candidate.is_same_zone { 0.0 } else { CROSS_ZONE_MS };
+        (index, busy * 100.0 * candidate.pace + over + suspect + zone)
+    });
+    rated.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(index, _)| index)
+}
+
+/// Usual time to the first event with `tokens` to read.
+pub fn usual(tokens: u64) -> Duration {
+    millis(tokens as f64 / PROMPT_TOKENS_PER_MS + FIRST_EVENT_MS)
+}
+
+fn first_event_ms(prompt_tokens: u64, candidate: &Candidate) -> f64 {
+    let read = (candidate.tokens + prompt_tokens) as f64 / PROMPT_TOKENS_PER_MS;
+    let decode = f64::from(candidate.requests) * DECODING_MS;
+    let over = f64::from((candidate.requests + 1).saturating_sub(candidate.slots)) * OVER_SLOTS_MS;
+    let load = match candidate.adapter {
+        Adapter::Present => 0.0,
+        Adapter::Pending => PENDING_LOAD_MS,
+        Adapter::Home => HOME_LOAD_MS,
+        Adapter::Foreign | Adapter::Unreachable => 250.0,
+    };
+    (read + FIRST_EVENT_MS + decode) * candidate.pace + over + load
+}
+
+/// What a choice costs others, in milliseconds.
+fn placement_ms(candidate: &Candidate) -> f64 {
+    let displaced = match candidate.adapter {
+        Adapter::Foreign => FOREIGN_LOAD_MS - 250.0,
+        _ => 0.0,
+    };
+    let suspect = if candidate.is_suspect { SUSPECT_MS } else { 0.0 };
+    let zone = if candidate.is_same_zone { 0.0 } else { CROSS_ZONE_MS };
+    displaced + suspect + zone
+}
+
+fn millis(value: f64) -> Duration {
+    Duration::from_secs_f64((value / 1000.0).max(0.0))
+}
