Pass on the first piece of a resumed stream; give each adapter one home

Ruled out: the splitter (the missing piece was whole).

Change: `ready` is looked at in each turn; one home an adapter; side processes say which adapters the engine held lately, and loading there counts as quick; refused requests of a client account over its rate are told to come back one after the other.

--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -47,6 +47,8 @@
     /// Adapters with their versions.
     pub adapters: Vec<(Name, u64)>,
     pub pending: Vec<(Name, u64)>,
+    /// Held before, and quick to load again.
+    pub recent: Vec<(Name, u64)>,
     /// Tokens and requests by entry instance.
     pub work: Vec<(SocketAddr, u64, u32)>,
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -90,12 +90,12 @@
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
-        if let Some(piece) = self.ready.take() {
-            self.passed_bytes += piece.len() as u64;
-            return Some(Ok(piece));
-        }
         loop {
-            match self.step().await {
+            let step = match self.ready.take() {
+                Some(piece) => Step::Pass(piece),
+                None => self.step().await,
+            };
+            match step {
                 Step::Pass(piece) => {
                     self.passed_bytes += piece.len() as u64;
                     return Some(Ok(piece));
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -31,8 +31,8 @@
 
 /// Largest plain answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
-/// Homes of an adapter.
-const HOMES: usize = 2;
+/// Homes of an adapter: one, so that the engines together remember the most of them.
+const HOMES: usize = 1;
 /// A side process that is silent for longer loads nothing.
 const SIDE_SILENCE: Duration = Duration::from_millis(1500);
 /// Time for which a caller is asked to wait while this instance knows no configuration.
@@ -349,7 +349,8 @@
                 entry.with_server(&listing.id, |server| {
                     let mut candidate = candidate(entry, listing, server, now);
                     candidate.adapter = residency(listing, server, model, version, now);
-                    if wanted == Some(&listing.id) && candidate.adapter == Adapter::Foreign {
+                    let is_missing = matches!(candidate.adapter, Adapter::Foreign | Adapter::Warm);
+                    if wanted == Some(&listing.id) && is_missing {
                         candidate.adapter = Adapter::Pending;
                     }
                     if candidate.adapter == Adapter::Foreign && is_home(&listing.id) {
@@ -404,7 +405,8 @@
         let request = self.onward(entry, server, left);
         log::info!(
             event = "sent", request = &*self.ask.id, server = &*server.id,
-            left_ms = left.as_millis() as u64, tokens_ahead, sends = self.sends;
+            left_ms = left.as_millis() as u64, tokens_ahead, sends = self.sends,
+            account = self.account(), units = self.charge.map_or(0, |(units, _)| units);
             "sent to a server"
         );
         self.sends += 1;
@@ -552,11 +554,18 @@
                 self.charge = Some((units, now));
                 Ok(())
             }
-            Err(wait) => Err(Rejection {
-                status: StatusCode::TOO_MANY_REQUESTS,
-                reason: "the client account's rate is used up",
-                retry_after: Some(wait),
-            }),
+            Err(wait) => {
+                log::info!(
+                    event = "over_rate", request = &*self.ask.id, account = &*account.name, units,
+                    rate = account.rate, burst = account.burst;
+                    "the client account's rate is used up"
+                );
+                Err(Rejection {
+                    status: StatusCode::TOO_MANY_REQUESTS,
+                    reason: "the client account's rate is used up",
+                    retry_after: Some(wait),
+                })
+            }
         }
     }
 
@@ -606,6 +615,10 @@
         service.is_some_and(|service| service.engine.is_some())
     }
 
+    fn account(&self) -> &str {
+        self.grant.account.as_ref().map_or("", |account| &account.name)
+    }
+
     fn urgency(&self) -> u8 {
         let of_account = self.grant.account.as_ref().and_then(|account| account.urgency);
         of_account.unwrap_or(self.grant.route.urgency)
@@ -766,7 +779,13 @@
     if *at + SIDE_SILENCE < now {
         return Adapter::Unreachable;
     }
-    if holds(&status.pending) { Adapter::Pending } else { Adapter::Foreign }
+    if holds(&status.pending) {
+        Adapter::Pending
+    } else if holds(&status.recent) {
+        Adapter::Warm
+    } else {
+        Adapter::Foreign
+    }
 }
 
 /// A success counts only with the server's signature and as it was made.
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -211,6 +211,7 @@
 fn news(side: &Side, holding: &Holding) -> Option<(Status, Vec<SocketAddr>)> {
     let now = side.now();
     let mut state = side.state.lock();
+    state.planner.observe(holding);
     state.entries.retain(|_, listener| now < listener.heard + ENTRY_SILENCE);
     let pairs = |list: &[Resident]| {
         list.iter().map(|resident| (resident.adapter.clone(), resident.version)).collect()
@@ -221,6 +222,7 @@
         models: holding.models.clone(),
         adapters: pairs(&holding.adapters),
         pending: pairs(&holding.pending),
+        recent: pairs(state.planner.recent()),
         work: Vec::new(),
     };
     let is_due = state.told_at + STATUS_INTERVAL <= now;
--- a/crates/serving/src/allowance.rs
+++ b/crates/serving/src/allowance.rs
@@ -19,6 +19,9 @@
 /// Part of the burst that a starting instance assumes unused.
 const START_LEVEL: f64 = 0.25;
 
+/// Promises that are remembered for one client account.
+const MAX_QUEUE: usize = 256;
+
 /// Units that an instance admitted since its start, by client account.
 pub type Totals = Vec<(Name, u64)>;
 
@@ -28,6 +31,13 @@
     buckets: HashMap<Name, Bucket>,
     admitted: HashMap<Name, u64>,
     peers: HashMap<SocketAddr, Peer>,
+    refused: HashMap<Name, Queue>,
+}
+
+/// Refused requests that were told to come back, with when and for how many units.
+#[derive(Debug, Default)]
+struct Queue {
+    due: Vec<(Moment, u64)>,
 }
 
 #[derive(Debug, Default)]
@@ -52,8 +62,13 @@
             Bucket::new(now, share, (share.capacity as f64 * START_LEVEL) as u64)
         });
         bucket.resize(now, share);
-        if bucket.level(now) < units.min(share.capacity) {
-            return Err(bucket.wait_for(now, units.min(share.capacity)));
+        let needed = units.min(share.capacity);
+        if bucket.level(now) < needed {
+            let queue = self.refused.entry(account.name.clone()).or_default();
+            let ahead = queue.ahead(now);
+            let wait = bucket.wait_for(now, needed + ahead);
+            queue.push(now + wait, units);
+            return Err(wait);
         }
         bucket.charge(now, units);
         *self.admitted.entry(account.name.clone()).or_default() += units;
@@ -111,3 +126,17 @@
         Share { rate: part(account.rate).max(1), capacity: part(account.burst).max(1) }
     }
 }
+
+impl Queue {
+    /// Units that were promised and are not due yet.
+    fn ahead(&mut self, now: Moment) -> u64 {
+        self.due.retain(|(due, _)| now < *due);
+        self.due.iter().map(|(_, units)| units).sum()
+    }
+
+    fn push(&mut self, due: Moment, units: u64) {
+        if self.due.len() < MAX_QUEUE {
+            self.due.push((due, units));
+        }
+    }
+}
--- a/crates/serving/src/residency.rs
+++ b/crates/serving/src/residency.rs
@@ -23,6 +23,8 @@
 const USE_HALF_LIFE: Duration = Duration::from_secs(8);
 /// Adapters that may be on their way to one engine.
 const MAX_PENDING: usize = 4;
+/// Adapters that an engine is taken to load again quickly, beside those that it holds.
+const RECENT: usize = 30;
 /// Time for which an order without an answer keeps further ones back.
 const UNANSWERED_PAUSE: Duration = Duration::from_millis(300);
 
@@ -78,6 +80,9 @@
     reports: HashMap<SocketAddr, (Moment, Report)>,
     wants: BTreeMap<Resident, Want>,
     uses: HashMap<Name, Uses>,
+    /// Adapters that the engine held, the last one at the end.
+    recent: Vec<Resident>,
+    born_ms: u64,
     paused_until: Moment,
 }
 
@@ -138,6 +143,25 @@
         Some(Order::Unload { model: victim.model.clone(), adapter: victim.adapter.clone() })
     }
 
+    /// Notes what the engine holds.
+    pub fn observe(&mut self, holding: &Holding) {
+        if self.born_ms != holding.born_ms {
+            self.born_ms = holding.born_ms;
+            self.recent.clear();
+        }
+        for resident in &holding.adapters {
+            self.recent.retain(|known| known != resident);
+            self.recent.push(resident.clone());
+        }
+        let surplus = self.recent.len().saturating_sub(RECENT);
+        self.recent.drain(..surplus);
+    }
+
+    /// Adapters that the engine held lately and loads again quickly.
+    pub fn recent(&self) -> &[Resident] {
+        &self.recent
+    }
+
     /// Whether somebody waits for an adapter.
     pub fn is_wanted(&self) -> bool {
         !self.wants.is_empty()
--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -12,10 +12,13 @@
 pub const PROMPT_TOKENS_PER_MS: f64 = 19.2;
 /// Usual time to the first event of an idle engine, beside reading the prompt, in milliseconds.
 const FIRST_EVENT_MS: f64 = 25.0;
-/// Cost of loading an adapter at one of its homes, in milliseconds.
-const HOME_LOAD_MS: f64 = 80.0;
-/// Cost of loading it elsewhere: it is fetched from the weight store and displaces another.
-const FOREIGN_LOAD_MS: f64 = 450.0;
+/// Time to load an adapter that the server held lately, in milliseconds.
+const WARM_LOAD_MS: f64 = 40.0;
+/// Time to load an adapter from the weight store, in milliseconds.
+const COLD_LOAD_MS: f64 = 270.0;
+/// What loading an adapter away from its home costs others, in milliseconds: it takes a
+/// turn of the weight store and displaces an adapter that is at home.
+const FOREIGN_MS: f64 = 500.0;
 /// Cost of an adapter that is on its way, in milliseconds.
 const PENDING_LOAD_MS: f64 = 60.0;
 /// Cost of leaving the availability zone, in milliseconds.
@@ -33,7 +36,9 @@
     /// Loaded, in the version that is wanted; or none is asked for.
     Present,
     Pending,
-    /// Not there; the server is one of its homes.
+    /// Not there, but held lately.
+    Warm,
+    /// Not there; the server is its home.
     Home,
     /// Not there, and at home elsewhere.
     Foreign,
@@ -99,8 +104,8 @@
     let load = match candidate.adapter {
         Adapter::Present => 0.0,
         Adapter::Pending => PENDING_LOAD_MS,
-        Adapter::Home => HOME_LOAD_MS,
-        Adapter::Foreign | Adapter::Unreachable => 250.0,
+        Adapter::Warm => WARM_LOAD_MS,
+        Adapter::Home | Adapter::Foreign | Adapter::Unreachable => COLD_LOAD_MS,
     };
     (read + FIRST_EVENT_MS + decode) * candidate.pace + over + load
 }
@@ -108,7 +113,7 @@
 /// What a choice costs others, in milliseconds.
 fn placement_ms(candidate: &Candidate) -> f64 {
     let displaced = match candidate.adapter {
-        Adapter::Foreign => FOREIGN_LOAD_MS - 250.0,
+        Adapter::Foreign => FOREIGN_MS,
         _ => 0.0,
     };
     let suspect = if candidate.is_suspect { SUSPECT_MS } else { 0.0 };
