Reset what is given up; take over levels of client accounts at a start

Change: connections to servers are reset when dropped; statements carry the age of their instance, so that a younger one's use counts in full, and a starting instance takes its peers' lower level; buckets exist from the manifest on.

Tests of the decisions over a seeded fleet, below the network.

--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -154,7 +154,7 @@
     let now = entry.now();
     let peer = Peer { heard: Some(now), positions: gossip.positions, revision: gossip.revision };
     entry.peers.lock().hear(from, peer);
-    entry.ledger.lock().report(now, from, gossip.incarnation, &gossip.totals);
+    entry.ledger.lock().report(now, from, &gossip.statement);
 }
 
 /// Tells side processes what their engines should hold.
@@ -223,8 +223,13 @@
             let revision = knowledge.manifest.as_ref().map_or(0, |manifest| manifest.revision);
             (knowledge.positions, revision)
         });
-        let totals = entry.ledger.lock().totals();
-        let gossip = Gossip { incarnation: entry.incarnation, positions, revision, totals };
+        let statement = {
+            let (now, manifest) = (entry.now(), entry.manifest());
+            let mut ledger = entry.ledger.lock();
+            ledger.prepare(now, manifest.iter().flat_map(|manifest| &manifest.accounts));
+            ledger.statement(now, entry.incarnation)
+        };
+        let gossip = Gossip { positions, revision, statement };
         let message = Message::Gossip(gossip);
         let due = entry.peers.lock().due(entry.now(), round);
         for peer in due {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use serving::{Name, allowance::Totals, knowledge::Positions};
+use serving::{Name, allowance::Statement, knowledge::Positions};
 
 /// Largest datagram that is sent, in bytes.
 pub const MAX_BYTES: usize = 8 * 1024;
@@ -56,8 +56,7 @@
 /// What an entry instance tells its peers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Gossip {
-    pub incarnation: u64,
     pub positions: Positions,
     pub revision: u64,
-    pub totals: Totals,
+    pub statement: Statement,
 }
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -63,6 +63,11 @@
         self.remembered_from = now;
     }
 
+    /// The limits in force.
+    pub fn share(&self) -> Share {
+        self.share
+    }
+
     /// Whole tokens in the bucket.
     pub fn level(&mut self, now: Moment) -> u64 {
         self.advance(now);
--- a/crates/services/src/pool.rs
+++ b/crates/services/src/pool.rs
@@ -196,6 +196,9 @@
 fn prepare(stream: &TcpStream) -> io::Result<()> {
     let socket = SockRef::from(stream);
     socket.set_tcp_nodelay(true)?;
+    // A connection that is given up is reset: a request that still waits behind a broken link
+    // must not be delivered after its caller has left.
+    socket.set_linger(Some(Duration::ZERO))?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
     let probes = TcpKeepalive::new().with_time(PROBE_INTERVAL).with_interval(PROBE_INTERVAL);
     socket.set_tcp_keepalive(&probes.with_retries(2))
--- a/crates/serving/src/allowance.rs
+++ b/crates/serving/src/allowance.rs
@@ -4,9 +4,13 @@
 //! client account, charges its own requests at once and those of its peers when
 //! they report them. Peers report running totals, so a lost report costs nothing.
 //! For a peer that fell silent its part of the rate is set aside, because it may
-//! go on serving where nobody hears it.
+//! go on serving where nobody hears it. An instance that starts knows nothing of
+//! what was used before: it assumes little, and takes the lowest level that its
+//! peers report.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
 
 use quota::{bucket::Bucket, share::Share};
 
@@ -17,13 +21,32 @@
 /// Silence after which a peer is taken for gone.
 const GONE: Duration = Duration::from_secs(20);
 /// Part of the burst that a starting instance assumes unused.
-const START_LEVEL: f64 = 0.25;
+const START_LEVEL: f64 = 0.1;
+/// Time after its start in which an instance takes over the levels of its peers.
+const START_SPAN: Duration = Duration::from_secs(1);
 
 /// Promises that are remembered for one client account.
 const MAX_QUEUE: usize = 256;
 
-/// Units that an instance admitted since its start, by client account.
-pub type Totals = Vec<(Name, u64)>;
+/// What an instance tells its peers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Statement {
+    /// Drawn anew at each start.
+    pub incarnation: u64,
+    /// Time since the start.
+    pub age: Duration,
+    pub usage: Vec<Usage>,
+}
+
+/// What one client account used at an instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    pub account: Name,
+    /// Units admitted since the instance started.
+    pub admitted: u64,
+    /// Units that the instance takes to be left over the whole fleet.
+    pub level: u64,
+}
 
 /// Buckets of all client accounts.
 #[derive(Debug, Default)]
@@ -57,22 +80,18 @@
         if account.rate == 0 {
             return Ok(());
         }
-        let share = self.share(now, account);
-        let bucket = self.buckets.entry(account.name.clone()).or_insert_with(|| {
-            Bucket::new(now, share, (share.capacity as f64 * START_LEVEL) as u64)
-        });
-        bucket.resize(now, share);
+        let bucket = self.bucket(now, account);
+        let share = bucket.share();
         let needed = units.min(share.capacity);
-        if bucket.level(now) < needed {
-            let queue = self.refused.entry(account.name.clone()).or_default();
-            let ahead = queue.ahead(now);
-            let wait = bucket.wait_for(now, needed + ahead);
-            queue.push(now + wait, units);
-            return Err(wait);
+        if needed <= bucket.level(now) {
+            bucket.charge(now, units);
+            *self.admitted.entry(account.name.clone()).or_default() += units;
+            return Ok(());
         }
-        bucket.charge(now, units);
-        *self.admitted.entry(account.name.clone()).or_default() += units;
-        Ok(())
+        let ahead = self.refused.entry(account.name.clone()).or_default().ahead(now);
+        let wait = self.bucket(now, account).wait_for(now, needed + ahead);
+        self.refused.entry(account.name.clone()).or_default().push(now + wait, units);
+        Err(wait)
     }
 
     /// Gives back what a request was charged at `taken_at` that did not run.
@@ -88,27 +107,38 @@
         }
     }
 
-    /// Own totals, for peers.
-    pub fn totals(&self) -> Totals {
-        self.admitted.iter().map(|(name, units)| (name.clone(), *units)).collect()
+    /// What peers should know.
+    pub fn statement(&mut self, now: Moment, incarnation: u64) -> Statement {
+        let admitted = &self.admitted;
+        let usage = self.buckets.iter_mut().map(|(account, bucket)| Usage {
+            account: account.clone(),
+            admitted: admitted.get(account).copied().unwrap_or(0),
+            level: bucket.level(now),
+        });
+        Statement { incarnation, age: now, usage: usage.collect() }
     }
 
-    /// Takes a peer's totals.
-    pub fn report(&mut self, now: Moment, from: SocketAddr, incarnation: u64, totals: &Totals) {
+    /// Takes a peer's statement.
+    pub fn report(&mut self, now: Moment, from: SocketAddr, statement: &Statement) {
         let peer = self.peers.entry(from).or_default();
-        let is_first = peer.incarnation != incarnation;
+        let is_first = peer.incarnation != statement.incarnation;
         if is_first {
-            peer.incarnation = incarnation;
+            peer.incarnation = statement.incarnation;
             peer.totals.clear();
         }
         peer.heard = now;
-        for (name, total) in totals {
-            let known = peer.totals.insert(name.clone(), *total);
-            // What a peer used before it was first heard has flowed back, or was charged
-            // through its earlier reports.
-            let used = total.saturating_sub(known.unwrap_or(if is_first { *total } else { 0 }));
-            if let Some(bucket) = self.buckets.get_mut(name) {
-                bucket.charge(now, used);
+        // What an older peer admitted before this instance started is in its level; what a
+        // younger one admitted is all news.
+        let is_older = now < statement.age;
+        for usage in &statement.usage {
+            let known = peer.totals.insert(usage.account.clone(), usage.admitted);
+            let before = if is_first && is_older { usage.admitted } else { 0 };
+            let used = usage.admitted.saturating_sub(known.unwrap_or(before));
+            let Some(bucket) = self.buckets.get_mut(&usage.account) else { continue };
+            bucket.charge(now, used);
+            if is_older && now < START_SPAN {
+                let surplus = bucket.level(now).saturating_sub(usage.level);
+                bucket.take(now, surplus);
             }
         }
     }
@@ -118,6 +148,26 @@
         1 + self.peers.values().filter(|peer| now < peer.heard + GONE).count()
     }
 
+    /// Begins to count for accounts that are new here, so that their buckets fill.
+    pub fn prepare<'a>(
+        &mut self,
+        now: Moment,
+        accounts: impl IntoIterator<Item = &'a Arc<Account>>,
+    ) {
+        for account in accounts.into_iter().filter(|account| account.rate != 0) {
+            self.bucket(now, account);
+        }
+    }
+
+    fn bucket(&mut self, now: Moment, account: &Account) -> &mut Bucket {
+        let share = self.share(now, account);
+        let bucket = self.buckets.entry(account.name.clone()).or_insert_with(|| {
+            Bucket::new(now, share, (share.capacity as f64 * START_LEVEL) as u64)
+        });
+        bucket.resize(now, share);
+        bucket
+    }
+
     fn share(&self, now: Moment, account: &Account) -> Share {
         let known = self.peers.values().filter(|peer| now < peer.heard + GONE);
         let silent = known.filter(|peer| peer.heard + SILENCE < now).count() as u64;
--- /dev/null
+++ b/crates/serving/tests/directory.rs
@@ -0,0 +1,116 @@
+//! Backend servers through leaving, silence, restarts and outages of the store.
+//!
+//! Answers the pattern "the store is away while servers leave and others live on".
+
+use std::{collections::HashSet, sync::Arc, time::Duration};
+
+use serving::{
+    Name,
+    directory::{Directory, Effect, Listing, Phase, RETURN_GRACE},
+};
+
+fn listing(id: &str, born_ms: u64, phase: Phase) -> Listing {
+    Listing {
+        id: Arc::from(id),
+        service: Arc::from("models"),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        zone: Arc::from("a"),
+        slots: 4,
+        phase,
+        born_ms,
+        models: Vec::new(),
+    }
+}
+
+fn name(id: &str) -> Name {
+    Arc::from(id)
+}
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn with_one_server() -> Directory {
+    let mut directory = Directory::default();
+    directory.put(listing("s1", 1, Phase::Ready));
+    directory
+}
+
+#[test]
+fn a_removed_server_is_gone_at_once() {
+    let mut directory = with_one_server();
+
+    let effect = directory.remove(seconds(10), &name("s1"));
+
+    assert_eq!(effect, Effect::Removed);
+    assert!(directory.is_empty());
+}
+
+#[test]
+fn a_server_that_lapsed_during_an_outage_is_kept_until_the_grace_ends() {
+    let mut directory = with_one_server();
+    directory.store_returned(seconds(10));
+
+    let effect = directory.remove(seconds(11), &name("s1"));
+
+    assert_eq!(effect, Effect::Lapsed);
+    assert!(directory.expire(seconds(12)).is_empty());
+    assert_eq!(directory.expire(seconds(10) + RETURN_GRACE), [name("s1")]);
+    assert!(directory.is_empty());
+}
+
+#[test]
+fn a_server_that_registers_again_stays() {
+    let mut directory = with_one_server();
+    directory.store_returned(seconds(10));
+    directory.remove(seconds(10), &name("s1"));
+
+    directory.put(listing("s1", 1, Phase::Ready));
+
+    assert!(directory.expire(seconds(60)).is_empty());
+    assert!(directory.get("s1").is_some());
+}
+
+#[test]
+fn a_leaving_server_gets_no_grace() {
+    let mut directory = with_one_server();
+    directory.put(listing("s1", 1, Phase::Leaving));
+    directory.store_returned(seconds(10));
+
+    let effect = directory.remove(seconds(10), &name("s1"));
+
+    assert_eq!(effect, Effect::Removed);
+}
+
+#[test]
+fn a_late_heartbeat_does_not_take_back_that_a_server_leaves() {
+    let mut directory = with_one_server();
+    directory.put(listing("s1", 1, Phase::Leaving));
+
+    let effect = directory.put(listing("s1", 1, Phase::Ready));
+
+    assert_eq!(effect, Effect::Stale);
+    assert_eq!(directory.get("s1").unwrap().phase, Phase::Leaving);
+}
+
+#[test]
+fn a_server_that_started_again_under_its_name_is_ready() {
+    let mut directory = with_one_server();
+    directory.put(listing("s1", 1, Phase::Leaving));
+
+    let effect = directory.put(listing("s1", 2, Phase::Ready));
+
+    assert_eq!(effect, Effect::Changed);
+    assert_eq!(directory.put(listing("s1", 1, Phase::Ready)), Effect::Stale);
+}
+
+#[test]
+fn a_complete_reading_takes_away_what_it_does_not_show() {
+    let mut directory = with_one_server();
+    directory.put(listing("s2", 1, Phase::Ready));
+
+    let gone = directory.retain(seconds(10), &HashSet::from([name("s2")]));
+
+    assert_eq!(gone, [(name("s1"), Effect::Removed)]);
+    assert!(directory.get("s2").is_some());
+}
--- /dev/null
+++ b/crates/serving/tests/manifest.rs
@@ -0,0 +1,89 @@
+//! Routes, keys and the budget of repeats.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use serving::{
+    manifest::{Account, Denial, Manifest, Repetition, Route},
+    retry::{Budget, Terms},
+};
+
+const TERMS: Terms = Terms { ratio: 0.2, extra: 54.0, window: Duration::from_secs(10) };
+
+fn route(prefix: &str, is_public: bool) -> Arc<Route> {
+    Arc::new(Route {
+        name: Arc::from(prefix),
+        host: Arc::from("portal.example"),
+        prefix: Arc::from(prefix),
+        repetition: Repetition::Idempotent,
+        timeout: None,
+        objective: Duration::from_secs(1),
+        pause: None,
+        urgency: 2,
+        targets: [(Arc::from("old"), 90), (Arc::from("new"), 10)].into_iter().collect(),
+        attempts: 2,
+        is_public,
+    })
+}
+
+fn manifest() -> Manifest {
+    Manifest {
+        routes: vec![route("/a/", false), route("/a/b/", true)],
+        accounts: vec![Arc::new(Account { name: Arc::from("council"), ..Account::default() })],
+        keys: HashMap::from([(Arc::from("key"), 0)]),
+        ..Manifest::default()
+    }
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let manifest = manifest();
+
+    let route = |path| manifest.route("portal.example", path).map(|route| &*route.prefix);
+
+    assert_eq!(route("/a/b/c"), Some("/a/b/"));
+    assert_eq!(route("/a/x"), Some("/a/"));
+    assert_eq!(route("/other"), None);
+    assert!(manifest.route("Portal.Example:80", "/a/x").is_some());
+    assert!(manifest.route("elsewhere.example", "/a/x").is_none());
+}
+
+#[test]
+fn a_key_is_wanted_unless_the_route_is_public() {
+    let manifest = manifest();
+
+    let grant = |path, key| manifest.grant("portal.example", path, key);
+
+    assert_eq!(&*grant("/a/x", Some("key")).unwrap().account.unwrap().name, "council");
+    assert_eq!(grant("/a/x", Some("withdrawn")).unwrap_err(), Denial::UnknownKey);
+    assert_eq!(grant("/a/x", None).unwrap_err(), Denial::UnknownKey);
+    assert_eq!(grant("/none", Some("key")).unwrap_err(), Denial::UnknownRoute);
+    assert!(grant("/a/b/x", None).unwrap().account.is_none());
+}
+
+#[test]
+fn requests_are_spread_by_weight() {
+    let route = route("/a/", false);
+
+    let to_new = (0..1000).filter(|draw| route.target(*draw).is_some_and(|name| &**name == "new"));
+
+    assert_eq!(to_new.count(), 100);
+}
+
+#[test]
+fn all_instances_together_stay_within_the_budget_of_repeats() {
+    const INSTANCES: usize = 4;
+    let mut budgets = vec![Budget::default(); INSTANCES];
+    let mut repeats = 0;
+    for step in 0..1000u64 {
+        let now = Duration::from_millis(step * 10);
+        let budget = &mut budgets[step as usize % INSTANCES];
+        budget.request(now, &TERMS);
+        // Every request is repeated as often as the budget allows.
+        while budget.take(now, &TERMS, INSTANCES) {
+            repeats += 1;
+        }
+    }
+
+    assert!(f64::from(repeats) <= 1000.0 * TERMS.ratio + TERMS.extra, "{repeats}");
+    assert!(100 < repeats, "{repeats}");
+}
--- /dev/null
+++ b/crates/serving/tests/residency.rs
@@ -0,0 +1,166 @@
+//! What a model engine is ordered to hold.
+//!
+//! Answers the patterns "rare adapters are asked for at once" and "the engine
+//! leaves orders unanswered".
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use rand::RngExt as _;
+
+use serving::{
+    Name,
+    residency::{Holding, Order, Planner, Report, Resident},
+};
+
+const PLACES: usize = 6;
+
+fn resident(adapter: &str, version: u64) -> Resident {
+    Resident { model: Arc::from("base"), adapter: Arc::from(adapter), version }
+}
+
+fn holding(adapters: &[&str]) -> Holding {
+    Holding {
+        models: vec![Arc::from("base")],
+        adapters: adapters.iter().map(|adapter| resident(adapter, 1)).collect(),
+        ..Holding::default()
+    }
+}
+
+fn report(wants: &[&str], in_flight: &[&str]) -> Report {
+    Report {
+        model: Some(Arc::from("base")),
+        places: PLACES,
+        in_flight: in_flight.iter().map(|adapter| (Name::from(*adapter), 1)).collect(),
+        used: Vec::new(),
+        wants: wants.iter().map(|adapter| resident(adapter, 1)).collect(),
+    }
+}
+
+fn entry(index: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, index], 7600))
+}
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn load(adapter: &str) -> Option<Order> {
+    Some(Order::Load { model: Arc::from("base"), adapter: Arc::from(adapter) })
+}
+
+#[test]
+fn an_engine_without_its_model_loads_it_first() {
+    let mut planner = Planner::default();
+    planner.report(millis(0), entry(1), report(&["a1"], &[]));
+
+    let order = planner.next(millis(1), &Holding::default());
+
+    assert_eq!(order, Some(Order::LoadModel { model: Arc::from("base") }));
+}
+
+#[test]
+fn a_wanted_adapter_is_loaded_into_a_free_place() {
+    let mut planner = Planner::default();
+    planner.report(millis(0), entry(1), report(&["a7"], &[]));
+
+    let order = planner.next(millis(1), &holding(&["a1", "a2"]));
+
+    assert_eq!(order, load("a7"));
+}
+
+#[test]
+fn an_adapter_in_use_at_any_entry_is_not_dropped() {
+    let mut planner = Planner::default();
+    let held = ["a1", "a2", "a3", "a4", "a5", "a6"];
+    planner.report(millis(0), entry(1), report(&["a7"], &["a1", "a2", "a3"]));
+    planner.report(millis(0), entry(2), report(&[], &["a4", "a6"]));
+
+    let order = planner.next(millis(500), &holding(&held));
+
+    let model = Arc::from("base");
+    assert_eq!(order, Some(Order::Unload { model, adapter: Arc::from("a5") }));
+}
+
+#[test]
+fn nothing_is_dropped_while_all_are_in_use() {
+    let mut planner = Planner::default();
+    let held = ["a1", "a2", "a3", "a4", "a5", "a6"];
+    planner.report(millis(0), entry(1), report(&["a7"], &held));
+
+    assert_eq!(planner.next(millis(500), &holding(&held)), None);
+}
+
+#[test]
+fn a_newer_version_replaces_the_adapter_in_its_place() {
+    let mut planner = Planner::default();
+    let held = ["a1", "a2", "a3", "a4", "a5", "a6"];
+    let mut newer = report(&[], &held);
+    newer.wants = vec![resident("a3", 2)];
+    planner.report(millis(0), entry(1), newer);
+
+    assert_eq!(planner.next(millis(1), &holding(&held)), load("a3"));
+}
+
+#[test]
+fn after_an_order_without_an_answer_the_next_one_waits() {
+    let mut planner = Planner::default();
+    planner.report(millis(0), entry(1), report(&["a7"], &[]));
+
+    planner.unanswered(millis(0));
+
+    assert_eq!(planner.next(millis(100), &holding(&[])), None);
+    assert_eq!(planner.next(millis(400), &holding(&[])), load("a7"));
+}
+
+#[test]
+fn a_want_that_nobody_renews_is_forgotten() {
+    let mut planner = Planner::default();
+    planner.report(millis(0), entry(1), report(&["a7"], &[]));
+
+    assert_eq!(planner.next(millis(2000), &holding(&[])), None);
+}
+
+#[test]
+fn the_places_are_never_exceeded_and_uses_never_lost() {
+    seeds::run(200, |random| {
+        let mut planner = Planner::default();
+        let mut held = Holding { models: vec![Arc::from("base")], ..Holding::default() };
+        for step in 0..400 {
+            let now = millis(step * 20);
+            let names: Vec<String> = (0..20).map(|number| format!("a{number}")).collect();
+            let draw = |random: &mut seeds::Random| &*names[random.random_range(0..20)];
+            let wanted = [draw(random), draw(random)];
+            let used = held.adapters.first().map(|resident| resident.adapter.clone());
+            let used: Vec<&str> = used.iter().map(|adapter| &**adapter).collect();
+            planner.report(now, entry(random.random_range(1..4)), report(&wanted, &used));
+            planner.observe(&held);
+
+            match planner.next(now, &held) {
+                Some(Order::Load { adapter, .. }) => {
+                    held.pending.push(resident(&adapter, 1));
+                }
+                Some(Order::Unload { adapter, .. }) => {
+                    assert!(!used.contains(&&*adapter), "an adapter in use is dropped");
+                    held.adapters.retain(|resident| resident.adapter != adapter);
+                }
+                Some(Order::LoadModel { .. }) | None => {}
+            }
+            if random.random_bool(0.5) {
+                held.adapters.append(&mut held.pending);
+            }
+            assert!(held.adapters.len() + held.pending.len() <= PLACES);
+        }
+    });
+}
+
+#[test]
+fn what_an_engine_held_lately_is_forgotten_with_its_process() {
+    let mut planner = Planner::default();
+    planner.observe(&holding(&["a1", "a2"]));
+    planner.observe(&holding(&["a3"]));
+    let before = planner.recent().len();
+
+    planner.observe(&Holding { born_ms: 7, ..holding(&["a4"]) });
+
+    assert_eq!((before, planner.recent()), (3, &[resident("a4", 1)][..]));
+}
--- /dev/null
+++ b/crates/serving/tests/selection.rs
@@ -0,0 +1,131 @@
+//! Where requests go, and when they are refused.
+//!
+//! Answers the patterns "many users come at once", "a server is slow" and "rare
+//! adapters are asked for at once".
+
+use std::{sync::Arc, time::Duration};
+
+use serving::{
+    backlog::{Backlog, Report},
+    manifest::{Repetition, Route},
+    rejection,
+    selection::{self, Adapter, Candidate},
+};
+
+const IDLE: Candidate = Candidate {
+    adapter: Adapter::Present,
+    tokens: 0,
+    requests: 0,
+    slots: 64,
+    pace: 1.0,
+    is_same_zone: true,
+    is_suspect: false,
+};
+
+fn chosen(candidates: &[Candidate]) -> usize {
+    selection::engine(1800, candidates).expect("there is a usable candidate").index
+}
+
+fn route(urgency: u8) -> Route {
+    Route {
+        name: Arc::from("route"),
+        host: Arc::from("host"),
+        prefix: Arc::from("/a/"),
+        repetition: Repetition::Stream,
+        timeout: Some(Duration::from_secs(5)),
+        objective: Duration::from_secs(1),
+        pause: Some(Duration::from_millis(400)),
+        urgency,
+        targets: [(Arc::from("models"), 1)].into_iter().collect(),
+        attempts: 1,
+        is_public: false,
+    }
+}
+
+#[test]
+fn a_loaded_adapter_is_preferred_to_a_cold_home() {
+    let home = Candidate { adapter: Adapter::Home, ..IDLE };
+
+    assert_eq!(chosen(&[home, IDLE]), 1);
+}
+
+#[test]
+fn a_rare_adapter_goes_to_its_home_rather_than_elsewhere() {
+    let foreign = Candidate { adapter: Adapter::Foreign, ..IDLE };
+    let home = Candidate { adapter: Adapter::Home, tokens: 4000, ..IDLE };
+
+    assert_eq!(chosen(&[foreign, home]), 1);
+}
+
+#[test]
+fn a_busy_server_gives_way_to_a_copy_elsewhere() {
+    let busy = Candidate { tokens: 30_000, ..IDLE };
+    let foreign = Candidate { adapter: Adapter::Foreign, ..IDLE };
+
+    assert_eq!(chosen(&[busy, foreign]), 1);
+}
+
+#[test]
+fn a_slow_server_is_avoided_once_its_answers_show_it() {
+    let mut backlog = Backlog::default();
+    let now = Duration::from_secs(1);
+    for _ in 0..5 {
+        backlog.observe(now, Duration::from_millis(100), Duration::from_millis(500));
+    }
+    let slow = Candidate { pace: backlog.pace(now), ..IDLE };
+    let zone_away = Candidate { is_same_zone: false, ..IDLE };
+
+    assert!(2.0 < slow.pace);
+    assert_eq!(chosen(&[slow, zone_away]), 1);
+    assert!(backlog.pace(now + Duration::from_secs(20)) < 1.2, "it is tried again");
+}
+
+#[test]
+fn a_server_that_failed_lately_is_the_last_resort() {
+    let suspect = Candidate { is_suspect: true, ..IDLE };
+    let busy = Candidate { tokens: 20_000, ..IDLE };
+
+    assert_eq!(chosen(&[suspect, busy]), 1);
+    assert_eq!(chosen(&[suspect]), 0);
+}
+
+#[test]
+fn plain_requests_go_where_fewest_are_for_the_slots() {
+    let small = Candidate { requests: 3, slots: 4, ..IDLE };
+    let large = Candidate { requests: 4, slots: 16, ..IDLE };
+
+    assert_eq!(selection::plain(&[small, large]), Some(1));
+}
+
+#[test]
+fn work_that_other_entries_report_counts_until_it_is_old() {
+    let mut backlog = Backlog::default();
+    let peer = "127.0.0.1:7600".parse().unwrap();
+    let now = Duration::from_secs(1);
+    backlog.begin(100);
+
+    backlog.report(peer, Report { tokens: 5000, requests: 2, at: now });
+
+    assert_eq!((backlog.tokens(now), backlog.requests(now)), (5100, 3));
+    assert_eq!(backlog.tokens(now + Duration::from_secs(5)), 100);
+}
+
+#[test]
+fn less_urgent_requests_give_way_earlier() {
+    let left = Duration::from_secs(5);
+
+    let limits = [0, 1, 2].map(|urgency| rejection::limit(&route(urgency), urgency, left));
+
+    assert!(limits.is_sorted_by(|a, b| b < a), "{limits:?}");
+    assert!(route(2).objective <= limits[2]);
+}
+
+#[test]
+fn a_refused_caller_comes_back_when_there_is_room() {
+    let limit = Duration::from_secs(1);
+
+    let soon = rejection::retry_after(Duration::from_millis(1100), limit);
+    let later = rejection::retry_after(Duration::from_millis(4000), limit);
+
+    assert!(soon < later && Duration::from_secs(3) <= later);
+}
