--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -31,8 +31,9 @@
 use crate::{
     follow, listen, mesh,
     mesh::Peers,
-    ports::{Dialect, Model, Settings, Store},
-    roster::{Roster, Server},
+    ports::{Dialect, Model, Reloader, Settings, Store, Tunable},
+    reload,
+    roster::{Roster, Server, Sighting},
 };
 
 /// Time after a stop signal in which new connections are still served: the
@@ -59,12 +60,15 @@
     /// Notified when a side process should hear from this instance at once.
     pub guidance: Event,
     pub servers: shard::Map<Name, Server>,
+    /// Model engines as the side processes on their hosts see them.
+    pub sightings: shard::Map<IpAddr, Sighting>,
     pub budgets: shard::Map<Name, Budget>,
     pub ledger: Mutex<Ledger>,
     pub peers: Mutex<Peers>,
     knowledge: RwLock<Knowledge>,
     roster: RwLock<Arc<Roster>>,
     health: Mutex<Health>,
+    tunable: RwLock<Tunable>,
     is_stopping: AtomicBool,
     start: Instant,
 }
@@ -83,6 +87,7 @@
     dialect: Dialect,
     pool: Pool,
     store: Store,
+    reloader: Reloader,
 ) -> ExitCode {
     let entry = Arc::new(Entry::new(&kernel, settings, dialect, pool, store));
     log::info!(
@@ -98,6 +103,7 @@
         return ExitCode::FAILURE;
     }
     follow::start(&entry);
+    kernel.spawn_detached(reload::run(Arc::clone(&entry), reloader));
     drain::termination().await;
     stop(&entry).await;
     ExitCode::SUCCESS
@@ -105,7 +111,7 @@
 
 /// Takes no new connections once the balancer has noticed, and lets requests end.
 async fn stop(entry: &Entry) {
-    let limit = entry.settings.stop_limit.mul_f64(STOP_SHARE);
+    let limit = entry.tunable().stop_limit.mul_f64(STOP_SHARE);
     log::info!(event = "stop", limit_ms = limit.as_millis() as u64; "stopping: not ready any more");
     entry.is_stopping.store(true, Ordering::Relaxed);
     let notice = BALANCER_NOTICE.min(limit / 2);
@@ -135,12 +141,14 @@
             residency: Event::new(),
             guidance: Event::new(),
             servers: shard::Map::default(),
+            sightings: shard::Map::default(),
             budgets: shard::Map::default(),
             ledger: Mutex::default(),
             peers: Mutex::new(Peers::new(seeds)),
             knowledge: RwLock::default(),
             roster: RwLock::default(),
             health: Mutex::default(),
+            tunable: RwLock::new(settings.tunable.clone()),
             is_stopping: AtomicBool::new(false),
             start: kernel.clock.now(),
             settings,
@@ -160,6 +168,15 @@
         Arc::clone(&self.roster.read())
     }
 
+    /// Settings that may change while the process runs.
+    pub fn tunable(&self) -> Tunable {
+        self.tunable.read().clone()
+    }
+
+    pub fn set_tunable(&self, tunable: Tunable) {
+        *self.tunable.write() = tunable;
+    }
+
     /// Whether new connections should come here.
     pub fn is_ready(&self) -> bool {
         let knowledge = self.knowledge.read();
@@ -241,22 +258,35 @@
     pub fn note_failure(&self, id: &Name) {
         let now = self.now();
         self.with_server(id, |server| {
+            server.backlog.note_outcome(now, true);
             let pause = FIRST_PAUSE * 2u32.saturating_pow(server.failures.min(8));
             server.failures += 1;
             server.suspect_until = now + pause.min(MAX_PAUSE);
         });
     }
 
-    pub fn note_success(&self, id: &Name) {
+    /// Notes that a server gave a whole answer, though maybe a failed one.
+    pub fn note_answer(&self, id: &Name, is_failure: bool) {
+        let now = self.now();
         self.with_server(id, |server| {
+            server.backlog.note_outcome(now, is_failure);
             server.failures = 0;
             server.suspect_until = Moment::ZERO;
         });
     }
 
-    /// The server of a model engine that runs on a host.
-    pub fn engine_on(&self, host: IpAddr) -> Option<Listing> {
-        self.knowledge.read().directory.iter().find(|listing| listing.address.ip() == host).cloned()
+    /// The servers that the list shows on a host: also those that are gone and not yet removed.
+    pub fn servers_on(&self, host: IpAddr) -> Vec<Listing> {
+        let knowledge = self.knowledge.read();
+        let servers = knowledge.directory.iter();
+        servers.filter(|listing| listing.address.ip() == host).cloned().collect()
+    }
+
+    /// What the side process beside a server said about this very server.
+    pub fn sighting(&self, listing: &Listing) -> Option<Sighting> {
+        let host = listing.address.ip();
+        let sighting = self.sightings.with(&host, |sightings| sightings.get(&host).cloned());
+        sighting.filter(|sighting| sighting.is_of(listing))
     }
 
     /// Where the side process beside a server listens.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,14 +8,19 @@
 //! Architecture Invariant: what decides is in `serving`; this crate feeds it
 //! with what it hears and carries out what it says.
 
+pub mod answer;
+pub mod choose;
 pub mod entry;
 pub mod exchange;
+pub mod flight;
 pub mod follow;
+pub mod job;
 pub mod listen;
 pub mod mesh;
 pub mod message;
 pub mod ports;
 pub mod relay;
+pub mod reload;
 pub mod roster;
 pub mod serve;
 pub mod side;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -16,7 +16,7 @@
 use crate::{
     entry::Entry,
     message::{Gossip, Guide, MAX_BYTES, Message, Status},
-    roster::Server,
+    roster::{Server, Sighting},
 };
 
 /// Time between guides to an engine with work.
@@ -129,23 +129,26 @@
 }
 
 fn note_status(entry: &Entry, from: SocketAddr, status: Status) {
-    let Some(listing) = entry.engine_on(from.ip()) else { return };
     let now = entry.now();
-    let is_new = entry.with_server(&listing.id, |server| {
+    let sighting = Sighting { at: now, status: Arc::new(status) };
+    let status = Arc::clone(&sighting.status);
+    let host = from.ip();
+    let servers = entry.servers_on(host);
+    for listing in servers.iter().filter(|listing| sighting.is_of(listing)) {
         let others = status.work.iter().filter(|(peer, ..)| *peer != entry.settings.mesh);
-        for (peer, tokens, requests) in others {
-            let report = Report { tokens: *tokens, requests: *requests, at: now };
-            server.backlog.report(*peer, report);
-        }
-        let known = server.status.as_ref().map(|(_, known)| known);
-        let is_new = known.is_none_or(|known| {
-            (known.born_ms, &known.adapters, &known.pending, &known.models)
-                != (status.born_ms, &status.adapters, &status.pending, &status.models)
+        entry.with_server(&listing.id, |server| {
+            for (peer, tokens, requests) in others {
+                let report = Report { tokens: *tokens, requests: *requests, at: now };
+                server.backlog.report(*peer, report);
+            }
         });
-        server.status = Some((now, status));
-        is_new
+    }
+    let known = entry.sightings.with(&host, |sightings| sightings.insert(host, sighting));
+    let is_same = known.is_some_and(|known| {
+        (known.status.born_ms, &known.status.adapters, &known.status.pending, &known.status.models)
+            == (status.born_ms, &status.adapters, &status.pending, &status.models)
     });
-    if is_new {
+    if !is_same {
         entry.residency.notify(usize::MAX);
     }
 }
@@ -202,7 +205,8 @@
 fn make_guide(listing: &Listing, server: &mut Server, model: Option<Name>, places: usize) -> Guide {
     let (tokens, requests) = server.backlog.own();
     Guide {
-        server: Some(listing.id.clone()),
+        server: listing.id.clone(),
+        born_ms: listing.born_ms,
         model,
         places,
         tokens,
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -23,9 +23,11 @@
 }
 
 /// What an entry instance wants of a model engine.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Guide {
-    pub server: Option<Name>,
+    pub server: Name,
+    /// Start of the server that is meant.
+    pub born_ms: u64,
     pub model: Option<Name>,
     pub places: usize,
     /// Prompt tokens sent and not yet answered.
@@ -41,6 +43,8 @@
 /// What a model engine holds, and what entry instances have in flight there.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
+    /// Name of the engine, once it is known.
+    pub server: Option<Name>,
     pub born_ms: u64,
     pub orders: u64,
     pub models: Vec<Name>,
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -35,13 +35,25 @@
     pub seeds: Vec<SocketAddr>,
     /// Where metrics are served.
     pub metrics: SocketAddr,
+    pub tunable: Tunable,
+    /// The model engine beside this process; side processes only.
+    pub engine: Option<SocketAddr>,
+}
+
+/// Settings that a running process takes over when they change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tunable {
     /// Time between SIGTERM and the end.
     pub stop_limit: Duration,
     pub repeats: retry::Terms,
-    /// The model engine beside this process; side processes only.
-    pub engine: Option<SocketAddr>,
 }
 
+type Reload = dyn Fn() -> Result<Settings, String> + Send + Sync;
+
+/// Reads the settings again.
+#[derive(Clone)]
+pub struct Reloader(pub Arc<Reload>);
+
 /// How requests and answers look on the platform's connections.
 #[derive(Clone, Debug)]
 pub struct Dialect {
@@ -149,7 +161,17 @@
 }
 
 type Look = dyn Fn() -> Answer<Result<Holding, Error>> + Send + Sync;
-type Give = dyn Fn(&Order, u64, Option<&str>) -> Answer<Result<(), Error>> + Send + Sync;
+type Give = dyn Fn(&Order, u64, Option<&str>) -> Answer<Result<Given, Error>> + Send + Sync;
+
+/// What an engine said to an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Given {
+    Accepted,
+    /// The order was for another engine than the one that is there.
+    OtherEngine {
+        actual: Option<Name>,
+    },
+}
 
 /// The model engine beside a side process.
 #[derive(Clone)]
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,8 +17,9 @@
 
 use crate::{
     entry::Entry,
+    flight::Flight,
+    job::{Job, Sent},
     ports::Marks,
-    serve::{Flight, Job, Sent},
 };
 
 /// Silence, as a multiple of the expected pause, after which a stream is resumed elsewhere.
@@ -181,7 +182,7 @@
 
     fn finish(self) {
         self.log_end("complete");
-        self.entry.note_success(&self.source.server);
+        self.entry.note_answer(&self.source.server, false);
         let Source { marks, connection, .. } = self.source;
         if !marks.closes {
             self.entry.pool.give_back(connection, marks.keep_alive);
--- /dev/null
+++ b/crates/gateway/src/reload.rs
@@ -0,0 +1,47 @@
+//! Reads the settings again on SIGHUP, and when they changed without one.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_lite::{StreamExt as _, future};
+
+use kernel::drain;
+
+use crate::{
+    entry::Entry,
+    ports::{Reloader, Settings},
+};
+
+/// Time between looks at the settings without a signal.
+const LOOK_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Follows the settings for as long as the process runs.
+pub async fn run(entry: Arc<Entry>, reloader: Reloader) {
+    let mut hangups = drain::hangups();
+    loop {
+        let signalled = async { hangups.next().await.is_some() };
+        let looked = async {
+            entry.kernel.clock.sleep(LOOK_INTERVAL).await;
+            false
+        };
+        let is_signalled = future::or(signalled, looked).await;
+        match (reloader.0)() {
+            Ok(settings) => apply(&entry, &settings, is_signalled),
+            Err(problem) => {
+                log::warn!(event = "reload", is_signalled; "the settings stay as they were: {problem}");
+            }
+        }
+    }
+}
+
+fn apply(entry: &Entry, settings: &Settings, is_signalled: bool) {
+    let is_changed = entry.tunable() != settings.tunable;
+    if is_changed {
+        entry.set_tunable(settings.tunable.clone());
+    }
+    for seed in settings.seeds.iter().filter(|seed| **seed != entry.settings.mesh) {
+        entry.peers.lock().add(*seed);
+    }
+    if is_changed || is_signalled {
+        log::info!(event = "reload", is_signalled, is_changed; "the settings were read again");
+    }
+}
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -1,7 +1,7 @@
 //! The servers of a service as requests see them: a copy that is made anew when
 //! the directory changes, with what placement needs worked out once.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{collections::HashMap, sync::Arc};
 
 use placement::rendezvous;
 use serving::{
@@ -12,6 +12,13 @@
 
 use crate::message::Status;
 
+/// What the side process on a host last said about its engine.
+#[derive(Clone, Debug)]
+pub struct Sighting {
+    pub at: Moment,
+    pub status: Arc<Status>,
+}
+
 /// Servers that take new work, by service.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
@@ -53,8 +60,6 @@
 #[derive(Debug, Default)]
 pub struct Server {
     pub backlog: Backlog,
-    /// Last status of its side process.
-    pub status: Option<(Moment, Status)>,
     /// Requests that wait for an adapter, by base model, adapter and version.
     pub wants: HashMap<(Name, Name, u64), u32>,
     /// Own requests in flight by adapter.
@@ -63,5 +68,11 @@
     pub used: Vec<Name>,
     pub failures: u32,
     pub suspect_until: Moment,
-    pub side: Option<SocketAddr>,
+}
+
+impl Sighting {
+    /// Whether it is about the server that the list shows.
+    pub fn is_of(&self, listing: &Listing) -> bool {
+        self.status.born_ms == listing.born_ms || self.status.server.as_ref() == Some(&listing.id)
+    }
 }
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -23,7 +23,7 @@
 use crate::{
     listen, mesh,
     message::{Guide, Message, Status},
-    ports::{Engine, Settings},
+    ports::{Engine, Given, Settings},
 };
 
 /// Time between looks at an engine that has nothing to do.
@@ -48,7 +48,9 @@
 struct State {
     planner: Planner,
     entries: HashMap<SocketAddr, Listener>,
-    /// Name of the engine, as entry instances have it from the list.
+    /// Start of the engine as it was last seen.
+    born_ms: u64,
+    /// Name of the engine with this start, once somebody said it.
     engine_id: Option<Name>,
     told: Option<Status>,
     told_at: Moment,
@@ -88,6 +90,8 @@
     });
     kernel.spawn_detached(listen_to_entries(Arc::clone(&side)));
     kernel.spawn_detached(look_after_engine(side));
+    // Nothing of these settings changes while the process runs; a hangup must not end it.
+    let _hangups = drain::hangups();
     drain::termination().await;
     log::info!(event = "stop"; "stopped");
     log::logger().flush();
@@ -114,7 +118,9 @@
     let mut state = side.state.lock();
     let listener = Listener { heard: now, tokens: guide.tokens, requests: guide.requests };
     let is_first = state.entries.insert(from, listener).is_none();
-    state.engine_id = guide.server.clone();
+    if guide.born_ms == state.born_ms {
+        state.engine_id = Some(guide.server);
+    }
     let wants = guide.wants.into_iter();
     let report = Report {
         model: guide.model,
@@ -142,6 +148,7 @@
         let mut interval = IDLE_INTERVAL;
         match (side.engine.look)().await {
             Ok(holding) => {
+                note_start(&side, &holding);
                 if std::mem::take(&mut is_lost) {
                     log::info!(event = "dependency_regained", dependency = "engine"; "the engine answers again");
                 }
@@ -168,6 +175,16 @@
     }
 }
 
+/// Forgets the engine's name when its process is another one.
+fn note_start(side: &Side, holding: &Holding) {
+    let mut state = side.state.lock();
+    if state.born_ms != holding.born_ms {
+        log::info!(event = "engine_start", born_ms = holding.born_ms; "the engine is a new process");
+        state.born_ms = holding.born_ms;
+        state.engine_id = None;
+    }
+}
+
 /// Gives the engine its next order; tells whether there was one.
 async fn act(side: &Side, holding: &Holding) -> bool {
     let (order, engine_id) = {
@@ -179,9 +196,16 @@
     let outcome = (side.engine.give)(&order, holding.orders, engine_id.as_deref()).await;
     let orders = holding.orders;
     match &outcome {
-        Ok(()) => {
+        Ok(Given::Accepted) => {
             log::info!(event = "order", order:? = order, orders; "the engine accepted an order");
         }
+        Ok(Given::OtherEngine { actual }) => {
+            log::info!(
+                event = "order", order:? = order, meant:? = engine_id, actual:? = actual;
+                "the engine has another name now"
+            );
+            side.state.lock().engine_id = actual.clone();
+        }
         Err(error) => {
             log::warn!(event = "order", order:? = order, orders; "{error}");
             side.state.lock().planner.unanswered(side.now());
@@ -217,6 +241,7 @@
         list.iter().map(|resident| (resident.adapter.clone(), resident.version)).collect()
     };
     let held = Status {
+        server: state.engine_id.clone(),
         born_ms: holding.born_ms,
         orders: holding.orders,
         models: holding.models.clone(),
--- a/crates/kernel/src/drain.rs
+++ b/crates/kernel/src/drain.rs
@@ -72,6 +72,12 @@
     }
 }
 
+/// Signals that ask for the settings to be read again. Without this a hangup ends the process.
+pub fn hangups() -> Signals {
+    Signals::new([Signal::Hup])
+        .expect("the system refused a signal handler; run under a user that may install one")
+}
+
 /// Waits for SIGTERM or SIGINT.
 pub async fn termination() {
     let mut signals = Signals::new([Signal::Term, Signal::Int])
--- a/crates/serving/src/backlog.rs
+++ b/crates/serving/src/backlog.rs
@@ -12,8 +12,11 @@
 const PACE_WEIGHT: f64 = 0.2;
 /// Bounds of the learnt pace, as a multiple of the usual time.
 const PACE_RANGE: (f64, f64) = (0.7, 8.0);
-/// Time in which half of what was learnt about the pace is forgotten.
-const PACE_HALF_LIFE: Duration = Duration::from_secs(4);
+/// Time in which half of what was learnt from answers is forgotten.
+const HALF_LIFE: Duration = Duration::from_secs(4);
+
+/// Weight of a new answer in the share of failed ones.
+const FAILURE_WEIGHT: f64 = 0.15;
 
 /// Work in flight at one backend server.
 #[derive(Clone, Debug)]
@@ -25,6 +28,8 @@
     others: HashMap<SocketAddr, Report>,
     pace: f64,
     pace_at: Moment,
+    failures: f64,
+    failures_at: Moment,
 }
 
 /// Another entry's work in flight at the server.
@@ -37,7 +42,15 @@
 
 impl Default for Backlog {
     fn default() -> Backlog {
-        Backlog { tokens: 0, requests: 0, others: HashMap::new(), pace: 1.0, pace_at: Moment::ZERO }
+        Backlog {
+            tokens: 0,
+            requests: 0,
+            others: HashMap::new(),
+            pace: 1.0,
+            pace_at: Moment::ZERO,
+            failures: 0.0,
+            failures_at: Moment::ZERO,
+        }
     }
 }
 
@@ -85,14 +98,31 @@
         self.pace_at = now;
     }
 
+    /// Notes whether the server failed a request that it took.
+    pub fn note_outcome(&mut self, now: Moment, is_failure: bool) {
+        let sample = if is_failure { 1.0 } else { 0.0 };
+        let share = self.failure_share(now);
+        self.failures = share + (sample - share) * FAILURE_WEIGHT;
+        self.failures_at = now;
+    }
+
+    /// Share of lately failed requests; it fades, so that a server is tried again.
+    pub fn failure_share(&self, now: Moment) -> f64 {
+        self.failures * faded(now, self.failures_at)
+    }
+
     /// Time that the server takes, as a multiple of the usual.
     pub fn pace(&self, now: Moment) -> f64 {
-        let age = now.saturating_sub(self.pace_at).as_secs_f64();
-        let kept = 0.5f64.powf(age / PACE_HALF_LIFE.as_secs_f64());
-        1.0 + (self.pace - 1.0) * kept
+        1.0 + (self.pace - 1.0) * faded(now, self.pace_at)
     }
 
     fn fresh(&self, now: Moment) -> impl Iterator<Item = &Report> {
         self.others.values().filter(move |report| now < report.at + REPORT_LIFETIME)
     }
 }
+
+/// Part of what was learnt at `since` that still counts.
+fn faded(now: Moment, since: Moment) -> f64 {
+    let age = now.saturating_sub(since).as_secs_f64();
+    0.5f64.powf(age / HALF_LIFE.as_secs_f64())
+}
--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -25,6 +25,8 @@
 const CROSS_ZONE_MS: f64 = 3.0;
 /// Cost of a server that failed lately; it is the last resort.
 const SUSPECT_MS: f64 = 5000.0;
+/// Cost of a server that fails all its requests, in milliseconds.
+const FAILURE_MS: f64 = 1500.0;
 /// Cost of a request beyond the slots, in milliseconds.
 const OVER_SLOTS_MS: f64 = 60.0;
 /// Cost of a request that decodes, in milliseconds: it slows each step a little.
@@ -56,6 +58,8 @@
     pub requests: u32,
     pub slots: u32,
     pub pace: f64,
+    /// Share of its requests that it failed lately.
+    pub failure_share: f64,
     pub is_same_zone: bool,
     /// Failed lately.
     pub is_suspect: bool,
@@ -87,7 +91,8 @@
         let over = f64::from(candidate.requests.saturating_sub(candidate.slots)) * OVER_SLOTS_MS;
         let suspect = if candidate.is_suspect { SUSPECT_MS } else { 0.0 };
         let zone = if candidate.is_same_zone { 0.0 } else { CROSS_ZONE_MS };
-        (index, busy * 100.0 * candidate.pace + over + suspect + zone)
+        let failures = candidate.failure_share * FAILURE_MS;
+        (index, busy * 100.0 * candidate.pace + over + suspect + zone + failures)
     });
     rated.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(index, _)| index)
 }
@@ -118,7 +123,7 @@
     };
     let suspect = if candidate.is_suspect { SUSPECT_MS } else { 0.0 };
     let zone = if candidate.is_same_zone { 0.0 } else { CROSS_ZONE_MS };
-    displaced + suspect + zone
+    displaced + suspect + zone + candidate.failure_share * FAILURE_MS
 }
 
 fn millis(value: f64) -> Duration {
--- a/crates/serving/tests/selection.rs
+++ b/crates/serving/tests/selection.rs
@@ -18,6 +18,7 @@
     requests: 0,
     slots: 64,
     pace: 1.0,
+    failure_share: 0.0,
     is_same_zone: true,
     is_suspect: false,
 };
@@ -80,6 +81,21 @@
     assert!(backlog.pace(now + Duration::from_secs(20)) < 1.2, "it is tried again");
 }
 
+#[test]
+fn a_server_that_fails_part_of_its_requests_is_avoided() {
+    let mut backlog = Backlog::default();
+    let now = Duration::from_secs(1);
+    for request in 0..20 {
+        backlog.note_outcome(now, request % 2 == 0);
+    }
+    let grey = Candidate { failure_share: backlog.failure_share(now), ..IDLE };
+    let busy = Candidate { requests: 2, slots: 4, ..IDLE };
+
+    assert!((0.3..0.7).contains(&grey.failure_share));
+    assert_eq!(selection::plain(&[Candidate { slots: 4, ..grey }, busy]), Some(1));
+    assert!(backlog.failure_share(now + Duration::from_secs(30)) < 0.01, "it is tried again");
+}
+
 #[test]
 fn a_server_that_failed_lately_is_the_last_resort() {
     let suspect = Candidate { is_suspect: true, ..IDLE };
