--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -17,7 +17,10 @@
 };
 
 /// Time that a read waits for the first new record of a quiet log.
-const LONG_WAIT: Duration = Duration::from_millis(2500);
+const LONG_WAIT: Duration = Duration::from_millis(2000);
+/// The same for the servers' log, which heartbeats keep busy: silence there means that the
+/// connection is dead, and leaving servers must be heard of in time.
+const SERVERS_WAIT: Duration = Duration::from_millis(300);
 /// Pause after servers' records, so that their heartbeats are read together.
 const SERVERS_PAUSE: Duration = Duration::from_millis(300);
 /// First pause after a failed call.
@@ -57,6 +60,9 @@
                 entry.store_answered(topic);
                 position = next;
                 pause = FIRST_PAUSE;
+                if topic == Topic::Servers {
+                    entry.kernel.clock.sleep(SERVERS_PAUSE).await;
+                }
             }
             Err(error) => {
                 entry.store_failed(topic, &error);
@@ -68,9 +74,6 @@
         for server in expired {
             log::info!(event = "server_gone", server = &*server; "it did not come back after the store's outage");
         }
-        if topic == Topic::Servers {
-            entry.kernel.clock.sleep(SERVERS_PAUSE).await;
-        }
     }
 }
 
@@ -103,7 +106,8 @@
 }
 
 async fn read_on(entry: &Entry, topic: Topic, from: u64) -> Result<Option<u64>, Error> {
-    match (entry.store.read)(topic, from, LONG_WAIT).await? {
+    let wait = if topic == Topic::Servers { SERVERS_WAIT } else { LONG_WAIT };
+    match (entry.store.read)(topic, from, wait).await? {
         Tail::Expired => {
             log::info!(event = "log_expired", topic:? = topic, from; "reading the newest records");
             Ok(None)
--- a/crates/services/src/pool.rs
+++ b/crates/services/src/pool.rs
@@ -159,7 +159,12 @@
             self.give_back(connection, None);
             Ok(Response::from_parts(head, body.to_bytes()))
         };
-        self.kernel.clock.timeout(limit, exchange).await.context(LateSnafu)?
+        let outcome = self.kernel.clock.timeout(limit, exchange).await.context(LateSnafu).flatten();
+        if outcome.is_err() {
+            // The other connections to this address may be as dead as the one that was tried.
+            self.forget(address);
+        }
+        outcome
     }
 }
 
