--- a/crates/operator/src/bin/chivelatch.rs
+++ b/crates/operator/src/bin/chivelatch.rs
@@ -1,6 +1,7 @@
 //! The operators' command line.
 
 use std::{
+    fs,
     io::{self, BufRead as _, Write as _},
     path::{Path, PathBuf},
     process::ExitCode,
@@ -13,6 +14,7 @@
 use operator::{
     session::{Outcome, Patience, Session},
     settings::Settings,
+    story,
 };
 use settings::{
     arguments::{self, About},
@@ -25,7 +27,8 @@
 const STATEMENT_STATUS: u8 = 1;
 const ABOUT: About = About {
     name: "chivelatch",
-    summary: "Queries and commands for a chivelatch fleet; without -c it reads statements line by line",
+    summary: "Queries and commands for a chivelatch fleet; without -c it reads statements line by line.\n\
+              `trace ID FILE...` tells a request's story from logs, `causes FILE...` why requests failed",
     version: env!("CARGO_PKG_VERSION"),
 };
 
@@ -38,6 +41,13 @@
     if let Some(folder) = matches.opt_str("make-certificates") {
         return make_certificates(Path::new(&folder));
     }
+    match matches.free.first().map(String::as_str) {
+        Some("trace") => {
+            return read_logs(&matches, 2, |lines| story::trace(lines, &matches.free[1]));
+        }
+        Some("causes") => return read_logs(&matches, 1, story::causes),
+        _ => {}
+    }
     let Some(path) = matches.opt_str("settings") else {
         return arguments::usage_error(ABOUT, "no settings given; pass --settings FILE");
     };
@@ -69,6 +79,38 @@
     options
 }
 
+/// Prints what `tell` makes of the logs: of the files behind the first `words` words, or of the
+/// standard input.
+fn read_logs(
+    matches: &Matches,
+    words: usize,
+    tell: impl FnOnce(&[story::Line]) -> String,
+) -> ExitCode {
+    if matches.free.len() < words {
+        return arguments::usage_error(ABOUT, "trace wants the id of a request");
+    }
+    let files = &matches.free[words..];
+    let text = if files.is_empty() {
+        io::read_to_string(io::stdin())
+    } else {
+        files.iter().map(fs::read_to_string).collect()
+    };
+    let text = match text {
+        Ok(text) => text,
+        Err(error) => {
+            eprintln!("chivelatch: cannot read the logs: {error}; check the files' names");
+            return ExitCode::FAILURE;
+        }
+    };
+    let told = tell(&story::parse(&text));
+    if told.is_empty() {
+        eprintln!("chivelatch: the logs say nothing about that; check the id and the files");
+        return ExitCode::FAILURE;
+    }
+    print!("{told}");
+    ExitCode::SUCCESS
+}
+
 fn make_certificates(folder: &Path) -> ExitCode {
     match identity::make(folder) {
         Ok(()) => {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod publish;
 pub mod session;
 pub mod settings;
+pub mod story;
 pub mod tables;
--- a/crates/serving/src/allowance.rs
+++ b/crates/serving/src/allowance.rs
@@ -25,6 +25,9 @@
 /// Time after its start in which an instance takes over the levels of its peers.
 const START_SPAN: Duration = Duration::from_secs(1);
 
+/// A request is admitted once the bucket holds this part of the burst, and may leave a debt:
+/// waiting for its whole size, large requests would always lose to small ones.
+const DEBT_DIVISOR: u64 = 10;
 /// Promises that are remembered for one client account.
 const MAX_QUEUE: usize = 256;
 
@@ -82,7 +85,7 @@
         }
         let bucket = self.bucket(now, account);
         let share = bucket.share();
-        let needed = units.min(share.capacity);
+        let needed = units.min(share.capacity / DEBT_DIVISOR);
         if needed <= bucket.level(now) {
             bucket.charge(now, units);
             *self.admitted.entry(account.name.clone()).or_default() += units;
--- a/crates/serving/tests/allowance.rs
+++ b/crates/serving/tests/allowance.rs
@@ -237,6 +237,7 @@
     let mut ledger = Ledger::default();
     let now = Duration::from_secs(10);
     ledger.prepare(now, [&account]);
+    ledger.take(now, &account, 1000).unwrap();
 
     let waits: Vec<Duration> =
         (0..3).map(|_| ledger.take(now, &account, 1000).unwrap_err()).collect();
