--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -119,7 +119,7 @@
                 reason: "no server has the model",
             };
         };
-        let limit = rejection::limit(&self.grant.route, self.urgency(), self.left(entry));
+        let limit = rejection::limit(&self.grant.route, self.grant.route.urgency, self.left(entry));
         let expected = choice.expected + now.saturating_sub(began);
         if limit < expected {
             let retry_after = rejection::retry_after(expected, limit);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -31,6 +31,8 @@
 /// Silence, as a multiple of the objective, after which a request that may run again is sent
 /// to another server.
 const SILENCE_FACTOR: u32 = 2;
+/// Urgencies that routes have: an account's urgency goes before them.
+const URGENCIES_OF_ROUTES: u8 = 3;
 /// Part of a plain route's objective that an answer usually takes.
 const PLAIN_SHARE: f64 = 0.25;
 
@@ -410,7 +412,7 @@
 
     pub fn urgency(&self) -> u8 {
         let of_account = self.grant.account.as_ref().and_then(|account| account.urgency);
-        of_account.unwrap_or(self.grant.route.urgency)
+        of_account.unwrap_or(0).saturating_mul(URGENCIES_OF_ROUTES) + self.grant.route.urgency
     }
 
     pub fn prompt_tokens(&self) -> u64 {
