Tell the work in flight apart from the state of an engine

Change: state on news and every 0.7 s, work in flight alone every 0.15 s while it changes; servers' log read every 0.45 s.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -22,7 +22,7 @@
 /// Homes of an adapter: one, so that the engines together remember the most of them.
 const HOMES: usize = 1;
 /// A side process that is silent for longer loads nothing.
-const SIDE_SILENCE: Duration = Duration::from_millis(1500);
+const SIDE_SILENCE: Duration = Duration::from_millis(2500);
 /// Time for which a caller is asked to wait while no engine has the base model.
 const MODEL_PAUSE: Duration = Duration::from_millis(1500);
 /// Longest wait for an adapter before the choice is made anew.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -20,9 +20,9 @@
 const LONG_WAIT: Duration = Duration::from_millis(2000);
 /// The same for the servers' log, which heartbeats keep busy: silence there means that the
 /// connection is dead, and leaving servers must be heard of in time.
-const SERVERS_WAIT: Duration = Duration::from_millis(300);
+const SERVERS_WAIT: Duration = Duration::from_millis(250);
 /// Pause after servers' records, so that their heartbeats are read together.
-const SERVERS_PAUSE: Duration = Duration::from_millis(300);
+const SERVERS_PAUSE: Duration = Duration::from_millis(450);
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls.
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -4,7 +4,12 @@
 //! There is no store of certificates on the platform, so datagrams are not
 //! encrypted; processes trust the machines' own network, as the platform does.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use async_net::UdpSocket;
 use front::server::ListenError;
@@ -15,7 +20,7 @@
 
 use crate::{
     entry::Entry,
-    message::{Gossip, Guide, MAX_BYTES, Message, Status},
+    message::{Gossip, Guide, MAX_BYTES, Message, Status, Work},
     roster::{Server, Sighting},
 };
 
@@ -122,6 +127,9 @@
     loop {
         match next(&socket).await {
             Some((from, Message::Status(status))) => note_status(&entry, from, status),
+            Some((from, Message::Work { born_ms, work })) => {
+                note_work_alone(&entry, from, born_ms, &work);
+            }
             Some((from, Message::Gossip(gossip))) => note_gossip(&entry, from, &gossip),
             Some((_, Message::Guide(_))) | None => {}
         }
@@ -129,20 +137,10 @@
 }
 
 fn note_status(entry: &Entry, from: SocketAddr, status: Status) {
-    let now = entry.now();
-    let sighting = Sighting { at: now, status: Arc::new(status) };
-    let status = Arc::clone(&sighting.status);
     let host = from.ip();
-    let servers = entry.servers_on(host);
-    for listing in servers.iter().filter(|listing| sighting.is_of(listing)) {
-        let others = status.work.iter().filter(|(peer, ..)| *peer != entry.settings.mesh);
-        entry.with_server(&listing.id, |server| {
-            for (peer, tokens, requests) in others {
-                let report = Report { tokens: *tokens, requests: *requests, at: now };
-                server.backlog.report(*peer, report);
-            }
-        });
-    }
+    let sighting = Sighting { at: entry.now(), status: Arc::new(status) };
+    note_work(entry, &sighting, host, &sighting.status.work);
+    let status = Arc::clone(&sighting.status);
     let known = entry.sightings.with(&host, |sightings| sightings.insert(host, sighting));
     let is_same = known.is_some_and(|known| {
         (known.status.born_ms, &known.status.adapters, &known.status.pending, &known.status.models)
@@ -153,6 +151,37 @@
     }
 }
 
+/// Work alone says that the side process lives, and that nothing else has changed.
+fn note_work_alone(entry: &Entry, from: SocketAddr, born_ms: u64, work: &Work) {
+    let (host, now) = (from.ip(), entry.now());
+    let sighting = entry.sightings.with(&host, |sightings| {
+        let sighting = sightings.get_mut(&host)?;
+        if sighting.status.born_ms != born_ms {
+            return None;
+        }
+        sighting.at = now;
+        Some(sighting.clone())
+    });
+    if let Some(sighting) = sighting {
+        note_work(entry, &sighting, host, work);
+    }
+}
+
+fn note_work(entry: &Entry, sighting: &Sighting, host: IpAddr, work: &Work) {
+    let at = sighting.at;
+    for listing in entry.servers_on(host).iter().filter(|listing| sighting.is_of(listing)) {
+        entry.with_server(&listing.id, |server| {
+            server.backlog.forget_others();
+            for (peer, tokens, requests) in work {
+                if *peer != entry.settings.mesh {
+                    let report = Report { tokens: *tokens, requests: *requests, at };
+                    server.backlog.report(*peer, report);
+                }
+            }
+        });
+    }
+}
+
 fn note_gossip(entry: &Entry, from: SocketAddr, gossip: &Gossip) {
     let now = entry.now();
     let peer = Peer { heard: Some(now), positions: gossip.positions, revision: gossip.revision };
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -18,10 +18,15 @@
     Guide(Guide),
     /// From a side process to the entry instances that it hears.
     Status(Status),
+    /// The part of a status that changes most.
+    Work { born_ms: u64, work: Work },
     /// Between entry instances.
     Gossip(Gossip),
 }
 
+/// Prompt tokens and requests in flight at an engine, by entry instance.
+pub type Work = Vec<(SocketAddr, u64, u32)>;
+
 /// What an entry instance wants of a model engine.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Guide {
@@ -53,8 +58,7 @@
     pub pending: Vec<(Name, u64)>,
     /// Held before, and quick to load again.
     pub recent: Vec<(Name, u64)>,
-    /// Tokens and requests by entry instance.
-    pub work: Vec<(SocketAddr, u64, u32)>,
+    pub work: Work,
 }
 
 /// What an entry instance tells its peers.
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -22,18 +22,20 @@
 
 use crate::{
     listen, mesh,
-    message::{Guide, Message, Status},
+    message::{Guide, Message, Status, Work},
     ports::{Engine, Given, Settings},
 };
 
 /// Time between looks at an engine that has nothing to do.
-const IDLE_INTERVAL: Duration = Duration::from_millis(400);
+const IDLE_INTERVAL: Duration = Duration::from_millis(150);
 /// Time between looks at an engine with an adapter on its way.
 const BUSY_INTERVAL: Duration = Duration::from_millis(12);
 /// Entry instances that are silent for longer are not written to.
 const ENTRY_SILENCE: Duration = Duration::from_secs(3);
 /// A status is repeated after this time, also without news.
-const STATUS_INTERVAL: Duration = Duration::from_millis(200);
+const STATUS_INTERVAL: Duration = Duration::from_millis(700);
+/// Time between reports of the work in flight alone.
+const WORK_INTERVAL: Duration = Duration::from_millis(150);
 
 struct Side {
     kernel: Kernel,
@@ -54,6 +56,8 @@
     engine_id: Option<Name>,
     told: Option<Status>,
     told_at: Moment,
+    told_work: Work,
+    told_work_at: Moment,
 }
 
 /// An entry instance that follows this engine.
@@ -223,41 +227,61 @@
     }
 }
 
-/// Tells entry instances what the engine holds.
+/// Tells entry instances what the engine holds and is at, as far as that is news.
 async fn tell(side: &Side, holding: &Holding) {
-    let Some((status, listeners)) = news(side, holding) else { return };
-    let message = Message::Status(status);
+    let Some((message, listeners)) = news(side, holding) else { return };
     for listener in listeners {
         mesh::send(&side.socket, listener, &message).await;
     }
 }
 
-fn news(side: &Side, holding: &Holding) -> Option<(Status, Vec<SocketAddr>)> {
+fn news(side: &Side, holding: &Holding) -> Option<(Message, Vec<SocketAddr>)> {
     let now = side.now();
     let mut state = side.state.lock();
     state.planner.observe(holding);
     state.entries.retain(|_, listener| now < listener.heard + ENTRY_SILENCE);
-    let pairs = |list: &[Resident]| {
-        list.iter().map(|resident| (resident.adapter.clone(), resident.version)).collect()
-    };
-    let held = Status {
-        server: state.engine_id.clone(),
-        born_ms: holding.born_ms,
-        orders: holding.orders,
-        models: holding.models.clone(),
-        adapters: pairs(&holding.adapters),
-        pending: pairs(&holding.pending),
-        recent: pairs(state.planner.recent()),
-        work: Vec::new(),
-    };
-    let is_due = state.told_at + STATUS_INTERVAL <= now;
-    if !is_due && state.told.as_ref() == Some(&held) {
-        return None;
-    }
-    state.told = Some(held.clone());
-    state.told_at = now;
-    let work = state.entries.iter().filter(|(_, entry)| (entry.tokens, entry.requests) != (0, 0));
-    let work = work.map(|(address, entry)| (*address, entry.tokens, entry.requests)).collect();
     let listeners = state.entries.keys().copied().collect();
-    Some((Status { work, ..held }, listeners))
+    let work = state.work();
+    let held = state.status(holding);
+    if state.told_at + STATUS_INTERVAL <= now || state.told.as_ref() != Some(&held) {
+        state.told = Some(held.clone());
+        state.told_at = now;
+        state.told_work.clone_from(&work);
+        state.told_work_at = now;
+        return Some((Message::Status(Status { work, ..held }), listeners));
+    }
+    if state.told_work_at + WORK_INTERVAL <= now && state.told_work != work {
+        state.told_work.clone_from(&work);
+        state.told_work_at = now;
+        return Some((Message::Work { born_ms: holding.born_ms, work }, listeners));
+    }
+    None
+}
+
+impl State {
+    fn work(&self) -> Work {
+        let busy = self.entries.iter();
+        let busy = busy.filter(|(_, entry)| (entry.tokens, entry.requests) != (0, 0));
+        let mut work: Work =
+            busy.map(|(address, entry)| (*address, entry.tokens, entry.requests)).collect();
+        work.sort_unstable();
+        work
+    }
+
+    /// What the engine holds, without the work in flight.
+    fn status(&self, holding: &Holding) -> Status {
+        let pairs = |list: &[Resident]| {
+            list.iter().map(|resident| (resident.adapter.clone(), resident.version)).collect()
+        };
+        Status {
+            server: self.engine_id.clone(),
+            born_ms: holding.born_ms,
+            orders: holding.orders,
+            models: holding.models.clone(),
+            adapters: pairs(&holding.adapters),
+            pending: pairs(&holding.pending),
+            recent: pairs(self.planner.recent()),
+            work: Work::new(),
+        }
+    }
 }
--- a/crates/serving/src/backlog.rs
+++ b/crates/serving/src/backlog.rs
@@ -71,6 +71,11 @@
         self.requests = self.requests.saturating_sub(1);
     }
 
+    /// Drops what other entries reported; those without work are left out of the next report.
+    pub fn forget_others(&mut self) {
+        self.others.clear();
+    }
+
     pub fn report(&mut self, peer: SocketAddr, report: Report) {
         self.others.insert(peer, report);
     }
