--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -19,8 +19,9 @@
     serve::{START_PAUSE, authorize},
 };
 
-/// Homes of an adapter: one, so that the engines together remember the most of them.
-const HOMES: usize = 1;
+/// Requests a second at one entry from which an adapter gets a home in its availability zone,
+/// beside the one that it has for all.
+const LOCAL_RATE: f64 = 0.3;
 /// A side process that is silent for longer loads nothing.
 const SIDE_SILENCE: Duration = Duration::from_millis(2500);
 /// Time for which a caller is asked to wait while no engine has the base model.
@@ -95,8 +96,13 @@
         let Some(model) = model else { return self.plain_selection(entry, &open, now) };
         let version = entry.version(model);
         let adapter = model.adapter.as_deref().unwrap_or(&model.base);
-        let homes = roster.homes(service, adapter, HOMES);
-        let is_home = |id: &Name| homes.iter().any(|index| servers[*index].id == *id);
+        let home = roster.home(service, adapter);
+        let is_popular = LOCAL_RATE <= entry.popularity.lock().rate(now, &Name::from(adapter));
+        let zone_home =
+            is_popular.then(|| roster.zone_home(service, adapter, &entry.settings.zone)).flatten();
+        let is_home = |id: &Name| {
+            [home, zone_home].into_iter().flatten().any(|index| servers[index].id == *id)
+        };
         let candidates: Vec<Candidate> = open
             .iter()
             .map(|listing| {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -18,6 +18,7 @@
     drain::{self, Drain},
     shard,
 };
+use placement::popularity::Popularity;
 use services::pool::Pool;
 use serving::{
     Moment, Name,
@@ -43,6 +44,8 @@
 const STOP_SHARE: f64 = 0.9;
 /// First pause after a failure of a server; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
+/// Time in which half of an adapter's requests are forgotten.
+const POPULARITY_HALF_LIFE: Duration = Duration::from_secs(8);
 /// Longest such pause.
 const MAX_PAUSE: Duration = Duration::from_secs(3);
 
@@ -64,6 +67,8 @@
     pub sightings: shard::Map<IpAddr, Sighting>,
     pub budgets: shard::Map<Name, Budget>,
     pub ledger: Mutex<Ledger>,
+    /// Requests by adapter at this instance.
+    pub popularity: Mutex<Popularity<Name>>,
     pub peers: Mutex<Peers>,
     knowledge: RwLock<Knowledge>,
     roster: RwLock<Arc<Roster>>,
@@ -144,6 +149,7 @@
             sightings: shard::Map::default(),
             budgets: shard::Map::default(),
             ledger: Mutex::default(),
+            popularity: Mutex::new(Popularity::new(POPULARITY_HALF_LIFE)),
             peers: Mutex::new(Peers::new(seeds)),
             knowledge: RwLock::default(),
             roster: RwLock::default(),
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -38,6 +38,9 @@
                 state.used.push(adapter.clone());
             }
         });
+        if let Some(adapter) = adapter.clone().filter(|_| job.sends == 0) {
+            entry.popularity.lock().note(now, adapter);
+        }
         if job.sends == 0 {
             let terms = &entry.tunable().repeats;
             entry.budgets.with(&server.service, |budgets| {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -49,10 +49,20 @@
         self.services.get(service).cloned().unwrap_or_default()
     }
 
-    /// Positions of the servers at which an adapter is at home, best first.
-    pub fn homes(&self, service: &str, adapter: &str, count: usize) -> rendezvous::Order {
-        let Some(hashes) = self.hashes.get(service) else { return rendezvous::Order::new() };
-        rendezvous::first(rendezvous::seed(adapter), hashes, count)
+    /// Position of the server at which an adapter is at home for all.
+    pub fn home(&self, service: &str, adapter: &str) -> Option<usize> {
+        let hashes = self.hashes.get(service)?;
+        rendezvous::first(rendezvous::seed(adapter), hashes, 1).first().copied()
+    }
+
+    /// Position of the server in one availability zone at which it is at home for that zone.
+    pub fn zone_home(&self, service: &str, adapter: &str, zone: &str) -> Option<usize> {
+        let hashes = self.hashes.get(service)?;
+        let is_inside = |server: &&rendezvous::Server| &*server.zone == zone;
+        let inside: Vec<rendezvous::Server> = hashes.iter().filter(is_inside).cloned().collect();
+        let order = rendezvous::first(rendezvous::seed(adapter), &inside, 1);
+        let chosen = &inside[*order.first()?];
+        hashes.iter().position(|server| server.name == chosen.name)
     }
 }
 
--- a/crates/gateway/tests/sighting.rs
+++ b/crates/gateway/tests/sighting.rs
@@ -59,7 +59,7 @@
 
     assert_eq!(roster.servers("models").len(), 1);
     assert!(roster.servers("other").is_empty());
-    assert_eq!(roster.homes("models", "a1", 2).len(), 1);
+    assert_eq!(roster.home("models", "a1"), Some(0));
 }
 
 #[test]
