Wait for a base model that is being loaded; tell callers when it will be there

Side processes heard of their model up to 0.4 s late. Change: the side process says since when the engine loads; a request whose caller waits long enough stays, others are told when to come back; an engine that was not heard of yet is written to at once.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -24,7 +24,9 @@
 const LOCAL_RATE: f64 = 0.3;
 /// A side process that is silent for longer loads nothing.
 const SIDE_SILENCE: Duration = Duration::from_millis(2500);
-/// Time for which a caller is asked to wait while no engine has the base model.
+/// Time for the first adapter after a base model is there.
+const MODEL_MARGIN: Duration = Duration::from_millis(300);
+/// Time that a base model is taken to need where the configuration does not say.
 const MODEL_PAUSE: Duration = Duration::from_millis(1500);
 /// Longest wait for an adapter before the choice is made anew.
 const RESIDENCY_PAUSE: Duration = Duration::from_millis(100);
@@ -32,6 +34,7 @@
 enum Selection {
     Send { server: Listing, tokens_ahead: u64 },
     AwaitAdapter { server: Listing },
+    AwaitModel,
     Refuse { retry_after: Duration, reason: &'static str },
 }
 
@@ -49,6 +52,7 @@
                 Selection::Refuse { retry_after, reason } => {
                     return Err(self.given_up(reason, retry_after));
                 }
+                Selection::AwaitModel => want = None,
                 Selection::AwaitAdapter { server } => {
                     if wanted.as_ref() != Some(&server.id) {
                         want = Want::new(entry, &server, self.ask.model.as_ref());
@@ -120,10 +124,7 @@
             })
             .collect();
         let Some(choice) = selection::engine(self.prompt_tokens(), &candidates) else {
-            return Selection::Refuse {
-                retry_after: MODEL_PAUSE,
-                reason: "no server has the model",
-            };
+            return self.without_model(entry, service, &open, began, now);
         };
         let limit = rejection::limit(&self.grant.route, self.grant.route.urgency, self.left(entry));
         let expected = choice.expected + now.saturating_sub(began);
@@ -140,6 +141,33 @@
         }
     }
 
+    /// No engine has the model: one that loads it soon is waited for.
+    fn without_model(
+        &self,
+        entry: &Entry,
+        service: &str,
+        open: &[&Listing],
+        began: Moment,
+        now: Moment,
+    ) -> Selection {
+        let manifest = entry.manifest();
+        let service = manifest.as_ref().and_then(|manifest| manifest.services.get(service));
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let reload = engine.map_or(MODEL_PAUSE, |engine| engine.reload);
+        let sightings = open.iter().filter_map(|listing| entry.sighting(listing));
+        let loading = sightings.filter_map(|sighting| {
+            let loading = Duration::from_millis(sighting.status.loading_ms?);
+            Some(loading + now.saturating_sub(sighting.at))
+        });
+        let waited = loading.max().unwrap_or_default();
+        let expected = reload.saturating_sub(waited) + MODEL_MARGIN;
+        let held = now.saturating_sub(began);
+        if held + expected <= rejection::patience(&self.grant.route, self.left(entry) + held) {
+            return Selection::AwaitModel;
+        }
+        Selection::Refuse { retry_after: expected, reason: "no server has the model" }
+    }
+
     fn plain_selection(&self, entry: &Entry, open: &[&Listing], now: Moment) -> Selection {
         let candidates: Vec<Candidate> =
             open.iter().map(|listing| candidate(entry, listing, now)).collect();
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -213,11 +213,12 @@
         let Some(engine) = &service.engine else { continue };
         for listing in roster.servers(&service.name).iter() {
             let model = listing.models.first().or(engine.models.first()).cloned();
+            let is_unknown = entry.sighting(listing).is_none();
             let guide = entry.with_server(&listing.id, |server| {
                 let is_due = if is_asked {
                     !server.wants.is_empty()
                 } else {
-                    round.is_multiple_of(IDLE_EVERY) || is_busy(server)
+                    round.is_multiple_of(IDLE_EVERY) || is_unknown || is_busy(server)
                 };
                 is_due.then(|| make_guide(listing, server, model, engine.adapter_places))
             });
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -53,6 +53,8 @@
     pub born_ms: u64,
     pub orders: u64,
     pub models: Vec<Name>,
+    /// Time since a base model is being loaded, in milliseconds.
+    pub loading_ms: Option<u64>,
     /// Adapters with their versions.
     pub adapters: Vec<(Name, u64)>,
     pub pending: Vec<(Name, u64)>,
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -54,6 +54,8 @@
     born_ms: u64,
     /// Name of the engine with this start, once somebody said it.
     engine_id: Option<Name>,
+    /// When the engine began to load a base model.
+    loading_since: Option<Moment>,
     told: Option<Status>,
     told_at: Moment,
     told_work: Work,
@@ -202,6 +204,11 @@
     match &outcome {
         Ok(Given::Accepted) => {
             log::info!(event = "order", order:? = order, orders; "the engine accepted an order");
+            if matches!(order, Order::LoadModel { .. }) {
+                let mut state = side.state.lock();
+                state.loading_since = Some(side.now());
+                state.told = None;
+            }
         }
         Ok(Given::OtherEngine { actual }) => {
             log::info!(
@@ -248,7 +255,9 @@
         state.told_at = now;
         state.told_work.clone_from(&work);
         state.told_work_at = now;
-        return Some((Message::Status(Status { work, ..held }), listeners));
+        let loading = state.loading_since.filter(|_| holding.models.is_empty());
+        let loading_ms = loading.map(|since| now.saturating_sub(since).as_millis() as u64);
+        return Some((Message::Status(Status { work, loading_ms, ..held }), listeners));
     }
     if state.told_work_at + WORK_INTERVAL <= now && state.told_work != work {
         state.told_work.clone_from(&work);
@@ -278,6 +287,7 @@
             born_ms: holding.born_ms,
             orders: holding.orders,
             models: holding.models.clone(),
+            loading_ms: None,
             adapters: pairs(&holding.adapters),
             pending: pairs(&holding.pending),
             recent: pairs(self.planner.recent()),
--- a/crates/serving/src/manifest.rs
+++ b/crates/serving/src/manifest.rs
@@ -75,6 +75,8 @@
     /// Places for adapters on one engine.
     pub adapter_places: usize,
     pub models: Vec<Name>,
+    /// Time to load a base model again that the machine held before.
+    pub reload: Duration,
 }
 
 /// What a caller may send, and how long it may take.
--- a/crates/serving/src/rejection.rs
+++ b/crates/serving/src/rejection.rs
@@ -18,9 +18,7 @@
 /// Longest time to the first event that is worth waiting for.
 pub fn limit(route: &Route, urgency: u8, left: Duration) -> Duration {
     let objective = route.objective;
-    let pause = route.pause.unwrap_or_default();
-    let patience = MIN_PATIENCE.max(objective * 4).max(pause * 8).min(left);
-    let patience = patience.mul_f64(PATIENCE_SHARE);
+    let patience = patience(route, left);
     match urgency {
         0 => patience,
         1 => patience.min(objective * 2),
@@ -28,6 +26,12 @@
     }
 }
 
+/// Longest time for which a caller waits for a first event, with a margin.
+pub fn patience(route: &Route, left: Duration) -> Duration {
+    let pause = route.pause.unwrap_or_default();
+    MIN_PATIENCE.max(route.objective * 4).max(pause * 8).min(left).mul_f64(PATIENCE_SHARE)
+}
+
 /// When a caller should come back whose request would take `expected`.
 pub fn retry_after(expected: Duration, limit: Duration) -> Duration {
     expected.saturating_sub(limit.mul_f64(0.5)).max(MIN_RETRY_AFTER)
