--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -240,6 +240,7 @@
             return;
         }
         drop(health);
+        metrics::counter!("chivelatch_store_losses_total").increment(1);
         log::warn!(event = "dependency_lost", dependency = "store", topic:? = topic; "{error}");
     }
 
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -64,6 +64,7 @@
         let now = self.entry.now();
         let seen = now.saturating_sub(self.sent_at);
         let (tokens, usual) = (self.tokens, self.usual);
+        metrics::histogram!("chivelatch_first_event_seconds").record(seen.as_secs_f64());
         self.entry.with_server(&self.server, |state| {
             state.backlog.read(tokens);
             state.backlog.observe(now, usual, seen);
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -185,6 +185,7 @@
             account = self.account(), units = self.charge.map_or(0, |(units, _)| units);
             "sent to a server"
         );
+        metrics::counter!("chivelatch_sends_total").increment(1);
         self.sends += 1;
         let Reply { head, marks, body, connection } = exchange::send(
             &entry.kernel,
@@ -284,6 +285,7 @@
             self.runs += 1;
             return self.note_broken(entry, &server.id, failure);
         }
+        metrics::counter!("chivelatch_not_run_total").increment(1);
         log::info!(
             event = "not_run", request = &*self.ask.id, server = &*server.id;
             "{failure}"
@@ -311,6 +313,7 @@
         server: &Name,
         failure: &Failure,
     ) -> Result<(), Rejection> {
+        metrics::counter!("chivelatch_broken_total").increment(1);
         log::warn!(
             event = "broken", request = &*self.ask.id, server = &**server,
             runs = self.runs;
