Prefer engines with room for the adapter; keep what was taken on

Side processes now report how many places a further adapter could have. A request that waits is refused only when its caller would be gone.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -113,6 +113,9 @@
                 let sighting = entry.sighting(listing);
                 let mut candidate = candidate(entry, listing, now);
                 candidate.adapter = residency(listing, sighting.as_ref(), model, version, now);
+                candidate.has_room =
+                    sighting.as_ref().is_some_and(|sighting| 0 < sighting.status.room)
+                        || candidate.adapter == Adapter::Pending;
                 let is_missing = matches!(candidate.adapter, Adapter::Foreign | Adapter::Warm);
                 if wanted == Some(&listing.id) && is_missing {
                     candidate.adapter = Adapter::Pending;
@@ -126,8 +129,14 @@
         let Some(choice) = selection::engine(self.prompt_tokens(), &candidates) else {
             return self.without_model(entry, service, &open, began, now);
         };
-        let limit = rejection::limit(&self.grant.route, self.grant.route.urgency, self.left(entry));
-        let expected = choice.expected + now.saturating_sub(began);
+        let held = now.saturating_sub(began);
+        let limit = if wanted.is_none() {
+            rejection::limit(&self.grant.route, self.grant.route.urgency, self.left(entry))
+        } else {
+            // Once it was taken on, a request is refused only if its caller would be gone.
+            rejection::patience(&self.grant.route, self.left(entry) + held)
+        };
+        let expected = choice.expected + held;
         if limit < expected {
             let retry_after = rejection::retry_after(expected, limit);
             return Selection::Refuse { retry_after, reason: "the servers are busy for too long" };
@@ -188,6 +197,7 @@
 fn candidate(entry: &Entry, listing: &Listing, now: Moment) -> Candidate {
     entry.with_server(&listing.id, |server| Candidate {
         adapter: Adapter::Present,
+        has_room: true,
         tokens: server.backlog.tokens(now),
         requests: server.backlog.requests(now),
         slots: listing.slots,
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -19,7 +19,7 @@
     /// From a side process to the entry instances that it hears.
     Status(Status),
     /// The part of a status that changes most.
-    Work { born_ms: u64, work: Work },
+    Work { born_ms: u64, room: usize, work: Work },
     /// Between entry instances.
     Gossip(Gossip),
 }
@@ -53,6 +53,8 @@
     pub born_ms: u64,
     pub orders: u64,
     pub models: Vec<Name>,
+    /// Places that a further adapter could have now.
+    pub room: usize,
     /// Time since a base model is being loaded, in milliseconds.
     pub loading_ms: Option<u64>,
     /// Adapters with their versions.
--- a/crates/serving/src/residency.rs
+++ b/crates/serving/src/residency.rs
@@ -162,6 +162,13 @@
         &self.recent
     }
 
+    /// Places that a further adapter could have now: empty, or held by one that nobody uses.
+    pub fn room(&self, now: Moment, holding: &Holding) -> usize {
+        let is_free = |resident: &&Resident| self.is_droppable(now, &resident.adapter);
+        let taken = holding.adapters.iter().filter(|resident| !is_free(resident)).count();
+        self.places().saturating_sub(taken + holding.pending.len())
+    }
+
     /// Whether somebody waits for an adapter.
     pub fn is_wanted(&self) -> bool {
         !self.wants.is_empty()
@@ -200,15 +207,17 @@
     }
 
     fn victim<'a>(&self, now: Moment, holding: &'a Holding) -> Option<&'a Resident> {
-        let wanted = |name: &str| self.wants.keys().any(|want| &*want.adapter == name);
-        let idle = holding.adapters.iter().filter(|resident| {
-            self.in_flight(&resident.adapter) == 0
-                && !wanted(&resident.adapter)
-                && self.uses.get(&resident.adapter).is_none_or(|uses| uses.at + USE_GRACE < now)
-        });
+        let idle = holding.adapters.iter();
+        let idle = idle.filter(|resident| self.is_droppable(now, &resident.adapter));
         idle.min_by(|a, b| self.value(now, &a.adapter).total_cmp(&self.value(now, &b.adapter)))
     }
 
+    fn is_droppable(&self, now: Moment, adapter: &str) -> bool {
+        let is_wanted = self.wants.keys().any(|want| &*want.adapter == adapter);
+        let is_fresh = self.uses.get(adapter).is_some_and(|uses| now <= uses.at + USE_GRACE);
+        !is_wanted && !is_fresh && self.in_flight(adapter) == 0
+    }
+
     fn value(&self, now: Moment, adapter: &str) -> f64 {
         self.uses.get(adapter).map_or(0.0, |uses| uses.faded(now))
     }
--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -27,6 +27,8 @@
 const SUSPECT_MS: f64 = 5000.0;
 /// Cost of a server that fails all its requests, in milliseconds.
 const FAILURE_MS: f64 = 1500.0;
+/// Usual time until an adapter in use may be dropped, in milliseconds.
+const ROOM_MS: f64 = 250.0;
 /// Cost of a request beyond the slots, in milliseconds.
 const OVER_SLOTS_MS: f64 = 60.0;
 /// Cost of a request that decodes, in milliseconds: it slows each step a little.
@@ -52,6 +54,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
     pub adapter: Adapter,
+    /// Whether the adapter could be loaded now; else a running request must end first.
+    pub has_room: bool,
     /// Prompt tokens ahead.
     pub tokens: u64,
     /// Requests in flight.
@@ -112,7 +116,8 @@
         Adapter::Warm => WARM_LOAD_MS,
         Adapter::Home | Adapter::Foreign | Adapter::Unreachable => COLD_LOAD_MS,
     };
-    (read + FIRST_EVENT_MS + decode) * candidate.pace + over + load
+    let room = if candidate.has_room || load == 0.0 { 0.0 } else { ROOM_MS };
+    (read + FIRST_EVENT_MS + decode) * candidate.pace + over + load + room
 }
 
 /// What a choice costs others, in milliseconds.
--- a/crates/serving/tests/residency.rs
+++ b/crates/serving/tests/residency.rs
@@ -90,6 +90,19 @@
     assert_eq!(planner.next(millis(500), &holding(&held)), None);
 }
 
+#[test]
+fn there_is_room_where_nobody_uses_what_is_held() {
+    let mut planner = Planner::default();
+    let held = ["a1", "a2", "a3", "a4", "a5", "a6"];
+    planner.report(millis(0), entry(1), report(&[], &["a1", "a2", "a3", "a4"]));
+    let later = millis(500);
+
+    assert_eq!(planner.room(later, &holding(&held)), 2);
+    assert_eq!(planner.room(later, &holding(&held[..5])), 2);
+    planner.report(later, entry(2), report(&[], &["a5", "a6"]));
+    assert_eq!(planner.room(later, &holding(&held)), 0);
+}
+
 #[test]
 fn a_newer_version_replaces_the_adapter_in_its_place() {
     let mut planner = Planner::default();
--- a/crates/serving/tests/selection.rs
+++ b/crates/serving/tests/selection.rs
@@ -14,6 +14,7 @@
 
 const IDLE: Candidate = Candidate {
     adapter: Adapter::Present,
+    has_room: true,
     tokens: 0,
     requests: 0,
     slots: 64,
@@ -58,6 +59,16 @@
     assert_eq!(chosen(&[foreign, home]), 1);
 }
 
+#[test]
+fn a_home_whose_places_are_all_in_use_gives_way() {
+    let full = Candidate { adapter: Adapter::Home, has_room: false, ..IDLE };
+    let foreign = Candidate { adapter: Adapter::Foreign, ..IDLE };
+    let present = Candidate { has_room: false, tokens: 4000, ..IDLE };
+
+    assert_eq!(chosen(&[full, foreign]), 1);
+    assert_eq!(chosen(&[foreign, present]), 1, "what is loaded needs no room");
+}
+
 #[test]
 fn a_busy_server_gives_way_to_a_copy_elsewhere() {
     let busy = Candidate { tokens: 30_000, ..IDLE };
