Have two adapters at most on their way to one engine

Cause: after a power loss all engines fetched four adapters each at once, which slows every fetch from the weight store; requests waited over a second.

--- a/crates/serving/src/residency.rs
+++ b/crates/serving/src/residency.rs
@@ -22,7 +22,7 @@
 /// Time in which half of an adapter's uses fade.
 const USE_HALF_LIFE: Duration = Duration::from_secs(8);
 /// Adapters that may be on their way to one engine.
-const MAX_PENDING: usize = 4;
+const MAX_PENDING: usize = 2;
 /// Adapters that an engine is taken to load again quickly, beside those that it holds.
 const RECENT: usize = 30;
 /// Time for which an order without an answer keeps further ones back.
