--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -2,9 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
+use smallvec::SmallVec;
+
 use serving::{
     Moment, Name,
     directory::Listing,
+    manifest::Engine,
     rejection,
     selection::{self, Adapter, Candidate},
 };
@@ -38,6 +41,16 @@
     Refuse { retry_after: Duration, reason: &'static str },
 }
 
+/// The servers that are open to a request at one moment.
+struct Field<'a> {
+    entry: &'a Entry,
+    service: &'a str,
+    open: Vec<&'a Listing>,
+    now: Moment,
+    /// Time for which the request has waited here.
+    held: Duration,
+}
+
 impl Job {
     /// Waits until a server can run the request.
     pub async fn select(&mut self, entry: &Arc<Entry>) -> Result<(Listing, u64), Rejection> {
@@ -89,123 +102,137 @@
                 reason: "the route has no service",
             };
         };
-        let roster = entry.roster();
-        let servers = roster.servers(service);
+        let servers = entry.roster().servers(service);
         let open = servers.iter().filter(|server| !self.tried.contains(&server.id));
         let open: Vec<&Listing> = open.collect();
         if open.is_empty() {
             return Selection::Refuse { retry_after: START_PAUSE, reason: "no server is left" };
         }
-        let model = self.ask.model.as_ref().filter(|_| self.is_for_engine(entry, service));
-        let Some(model) = model else { return self.plain_selection(entry, &open, now) };
-        let version = entry.version(model);
-        let adapter = model.adapter.as_deref().unwrap_or(&model.base);
-        let home = roster.home(service, adapter);
-        let is_popular = LOCAL_RATE <= entry.popularity.lock().rate(now, &Name::from(adapter));
-        let zone_home =
-            is_popular.then(|| roster.zone_home(service, adapter, &entry.settings.zone)).flatten();
-        let is_home = |id: &Name| {
-            [home, zone_home].into_iter().flatten().any(|index| servers[index].id == *id)
-        };
-        let candidates: Vec<Candidate> = open
-            .iter()
-            .map(|listing| {
-                let sighting = entry.sighting(listing);
-                let mut candidate = candidate(entry, listing, now);
-                candidate.adapter = residency(listing, sighting.as_ref(), model, version, now);
-                candidate.has_room =
-                    sighting.as_ref().is_some_and(|sighting| 0 < sighting.status.room)
-                        || candidate.adapter == Adapter::Pending;
-                let is_missing = matches!(candidate.adapter, Adapter::Foreign | Adapter::Warm);
-                if wanted == Some(&listing.id) && is_missing {
-                    candidate.adapter = Adapter::Pending;
-                }
-                if candidate.adapter == Adapter::Foreign && is_home(&listing.id) {
-                    candidate.adapter = Adapter::Home;
-                }
-                candidate
-            })
-            .collect();
+        let field = Field { entry, service, open, now, held: now.saturating_sub(began) };
+        match self.ask.model.as_ref().filter(|_| field.engine().is_some()) {
+            Some(model) => self.engine_selection(&field, model, wanted),
+            None => field.plain_selection(),
+        }
+    }
+
+    fn engine_selection(
+        &self,
+        field: &Field<'_>,
+        model: &Model,
+        wanted: Option<&Name>,
+    ) -> Selection {
+        let candidates = field.engine_candidates(model, wanted);
         let Some(choice) = selection::engine(self.prompt_tokens(), &candidates) else {
-            return self.without_model(entry, service, &open, began, now);
+            return self.without_model(field);
         };
-        let held = now.saturating_sub(began);
-        let limit = if wanted.is_none() {
-            rejection::limit(&self.grant.route, self.grant.route.urgency, self.left(entry))
-        } else {
+        let route = &self.grant.route;
+        let left = self.left(field.entry);
+        let limit = match wanted {
+            None => rejection::limit(route, route.urgency, left),
             // Once it was taken on, a request is refused only if its caller would be gone.
-            rejection::patience(&self.grant.route, self.left(entry) + held)
+            Some(_) => rejection::patience(route, left + field.held),
         };
-        let expected = choice.expected + held;
+        let expected = choice.expected + field.held;
         if limit < expected {
             let retry_after = rejection::retry_after(expected, limit);
             return Selection::Refuse { retry_after, reason: "the servers are busy for too long" };
         }
-        let server = open[choice.index].clone();
-        match candidates[choice.index].adapter {
-            Adapter::Present => {
-                Selection::Send { server, tokens_ahead: candidates[choice.index].tokens }
-            }
+        let server = field.open[choice.index].clone();
+        let chosen = &candidates[choice.index];
+        match chosen.adapter {
+            Adapter::Present => Selection::Send { server, tokens_ahead: chosen.tokens },
             _ => Selection::AwaitAdapter { server },
         }
     }
 
     /// No engine has the model: one that loads it soon is waited for.
-    fn without_model(
-        &self,
-        entry: &Entry,
-        service: &str,
-        open: &[&Listing],
-        began: Moment,
-        now: Moment,
-    ) -> Selection {
-        let manifest = entry.manifest();
-        let service = manifest.as_ref().and_then(|manifest| manifest.services.get(service));
-        let engine = service.and_then(|service| service.engine.as_ref());
-        let reload = engine.map_or(MODEL_PAUSE, |engine| engine.reload);
-        let sightings = open.iter().filter_map(|listing| entry.sighting(listing));
-        let loading = sightings.filter_map(|sighting| {
-            let loading = Duration::from_millis(sighting.status.loading_ms?);
-            Some(loading + now.saturating_sub(sighting.at))
-        });
-        let waited = loading.max().unwrap_or_default();
-        let expected = reload.saturating_sub(waited) + MODEL_MARGIN;
-        let held = now.saturating_sub(began);
-        if held + expected <= rejection::patience(&self.grant.route, self.left(entry) + held) {
+    fn without_model(&self, field: &Field<'_>) -> Selection {
+        let expected = field.model_wait();
+        let patience = rejection::patience(&self.grant.route, self.left(field.entry) + field.held);
+        if field.held + expected <= patience {
             return Selection::AwaitModel;
         }
         Selection::Refuse { retry_after: expected, reason: "no server has the model" }
     }
+}
 
-    fn plain_selection(&self, entry: &Entry, open: &[&Listing], now: Moment) -> Selection {
-        let candidates: Vec<Candidate> =
-            open.iter().map(|listing| candidate(entry, listing, now)).collect();
+impl Field<'_> {
+    fn plain_selection(&self) -> Selection {
+        let candidates = self.open.iter().map(|listing| self.candidate(listing));
+        let candidates: Vec<Candidate> = candidates.collect();
         match selection::plain(&candidates) {
-            Some(index) => Selection::Send { server: open[index].clone(), tokens_ahead: 0 },
+            Some(index) => Selection::Send { server: self.open[index].clone(), tokens_ahead: 0 },
             None => Selection::Refuse { retry_after: START_PAUSE, reason: "no server is left" },
         }
     }
 
-    fn is_for_engine(&self, entry: &Entry, service: &str) -> bool {
-        let manifest = entry.manifest();
-        let service = manifest.as_ref().and_then(|manifest| manifest.services.get(service));
-        service.is_some_and(|service| service.engine.is_some())
+    /// The open servers as model engines; a request may already wait at one of them.
+    fn engine_candidates(&self, model: &Model, wanted: Option<&Name>) -> Vec<Candidate> {
+        let version = self.entry.version(model);
+        let homes = self.homes(model);
+        let candidates = self.open.iter().map(|listing| {
+            let sighting = self.entry.sighting(listing);
+            let adapter = residency(listing, sighting.as_ref(), model, version, self.now);
+            let has_room = sighting.is_some_and(|sighting| 0 < sighting.status.room);
+            let adapter = match adapter {
+                Adapter::Foreign | Adapter::Warm if wanted == Some(&listing.id) => {
+                    return Candidate {
+                        adapter: Adapter::Pending,
+                        has_room,
+                        ..self.candidate(listing)
+                    };
+                }
+                Adapter::Foreign if homes.contains(&listing.id) => Adapter::Home,
+                adapter => adapter,
+            };
+            let has_room = has_room || adapter == Adapter::Pending;
+            Candidate { adapter, has_room, ..self.candidate(listing) }
+        });
+        candidates.collect()
+    }
+
+    /// Names of the servers at which a model's adapter is at home for this instance.
+    fn homes(&self, model: &Model) -> SmallVec<[Name; 2]> {
+        let Some(adapter) = &model.adapter else { return SmallVec::new() };
+        let roster = self.entry.roster();
+        let servers = roster.servers(self.service);
+        let is_popular = LOCAL_RATE <= self.entry.popularity.lock().rate(self.now, adapter);
+        let zone = &self.entry.settings.zone;
+        let zone_home = is_popular.then(|| roster.zone_home(self.service, adapter, zone)).flatten();
+        let homes = [roster.home(self.service, adapter), zone_home].into_iter().flatten();
+        homes.map(|index| servers[index].id.clone()).collect()
     }
-}
 
-/// What is known of a server, without the adapter.
-fn candidate(entry: &Entry, listing: &Listing, now: Moment) -> Candidate {
-    entry.with_server(&listing.id, |server| Candidate {
-        adapter: Adapter::Present,
-        has_room: true,
-        tokens: server.backlog.tokens(now),
-        requests: server.backlog.requests(now),
-        slots: listing.slots,
-        pace: server.backlog.pace(now),
-        failure_share: server.backlog.failure_share(now),
-        is_same_zone: listing.zone == entry.settings.zone,
-        is_suspect: now < server.suspect_until,
-    })
+    /// Time until some engine is expected to have its model.
+    fn model_wait(&self) -> Duration {
+        let reload = self.engine().map_or(MODEL_PAUSE, |engine| engine.reload);
+        let sightings = self.open.iter().filter_map(|listing| self.entry.sighting(listing));
+        let loading = sightings.filter_map(|sighting| {
+            let loading = Duration::from_millis(sighting.status.loading_ms?);
+            Some(loading + self.now.saturating_sub(sighting.at))
+        });
+        reload.saturating_sub(loading.max().unwrap_or_default()) + MODEL_MARGIN
+    }
+
+    /// Set where the service is one of model engines.
+    fn engine(&self) -> Option<Engine> {
+        self.entry.manifest()?.services.get(self.service)?.engine.clone()
+    }
+
+    /// What is known of a server, without the adapter.
+    fn candidate(&self, listing: &Listing) -> Candidate {
+        self.entry.with_server(&listing.id, |server| Candidate {
+            adapter: Adapter::Present,
+            has_room: true,
+            tokens: server.backlog.tokens(self.now),
+            requests: server.backlog.requests(self.now),
+            slots: listing.slots,
+            pace: server.backlog.pace(self.now),
+            failure_share: server.backlog.failure_share(self.now),
+            is_same_zone: listing.zone == self.entry.settings.zone,
+            is_suspect: self.now < server.suspect_until,
+        })
+    }
 }
 
 /// Where a model is, seen from one server.
