Print the quick start's greeting in one write; outlive a closed output

Without load all lines were out before. Change: one write, whose failure ends nothing. The test stays as it was.

--- a/crates/local/src/demo.rs
+++ b/crates/local/src/demo.rs
@@ -1,6 +1,9 @@
 //! What the quick start publishes and prints.
 
-use std::net::SocketAddr;
+use std::{
+    io::{self, Write as _},
+    net::SocketAddr,
+};
 
 use snafu::ResultExt as _;
 
@@ -28,14 +31,15 @@
 
 /// Prints what to try first.
 pub(crate) fn greet(listen: SocketAddr) {
-    println!("chivelatch answers on {listen}. Try:\n");
-    println!("  curl http://{listen}/v1/chat/completions \\");
-    println!("    -H 'Authorization: Bearer demo-key' -H 'Content-Type: application/json' \\");
-    println!(
-        "    -d '{{\"model\": \"council-001@2\", \"max_tokens\": 12, \
-         \"messages\": [{{\"role\": \"user\", \"content\": \"hello\"}}]}}'\n"
+    let text = format!(
+        "chivelatch answers on {listen}. Try:\n\n  curl http://{listen}/v1/chat/completions \\\n    \
+         -H 'Authorization: Bearer demo-key' -H 'Content-Type: application/json' \\\n    \
+         -d '{{\"model\": \"council-001@2\", \"max_tokens\": 12, \
+         \"messages\": [{{\"role\": \"user\", \"content\": \"hello\"}}]}}'\n\n\
+         Ctrl-C stops it.\n"
     );
-    println!("Ctrl-C stops it.");
+    // Whoever has read enough may have closed the other end; that must not end the program.
+    let _nobody_reads = io::stdout().write_all(text.as_bytes());
 }
 
 fn statements() -> impl Iterator<Item = String> {
