--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -17,6 +17,7 @@
     ports::{Ask, Marks},
 };
 
+/// An answer of this system in place of a server's.
 pub struct Rejection {
     pub status: StatusCode,
     pub reason: &'static str,
@@ -45,6 +46,7 @@
     Ok(())
 }
 
+/// The outcome of a whole answer, for logs and metrics.
 pub fn outcome(status: StatusCode) -> &'static str {
     if status.is_success() { "complete" } else { "failed_by_server" }
 }
@@ -77,6 +79,7 @@
     kept
 }
 
+/// The caller's answer for a rejection.
 pub fn respond(entry: &Entry, id: Option<&Name>, rejection: &Rejection) -> Response<Body> {
     let mut response = body::whole(rejection.status, "text/plain", rejection.reason);
     let headers = response.headers_mut();
@@ -90,6 +93,7 @@
     response
 }
 
+/// Logs a rejection and counts it.
 pub fn log_refusal(ask: &Ask, rejection: &Rejection, held: Duration) {
     let status = rejection.status.as_u16();
     metrics::counter!("chivelatch_refusals_total", "status" => status.to_string()).increment(1);
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -44,10 +44,10 @@
 const STOP_SHARE: f64 = 0.9;
 /// First pause after a failure of a server; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
-/// Time in which half of an adapter's requests are forgotten.
-const POPULARITY_HALF_LIFE: Duration = Duration::from_secs(8);
 /// Longest such pause.
 const MAX_PAUSE: Duration = Duration::from_secs(3);
+/// Time in which half of an adapter's requests are forgotten.
+const POPULARITY_HALF_LIFE: Duration = Duration::from_secs(8);
 
 /// State of an entry instance; shared by all its tasks.
 pub struct Entry {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -21,7 +21,7 @@
     relay::Relay,
 };
 
-/// Time for which a caller is asked to wait while this instance knows no configuration.
+/// Time for which a caller is asked to wait where nothing better is known.
 pub const START_PAUSE: Duration = Duration::from_millis(500);
 /// Time that callers wait where they do not say.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
@@ -72,6 +72,7 @@
     Ok(Job::new(ask, parts, body, grant, arrived, arrived + limit))
 }
 
+/// The route and client account of a request, by the configuration given.
 pub fn authorize(
     manifest: &Manifest,
     ask: &Ask,
--- a/crates/serving/src/residency.rs
+++ b/crates/serving/src/residency.rs
@@ -174,7 +174,7 @@
         !self.wants.is_empty()
     }
 
-    /// Requests in flight of other entry instances than `except`.
+    /// Requests in flight that use an adapter, over all entry instances.
     pub fn in_flight(&self, adapter: &str) -> u32 {
         let reports = self.reports.values().flat_map(|(_, report)| &report.in_flight);
         reports.filter(|(name, _)| &**name == adapter).map(|(_, count)| count).sum()
