Load the only kept base model before anybody asks for it

Ruled out: slow starts (all side processes ran 0.4 s after the power came back) and refused orders (none). Change: the engine's own report names the models that its machine keeps copies of; if it is empty and there is just one, the side process orders it loaded. Test: serving/tests/residency.rs, failed first.

--- a/crates/serving/src/residency.rs
+++ b/crates/serving/src/residency.rs
@@ -38,6 +38,8 @@
     /// A base model is being loaded or dropped.
     pub is_busy: bool,
     pub models: Vec<Name>,
+    /// Base models of which the engine's machine has copies, loaded or not.
+    pub kept: Vec<Name>,
     pub adapters: Vec<Resident>,
     /// On their way.
     pub pending: Vec<Resident>,
@@ -180,10 +182,18 @@
         reports.filter(|(name, _)| &**name == adapter).map(|(_, count)| count).sum()
     }
 
+    /// The base model to load into an empty engine: the one that entry instances name, or
+    /// else the only one that is quick to load.
     fn missing_model(&self, holding: &Holding) -> Option<Name> {
-        let (_, report) = self.reports.values().max_by_key(|(at, _)| *at)?;
-        let model = report.model.as_ref()?;
-        holding.models.is_empty().then(|| model.clone())
+        if !holding.models.is_empty() {
+            return None;
+        }
+        let newest = self.reports.values().max_by_key(|(at, _)| *at);
+        let named = newest.and_then(|(_, report)| report.model.clone());
+        named.or_else(|| match holding.kept.as_slice() {
+            [only] => Some(only.clone()),
+            _ => None,
+        })
     }
 
     fn places(&self) -> usize {
--- a/crates/serving/tests/residency.rs
+++ b/crates/serving/tests/residency.rs
@@ -1,7 +1,7 @@
 //! What a model engine is ordered to hold.
 //!
-//! Answers the patterns "rare adapters are asked for at once" and "the engine
-//! leaves orders unanswered".
+//! Answers the patterns "rare adapters are asked for at once", "the engine leaves
+//! orders unanswered" and "everything loses power while the store is away".
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -58,6 +58,35 @@
     assert_eq!(order, Some(Order::LoadModel { model: Arc::from("base") }));
 }
 
+#[test]
+fn an_empty_engine_loads_the_only_model_that_it_kept_before_anybody_asks() {
+    let mut planner = Planner::default();
+    let kept = Holding { kept: vec![Arc::from("base")], ..Holding::default() };
+
+    let order = planner.next(millis(1), &kept);
+
+    assert_eq!(order, Some(Order::LoadModel { model: Arc::from("base") }));
+}
+
+#[test]
+fn of_several_kept_models_none_is_guessed() {
+    let mut planner = Planner::default();
+    let kept = Holding { kept: vec![Arc::from("base"), Arc::from("other")], ..Holding::default() };
+
+    assert_eq!(planner.next(millis(1), &kept), None);
+}
+
+#[test]
+fn what_entry_instances_ask_for_goes_before_what_was_kept() {
+    let mut planner = Planner::default();
+    planner.report(millis(0), entry(1), report(&[], &[]));
+    let kept = Holding { kept: vec![Arc::from("other")], ..Holding::default() };
+
+    let order = planner.next(millis(1), &kept);
+
+    assert_eq!(order, Some(Order::LoadModel { model: Arc::from("base") }));
+}
+
 #[test]
 fn a_wanted_adapter_is_loaded_into_a_free_place() {
     let mut planner = Planner::default();
