Let requests wait for the configuration while an instance starts

Cause: an instance that had just started refused each request with 503 until it had read the store, 0.1 to 1.5 s later. Ruled out: Retry-After (callers keep to it, but come back once only). Change: within 3 s of its start an instance lets a request wait for a quarter of its caller's patience until configuration and servers are there; after that it refuses at once, as before.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use event_listener::Event;
+use event_listener::{Event, EventListener};
 use parking_lot::{Mutex, RwLock};
 
 use kernel::{
@@ -185,8 +185,28 @@
 
     /// Whether new connections should come here.
     pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.is_informed()
+    }
+
+    /// Waits until the instance has heard its configuration and the servers, at most until `end`.
+    pub async fn wait_until_informed(&self, end: Moment) {
+        while !self.is_informed() {
+            let changed = self.residency.listen();
+            if self.is_informed() || self.end_of(end, changed).await {
+                return;
+            }
+        }
+    }
+
+    fn is_informed(&self) -> bool {
         let knowledge = self.knowledge.read();
-        !self.is_stopping() && knowledge.manifest.is_some() && !knowledge.directory.is_empty()
+        knowledge.manifest.is_some() && !knowledge.directory.is_empty()
+    }
+
+    /// Waits for an event; tells whether the time was over before.
+    async fn end_of(&self, end: Moment, event: EventListener) -> bool {
+        let left = end.saturating_sub(self.now());
+        left.is_zero() || self.kernel.clock.timeout(left, event).await.is_err()
     }
 
     pub fn is_stopping(&self) -> bool {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,7 +11,10 @@
     http::request,
 };
 
-use serving::manifest::{Denial, Grant, Manifest};
+use serving::{
+    manifest::{Denial, Grant, Manifest},
+    rejection,
+};
 
 use crate::{
     answer::{self, Rejection, end_to_end},
@@ -53,6 +56,7 @@
         answer::log_refusal(&ask, &rejection, entry.now().saturating_sub(arrived));
         answer::respond(entry, Some(&ask.id), &rejection)
     };
+    entry.wait_until_informed(arrived + rejection::start_wait(arrived, patience(&ask))).await;
     let Some(manifest) = entry.manifest() else {
         return Err(refuse(Rejection::later("no configuration yet", START_PAUSE)));
     };
@@ -67,11 +71,16 @@
         };
         refuse(Rejection::plain(status, "the body was not taken"))
     })?;
-    let patience = ask.patience.unwrap_or(DEFAULT_PATIENCE);
+    let patience = patience(&ask);
     let limit = grant.route.timeout.map_or(patience, |timeout| timeout.min(patience));
     Ok(Job::new(ask, parts, body, grant, arrived, arrived + limit))
 }
 
+/// How long the caller waits.
+fn patience(ask: &Ask) -> Duration {
+    ask.patience.unwrap_or(DEFAULT_PATIENCE)
+}
+
 /// The route and client account of a request, by the configuration given.
 pub fn authorize(
     manifest: &Manifest,
--- a/crates/serving/src/rejection.rs
+++ b/crates/serving/src/rejection.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use crate::manifest::Route;
+use crate::{Moment, manifest::Route};
 
 /// Shortest time that a refused caller is told to wait.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -15,6 +15,17 @@
 /// Share of a caller's patience that may be used up by an expectation.
 const PATIENCE_SHARE: f64 = 0.75;
 
+/// Time after its start in which an instance expects to hear its configuration and the servers.
+const START_SPAN: Duration = Duration::from_secs(3);
+/// Share of a caller's patience that a starting instance may use up before it can decide.
+const START_SHARE: f64 = 0.25;
+
+/// Time for which a request waits at an instance of this age that cannot serve yet: most
+/// callers come back once only, so a refusal during the start is often their last.
+pub fn start_wait(age: Moment, patience: Duration) -> Duration {
+    START_SPAN.saturating_sub(age).min(patience.mul_f64(START_SHARE))
+}
+
 /// Longest time to the first event that is worth waiting for.
 pub fn limit(route: &Route, urgency: u8, left: Duration) -> Duration {
     let objective = route.objective;
