Count who waits for an engine's places when choosing one

The choice knew only whether an engine had a free place, so that many waited at one home while places elsewhere came free. Change: a side process tells how many places are free and how many adapters wait for one; each that waits adds 500 ms to what an engine promises; a foreign load costs others 1,000 ms, not 500 ms.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -9,6 +9,7 @@
     directory::Listing,
     manifest::Engine,
     rejection,
+    residency::Places,
     selection::{self, Adapter, Candidate},
 };
 
@@ -172,25 +173,30 @@
         let homes = self.homes(model);
         let candidates = self.open.iter().map(|listing| {
             let sighting = self.entry.sighting(listing);
-            let adapter = residency(listing, sighting.as_ref(), model, version, self.now);
-            let has_room = sighting.is_some_and(|sighting| 0 < sighting.status.room);
-            let adapter = match adapter {
-                Adapter::Foreign | Adapter::Warm if wanted == Some(&listing.id) => {
-                    return Candidate {
-                        adapter: Adapter::Pending,
-                        has_room,
-                        ..self.candidate(listing)
-                    };
-                }
-                Adapter::Foreign if homes.contains(&listing.id) => Adapter::Home,
-                adapter => adapter,
-            };
-            let has_room = has_room || adapter == Adapter::Pending;
-            Candidate { adapter, has_room, ..self.candidate(listing) }
+            let places = self.places(listing, sighting.as_ref());
+            let (adapter, queue) =
+                match residency(listing, sighting.as_ref(), model, version, self.now) {
+                    Adapter::Foreign | Adapter::Warm if wanted == Some(&listing.id) => {
+                        (Adapter::Pending, places.rest_of_queue())
+                    }
+                    Adapter::Pending => (Adapter::Pending, 0),
+                    Adapter::Foreign if homes.contains(&listing.id) => {
+                        (Adapter::Home, places.queue())
+                    }
+                    adapter => (adapter, places.queue()),
+                };
+            Candidate { adapter, queue, ..self.candidate(listing) }
         });
         candidates.collect()
     }
 
+    /// How far a server's places are taken, with the wants that its side process has not heard.
+    fn places(&self, listing: &Listing, sighting: Option<&Sighting>) -> Places {
+        let told = sighting.map(|sighting| sighting.status.places).unwrap_or_default();
+        let own = self.entry.with_server(&listing.id, |server| server.wants.len());
+        Places { waiting: told.waiting.max(own), ..told }
+    }
+
     /// Names of the servers at which a model's adapter is at home for this instance.
     fn homes(&self, model: &Model) -> SmallVec<[Name; 2]> {
         let Some(adapter) = &model.adapter else { return SmallVec::new() };
@@ -223,7 +229,7 @@
     fn candidate(&self, listing: &Listing) -> Candidate {
         self.entry.with_server(&listing.id, |server| Candidate {
             adapter: Adapter::Present,
-            has_room: true,
+            queue: 0,
             tokens: server.backlog.tokens(self.now),
             requests: server.backlog.requests(self.now),
             slots: listing.slots,
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -16,6 +16,7 @@
 
 use serving::{
     Moment, Name, backlog::Report, directory::Listing, knowledge::Positions, manifest::Manifest,
+    residency::Places,
 };
 
 use crate::{
@@ -132,8 +133,8 @@
     loop {
         match next(&socket).await {
             Some((from, Message::Status(status))) => note_status(&entry, from, status),
-            Some((from, Message::Work { born_ms, room, work })) => {
-                note_work_alone(&entry, from, born_ms, room, &work);
+            Some((from, Message::Work { born_ms, places, work })) => {
+                note_work_alone(&entry, from, born_ms, places, &work);
             }
             Some((from, Message::Gossip(gossip))) => note_gossip(&entry, from, &gossip),
             Some((_, Message::Guide(_))) | None => {}
@@ -157,7 +158,7 @@
 }
 
 /// Work alone says that the side process lives, and that nothing else has changed.
-fn note_work_alone(entry: &Entry, from: SocketAddr, born_ms: u64, room: usize, work: &Work) {
+fn note_work_alone(entry: &Entry, from: SocketAddr, born_ms: u64, places: Places, work: &Work) {
     let (host, now) = (from.ip(), entry.now());
     let sighting = entry.sightings.with(&host, |sightings| {
         let sighting = sightings.get_mut(&host)?;
@@ -165,7 +166,7 @@
             return None;
         }
         sighting.at = now;
-        Arc::make_mut(&mut sighting.status).room = room;
+        Arc::make_mut(&mut sighting.status).places = places;
         Some(sighting.clone())
     });
     if let Some(sighting) = sighting {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use serving::{Name, allowance::Statement, knowledge::Positions};
+use serving::{Name, allowance::Statement, knowledge::Positions, residency::Places};
 
 /// Largest datagram that is sent, in bytes.
 pub const MAX_BYTES: usize = 8 * 1024;
@@ -19,7 +19,7 @@
     /// From a side process to the entry instances that it hears.
     Status(Status),
     /// The part of a status that changes most.
-    Work { born_ms: u64, room: usize, work: Work },
+    Work { born_ms: u64, places: Places, work: Work },
     /// Between entry instances.
     Gossip(Gossip),
 }
@@ -53,8 +53,7 @@
     pub born_ms: u64,
     pub orders: u64,
     pub models: Vec<Name>,
-    /// Places that a further adapter could have now.
-    pub room: usize,
+    pub places: Places,
     /// Time since a base model is being loaded, in milliseconds.
     pub loading_ms: Option<u64>,
     /// Adapters with their versions.
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -17,7 +17,7 @@
 use kernel::{Kernel, drain};
 use serving::{
     Moment, Name,
-    residency::{Holding, Order, Planner, Report, Resident},
+    residency::{Holding, Order, Places, Planner, Report, Resident},
 };
 
 use crate::{
@@ -60,7 +60,7 @@
     told_at: Moment,
     told_work: Work,
     told_work_at: Moment,
-    told_room: usize,
+    told_places: Places,
 }
 
 /// An entry instance that follows this engine.
@@ -250,7 +250,7 @@
     state.entries.retain(|_, listener| now < listener.heard + ENTRY_SILENCE);
     let listeners = state.entries.keys().copied().collect();
     let work = state.work();
-    let room = state.planner.room(now, holding);
+    let places = state.planner.places(now, holding);
     let held = state.status(holding);
     if state.told_at + STATUS_INTERVAL <= now || state.told.as_ref() != Some(&held) {
         state.told = Some(held.clone());
@@ -259,15 +259,15 @@
         state.told_work_at = now;
         let loading = state.loading_since.filter(|_| holding.models.is_empty());
         let loading_ms = loading.map(|since| now.saturating_sub(since).as_millis() as u64);
-        return Some((Message::Status(Status { work, room, loading_ms, ..held }), listeners));
+        return Some((Message::Status(Status { work, places, loading_ms, ..held }), listeners));
     }
     if state.told_work_at + WORK_INTERVAL <= now
-        && (&state.told_work, state.told_room) != (&work, room)
+        && (&state.told_work, state.told_places) != (&work, places)
     {
-        state.told_room = room;
+        state.told_places = places;
         state.told_work.clone_from(&work);
         state.told_work_at = now;
-        return Some((Message::Work { born_ms: holding.born_ms, room, work }, listeners));
+        return Some((Message::Work { born_ms: holding.born_ms, places, work }, listeners));
     }
     None
 }
@@ -292,7 +292,7 @@
             born_ms: holding.born_ms,
             orders: holding.orders,
             models: holding.models.clone(),
-            room: 0,
+            places: Places::default(),
             loading_ms: None,
             adapters: pairs(&holding.adapters),
             pending: pairs(&holding.pending),
--- a/crates/serving/src/residency.rs
+++ b/crates/serving/src/residency.rs
@@ -11,6 +11,8 @@
     time::Duration,
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::{Moment, Name};
 
 /// Reports of entry instances older than this are forgotten.
@@ -68,6 +70,27 @@
     pub wants: Vec<Resident>,
 }
 
+/// How far an engine's places are taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Places {
+    /// Empty, or held by an adapter that nobody uses.
+    pub free: usize,
+    /// Adapters that requests wait for and that are not on their way yet.
+    pub waiting: usize,
+}
+
+impl Places {
+    /// Adapters that must find a place before one more could be loaded.
+    pub fn queue(&self) -> usize {
+        (self.waiting + 1).saturating_sub(self.free)
+    }
+
+    /// The same for an adapter that waits already: about half of the others came after it.
+    pub fn rest_of_queue(&self) -> usize {
+        self.waiting.saturating_sub(self.free).div_ceil(2)
+    }
+}
+
 /// What to tell the engine next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Order {
@@ -138,7 +161,7 @@
         let is_replacement =
             holding.adapters.iter().any(|resident| resident.adapter == want.adapter);
         let taken = holding.adapters.len() + holding.pending.len();
-        if is_replacement || taken < self.places() {
+        if is_replacement || taken < self.capacity() {
             return Some(Order::Load { model: want.model, adapter: want.adapter });
         }
         let victim = self.victim(now, holding)?;
@@ -164,11 +187,14 @@
         &self.recent
     }
 
-    /// Places that a further adapter could have now: empty, or held by one that nobody uses.
-    pub fn room(&self, now: Moment, holding: &Holding) -> usize {
+    /// Places that are free now, and wants that need one.
+    pub fn places(&self, now: Moment, holding: &Holding) -> Places {
         let is_free = |resident: &&Resident| self.is_droppable(now, &resident.adapter);
         let taken = holding.adapters.iter().filter(|resident| !is_free(resident)).count();
-        self.places().saturating_sub(taken + holding.pending.len())
+        Places {
+            free: self.capacity().saturating_sub(taken + holding.pending.len()),
+            waiting: self.open_wants(holding).count(),
+        }
     }
 
     /// Whether somebody waits for an adapter.
@@ -196,24 +222,28 @@
         })
     }
 
-    fn places(&self) -> usize {
+    fn capacity(&self) -> usize {
         let newest = self.reports.values().max_by_key(|(at, _)| *at);
         newest.map_or(0, |(_, report)| report.places)
     }
 
     fn oldest_want(&self, holding: &Holding) -> Option<&Resident> {
-        let open = self.wants.iter().filter(|(want, _)| {
+        let open = self.open_wants(holding);
+        open.min_by_key(|(_, want)| want.since).map(|(wanted, _)| wanted)
+    }
+
+    /// Wants for adapters that the engine neither holds nor loads.
+    fn open_wants(&self, holding: &Holding) -> impl Iterator<Item = (&Resident, &Want)> {
+        self.wants.iter().filter(|(wanted, _)| {
             let satisfies = |resident: &Resident| {
-                resident.model == want.model
-                    && resident.adapter == want.adapter
-                    && want.version <= resident.version
+                resident.model == wanted.model
+                    && resident.adapter == wanted.adapter
+                    && wanted.version <= resident.version
             };
-            let is_held = holding.models.contains(&want.model);
-            is_held
+            holding.models.contains(&wanted.model)
                 && !holding.adapters.iter().any(satisfies)
-                && !holding.pending.iter().any(|pending| pending.adapter == want.adapter)
-        });
-        open.min_by_key(|(_, want)| want.since).map(|(want, _)| want)
+                && !holding.pending.iter().any(|pending| pending.adapter == wanted.adapter)
+        })
     }
 
     fn victim<'a>(&self, now: Moment, holding: &'a Holding) -> Option<&'a Resident> {
--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -4,6 +4,7 @@
 //! counting the prompts ahead, the server's learnt pace, and the load of an
 //! adapter that is not there. A load away from the adapter's home costs more,
 //! since it takes a place from another adapter, so copies spread only under load.
+//! Where all places are in use, each adapter that waits for one adds to the time.
 //! For plain services: the one with the fewest requests in flight for its slots.
 
 use std::time::Duration;
@@ -18,7 +19,7 @@
 const COLD_LOAD_MS: f64 = 270.0;
 /// What loading an adapter away from its home costs others, in milliseconds: it takes a
 /// turn of the weight store and displaces an adapter that is at home.
-const FOREIGN_MS: f64 = 500.0;
+const FOREIGN_MS: f64 = 1000.0;
 /// Cost of an adapter that is on its way, in milliseconds.
 const PENDING_LOAD_MS: f64 = 60.0;
 /// Cost of leaving the availability zone, in milliseconds.
@@ -27,8 +28,8 @@
 const SUSPECT_MS: f64 = 5000.0;
 /// Cost of a server that fails all its requests, in milliseconds.
 const FAILURE_MS: f64 = 1500.0;
-/// Usual time until an adapter in use may be dropped, in milliseconds.
-const ROOM_MS: f64 = 250.0;
+/// Usual time until the next adapter in use may be dropped, in milliseconds.
+const ROOM_MS: f64 = 500.0;
 /// Cost of a request beyond the slots, in milliseconds.
 const OVER_SLOTS_MS: f64 = 60.0;
 /// Cost of a request that decodes, in milliseconds: it slows each step a little.
@@ -54,8 +55,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
     pub adapter: Adapter,
-    /// Whether the adapter could be loaded now; else a running request must end first.
-    pub has_room: bool,
+    /// Adapters, this one included, that must find a place before it could be loaded: for each
+    /// of them running requests must end first.
+    pub queue: usize,
     /// Prompt tokens ahead.
     pub tokens: u64,
     /// Requests in flight.
@@ -116,7 +118,7 @@
         Adapter::Warm => WARM_LOAD_MS,
         Adapter::Home | Adapter::Foreign | Adapter::Unreachable => COLD_LOAD_MS,
     };
-    let room = if candidate.has_room || load == 0.0 { 0.0 } else { ROOM_MS };
+    let room = if load == 0.0 { 0.0 } else { candidate.queue as f64 * ROOM_MS };
     (read + FIRST_EVENT_MS + decode) * candidate.pace + over + load + room
 }
 
