--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -9,6 +9,7 @@
     http::response,
 };
 
+use kernel::event::Event;
 use serving::Name;
 
 use crate::{
@@ -98,7 +99,7 @@
     let status = rejection.status.as_u16();
     metrics::counter!("chivelatch_refusals_total", "status" => status.to_string()).increment(1);
     log::info!(
-        event = "refused", request = &*ask.id, status, reason = rejection.reason,
+        event = Event::Refused, request = &*ask.id, status, reason = rejection.reason,
         held_ms = held.as_millis() as u64,
         retry_after_ms = rejection.retry_after.map_or(0, |wait| wait.as_millis() as u64);
         "refused"
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -10,12 +10,13 @@
     time::{Duration, Instant},
 };
 
-use event_listener::{Event, EventListener};
+use event_listener::EventListener;
 use parking_lot::{Mutex, RwLock};
 
 use kernel::{
     Kernel,
     drain::{self, Drain},
+    event::Event,
     shard,
 };
 use placement::popularity::Popularity;
@@ -59,9 +60,9 @@
     pub incarnation: u64,
     pub drain: Drain,
     /// Notified when a server's adapters change.
-    pub residency: Event,
+    pub residency: event_listener::Event,
     /// Notified when a side process should hear from this instance at once.
-    pub guidance: Event,
+    pub guidance: event_listener::Event,
     pub servers: shard::Map<Name, Server>,
     /// Model engines as the side processes on their hosts see them.
     pub sightings: shard::Map<IpAddr, Sighting>,
@@ -96,15 +97,15 @@
 ) -> ExitCode {
     let entry = Arc::new(Entry::new(&kernel, settings, dialect, pool, store));
     log::info!(
-        event = "start", instance = &*entry.settings.instance, zone = &*entry.settings.zone;
+        event = Event::Start, instance = &*entry.settings.instance, zone = &*entry.settings.zone;
         "entry instance starts"
     );
     if let Err(error) = listen::start(&entry).await {
-        log::error!(event = "start"; "{error}");
+        log::error!(event = Event::Start; "{error}");
         return ExitCode::FAILURE;
     }
     if let Err(error) = mesh::start_entry(&entry).await {
-        log::error!(event = "start"; "{error}");
+        log::error!(event = Event::Start; "{error}");
         return ExitCode::FAILURE;
     }
     follow::start(&entry);
@@ -117,13 +118,13 @@
 /// Takes no new connections once the balancer has noticed, and lets requests end.
 async fn stop(entry: &Entry) {
     let limit = entry.tunable().stop_limit.mul_f64(STOP_SHARE);
-    log::info!(event = "stop", limit_ms = limit.as_millis() as u64; "stopping: not ready any more");
+    log::info!(event = Event::Stop, limit_ms = limit.as_millis() as u64; "stopping: not ready any more");
     entry.is_stopping.store(true, Ordering::Relaxed);
     let notice = BALANCER_NOTICE.min(limit / 2);
     entry.kernel.clock.sleep(notice).await;
     entry.drain.stop();
     let is_finished = entry.drain.finish(&entry.kernel.clock, limit - notice).await;
-    log::info!(event = "stop", is_finished; "stopped");
+    log::info!(event = Event::Stop, is_finished; "stopped");
     log::logger().flush();
 }
 
@@ -143,8 +144,8 @@
             store,
             incarnation: rand::random(),
             drain: Drain::default(),
-            residency: Event::new(),
-            guidance: Event::new(),
+            residency: event_listener::Event::new(),
+            guidance: event_listener::Event::new(),
             servers: shard::Map::default(),
             sightings: shard::Map::default(),
             budgets: shard::Map::default(),
@@ -249,7 +250,7 @@
             return;
         }
         drop(health);
-        log::info!(event = "dependency_regained", dependency = "store", topic:? = topic; "the store answers again");
+        log::info!(event = Event::DependencyRegained, dependency = "store", topic:? = topic; "the store answers again");
         self.knowledge.write().directory.store_returned(now);
     }
 
@@ -261,7 +262,7 @@
         }
         drop(health);
         metrics::counter!("chivelatch_store_losses_total").increment(1);
-        log::warn!(event = "dependency_lost", dependency = "store", topic:? = topic; "{error}");
+        log::warn!(event = Event::DependencyLost, dependency = "store", topic:? = topic; "{error}");
     }
 
     /// Time since the store last answered, while it does not.
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -3,6 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use kernel::event::Event;
 use serving::{Moment, Name, directory::Listing};
 
 use crate::{entry::Entry, job::Job, ports::Ask};
@@ -105,7 +106,7 @@
             *state.wants.entry(key.clone()).or_default() += 1;
         });
         log::info!(
-            event = "want", request = &*ask.id, server = &*server.id, adapter = &*key.1, version = key.2;
+            event = Event::Want, request = &*ask.id, server = &*server.id, adapter = &*key.1, version = key.2;
             "a request waits for an adapter"
         );
         entry.guidance.notify(usize::MAX);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,6 +4,7 @@
 
 use hyper::Request;
 
+use kernel::event::Event;
 use services::http::{self, Error};
 use serving::{
     Moment, Name,
@@ -72,7 +73,7 @@
         }
         let expired = entry.update_if(|now, knowledge| knowledge.directory.expire(now));
         for server in expired {
-            log::info!(event = "server_gone", server = &*server; "it did not come back after the store's outage");
+            log::info!(event = Event::ServerGone, server = &*server; "it did not come back after the store's outage");
         }
     }
 }
@@ -89,7 +90,7 @@
     let snapshot = (entry.store.newest)(topic).await?;
     if snapshot.end < known_position(entry, topic) {
         log::warn!(
-            event = "store_stale", topic:? = topic, end = snapshot.end;
+            event = Event::StoreStale, topic:? = topic, end = snapshot.end;
             "the store answered with an older state; it is not used"
         );
         return Ok(Some(known_position(entry, topic)));
@@ -99,7 +100,7 @@
     if topic == Topic::Servers {
         let gone = entry.update_knowledge(|now, known| known.retain_servers(now, &present));
         for (server, effect) in gone {
-            log::info!(event = "server", server = &*server, effect:? = effect; "not in the list");
+            log::info!(event = Event::Server, server = &*server, effect:? = effect; "not in the list");
         }
     }
     Ok(Some(snapshot.end))
@@ -109,7 +110,7 @@
     let wait = if topic == Topic::Servers { SERVERS_WAIT } else { LONG_WAIT };
     match (entry.store.read)(topic, from, wait).await? {
         Tail::Expired => {
-            log::info!(event = "log_expired", topic:? = topic, from; "reading the newest records");
+            log::info!(event = Event::LogExpired, topic:? = topic, from; "reading the newest records");
             Ok(None)
         }
         Tail::Records { records, next } => {
@@ -156,20 +157,20 @@
 ) {
     let key = &*record.key;
     if let Change::Unreadable { reason, .. } = &record.change {
-        log::warn!(event = "record_skipped", key, position; "{reason}");
+        log::warn!(event = Event::RecordSkipped, key, position; "{reason}");
     }
     let is_server = matches!(record.change, Change::Server(_) | Change::ServerGone(_));
     match knowledge.apply(now, record.change) {
         Outcome::NewManifest(revision) => {
-            log::info!(event = "configuration", revision, position; "a new revision is in force");
+            log::info!(event = Event::Configuration, revision, position; "a new revision is in force");
         }
         Outcome::OldManifest(revision) => {
-            log::info!(event = "configuration", revision, position; "an older revision is ignored");
+            log::info!(event = Event::Configuration, revision, position; "an older revision is ignored");
         }
-        Outcome::NewVersion => log::info!(event = "version", key, position; "a new version"),
+        Outcome::NewVersion => log::info!(event = Event::Version, key, position; "a new version"),
         Outcome::Server(serving::directory::Effect::Same) => {}
         Outcome::Server(effect) if is_server => {
-            log::info!(event = "server", server = key, effect:? = effect, position; "the list changed");
+            log::info!(event = Event::Server, server = key, effect:? = effect, position; "the list changed");
         }
         Outcome::Server(_) | Outcome::Nothing => {}
     }
@@ -183,7 +184,7 @@
         let value = address.to_string().into_bytes().into();
         match (entry.store.announce)(&entry.settings.instance, value).await {
             Ok(()) => return,
-            Err(error) => log::warn!(event = "announce"; "{error}"),
+            Err(error) => log::warn!(event = Event::Announce; "{error}"),
         }
         entry.kernel.clock.sleep(pause).await;
         pause = (pause * 2).min(MAX_PAUSE * 8);
@@ -210,13 +211,13 @@
                 let positions = copy.positions;
                 let is_newer = entry.update_knowledge(|now, knowledge| knowledge.adopt(now, copy));
                 log::info!(
-                    event = "peer_copy", peer:% = address, is_newer,
+                    event = Event::PeerCopy, peer:% = address, is_newer,
                     operator = positions.operator, servers = positions.servers,
                     store_silent_ms = entry.store_silence().as_millis() as u64;
                     "took what a peer knows"
                 );
             }
-            Err(error) => log::info!(event = "peer_copy", peer:% = address; "{error}"),
+            Err(error) => log::info!(event = Event::PeerCopy, peer:% = address; "{error}"),
         }
     }
 }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -12,6 +12,7 @@
     http::{request, response},
 };
 
+use kernel::event::Event;
 use services::pool::Connection;
 use serving::{Moment, Name, directory::Listing, manifest::Grant, selection};
 
@@ -136,7 +137,7 @@
             match self.whole(entry, sent).await {
                 Ok(response) if response.status().is_server_error() && self.may_send_again() => {
                     log::info!(
-                        event = "server_error", request = &*self.ask.id, server = &*server,
+                        event = Event::ServerError, request = &*self.ask.id, server = &*server,
                         status = response.status().as_u16();
                         "the server failed the request; another one is tried"
                     );
@@ -180,7 +181,7 @@
         let flight = Flight::new(entry, server, self, tokens_ahead);
         let request = self.onward(entry, server, left);
         log::info!(
-            event = "sent", request = &*self.ask.id, server = &*server.id,
+            event = Event::Sent, request = &*self.ask.id, server = &*server.id,
             left_ms = left.as_millis() as u64, tokens_ahead, sends = self.sends,
             account = self.account(), units = self.charge.map_or(0, |(units, _)| units);
             "sent to a server"
@@ -287,7 +288,7 @@
         }
         metrics::counter!("chivelatch_not_run_total").increment(1);
         log::info!(
-            event = "not_run", request = &*self.ask.id, server = &*server.id;
+            event = Event::NotRun, request = &*self.ask.id, server = &*server.id;
             "{failure}"
         );
         match failure {
@@ -315,7 +316,7 @@
     ) -> Result<(), Rejection> {
         metrics::counter!("chivelatch_broken_total").increment(1);
         log::warn!(
-            event = "broken", request = &*self.ask.id, server = &**server,
+            event = Event::Broken, request = &*self.ask.id, server = &**server,
             runs = self.runs;
             "{failure}"
         );
@@ -356,7 +357,7 @@
             }
             Err(wait) => {
                 log::info!(
-                    event = "over_rate", request = &*self.ask.id, account = &*account.name, units,
+                    event = Event::OverRate, request = &*self.ask.id, account = &*account.name, units,
                     rate = account.rate, burst = account.burst;
                     "the client account's rate is used up"
                 );
@@ -403,7 +404,7 @@
         metrics::histogram!("chivelatch_request_seconds", "outcome" => outcome)
             .record(took.as_secs_f64());
         log::info!(
-            event = "ended", request = &*self.ask.id, server = &**server, outcome, bytes,
+            event = Event::Ended, request = &*self.ask.id, server = &**server, outcome, bytes,
             took_ms = took.as_millis() as u64;
             "answered"
         );
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -14,6 +14,7 @@
 use async_net::UdpSocket;
 use front::server::ListenError;
 
+use kernel::event::Event;
 use serving::{
     Moment, Name, backlog::Report, directory::Listing, knowledge::Positions, manifest::Manifest,
     residency::Places,
@@ -116,7 +117,7 @@
 pub async fn send(socket: &UdpSocket, to: SocketAddr, message: &Message) {
     let Ok(bytes) = postcard::to_stdvec(message) else { return };
     if MAX_BYTES < bytes.len() {
-        log::warn!(event = "mesh", bytes = bytes.len(); "a datagram is too large and is not sent");
+        log::warn!(event = Event::Mesh, bytes = bytes.len(); "a datagram is too large and is not sent");
         return;
     }
     let _repeated_anyway = socket.send_to(&bytes, to).await;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
 
+use kernel::event::Event;
 use services::pool::Connection;
 use serving::Name;
 
@@ -166,7 +167,7 @@
         events.partial.clear();
         self.job.last_event = events.last_id.clone().or(self.job.last_event.take());
         log::info!(
-            event = "resume", request = &*self.job.ask.id, server = &*self.source.server, reason;
+            event = Event::Resume, request = &*self.job.ask.id, server = &*self.source.server, reason;
             "the stream goes on elsewhere"
         );
         self.entry.note_failure(&self.source.server);
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -4,7 +4,7 @@
 
 use futures_lite::{StreamExt as _, future};
 
-use kernel::drain;
+use kernel::{drain, event::Event};
 
 use crate::{
     entry::Entry,
@@ -27,7 +27,7 @@
         match (reloader.0)() {
             Ok(settings) => apply(&entry, &settings, is_signalled),
             Err(problem) => {
-                log::warn!(event = "reload", is_signalled; "the settings stay as they were: {problem}");
+                log::warn!(event = Event::Reload, is_signalled; "the settings stay as they were: {problem}");
             }
         }
     }
@@ -42,6 +42,6 @@
         entry.peers.lock().add(*seed);
     }
     if is_changed || is_signalled {
-        log::info!(event = "reload", is_signalled, is_changed; "the settings were read again");
+        log::info!(event = Event::Reload, is_signalled, is_changed; "the settings were read again");
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,6 +11,7 @@
     http::request,
 };
 
+use kernel::event::Event;
 use serving::{
     manifest::{Denial, Grant, Manifest},
     rejection,
@@ -49,7 +50,7 @@
 ) -> Result<Job, Response<Body>> {
     let arrived = entry.now();
     let ask = (entry.dialect.ask)(&parts).map_err(|error| {
-        log::info!(event = "refused", status = 400; "{error}");
+        log::info!(event = Event::Refused, status = 400; "{error}");
         answer::respond(entry, None, &Rejection::plain(StatusCode::BAD_REQUEST, error.reason))
     })?;
     let refuse = |rejection: Rejection| {
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -11,10 +11,9 @@
 };
 
 use async_net::UdpSocket;
-use event_listener::Event;
 use parking_lot::Mutex;
 
-use kernel::{Kernel, drain};
+use kernel::{Kernel, drain, event::Event};
 use serving::{
     Moment, Name,
     residency::{Holding, Order, Places, Planner, Report, Resident},
@@ -43,7 +42,7 @@
     socket: UdpSocket,
     start: Instant,
     state: Mutex<State>,
-    changed: Event,
+    changed: event_listener::Event,
 }
 
 #[derive(Default)]
@@ -73,18 +72,18 @@
 /// Runs a side process until it is told to stop.
 pub async fn run(kernel: Kernel, settings: Settings, engine: Engine) -> ExitCode {
     log::info!(
-        event = "start", instance = &*settings.instance, zone = &*settings.zone;
+        event = Event::Start, instance = &*settings.instance, zone = &*settings.zone;
         "side process starts"
     );
     let socket = match mesh::open(settings.mesh).await {
         Ok(socket) => socket,
         Err(error) => {
-            log::error!(event = "start"; "{error}");
+            log::error!(event = Event::Start; "{error}");
             return ExitCode::FAILURE;
         }
     };
     if let Err(error) = listen::serve_metrics(&kernel, settings.metrics).await {
-        log::error!(event = "start"; "{error}");
+        log::error!(event = Event::Start; "{error}");
         return ExitCode::FAILURE;
     }
     let side = Arc::new(Side {
@@ -93,14 +92,14 @@
         engine,
         socket,
         state: Mutex::default(),
-        changed: Event::new(),
+        changed: event_listener::Event::new(),
     });
     kernel.spawn_detached(listen_to_entries(Arc::clone(&side)));
     kernel.spawn_detached(look_after_engine(side));
     // Nothing of these settings changes while the process runs; a hangup must not end it.
     let _hangups = drain::hangups();
     drain::termination().await;
-    log::info!(event = "stop"; "stopped");
+    log::info!(event = Event::Stop; "stopped");
     log::logger().flush();
     ExitCode::SUCCESS
 }
@@ -157,7 +156,7 @@
             Ok(holding) => {
                 note_start(&side, &holding);
                 if std::mem::take(&mut is_lost) {
-                    log::info!(event = "dependency_regained", dependency = "engine"; "the engine answers again");
+                    log::info!(event = Event::DependencyRegained, dependency = "engine"; "the engine answers again");
                 }
                 tell(&side, &holding).await;
                 if act(&side, &holding).await {
@@ -170,7 +169,7 @@
             }
             Err(error) => {
                 if !std::mem::replace(&mut is_lost, true) {
-                    log::warn!(event = "dependency_lost", dependency = "engine"; "{error}");
+                    log::warn!(event = Event::DependencyLost, dependency = "engine"; "{error}");
                 }
             }
         }
@@ -186,7 +185,7 @@
 fn note_start(side: &Side, holding: &Holding) {
     let mut state = side.state.lock();
     if state.born_ms != holding.born_ms {
-        log::info!(event = "engine_start", born_ms = holding.born_ms; "the engine is a new process");
+        log::info!(event = Event::EngineStart, born_ms = holding.born_ms; "the engine is a new process");
         state.born_ms = holding.born_ms;
         state.engine_id = None;
     }
@@ -204,7 +203,7 @@
     let orders = holding.orders;
     match &outcome {
         Ok(Given::Accepted) => {
-            log::info!(event = "order", order:? = order, orders; "the engine accepted an order");
+            log::info!(event = Event::Order, order:? = order, orders; "the engine accepted an order");
             if matches!(order, Order::LoadModel { .. }) {
                 let mut state = side.state.lock();
                 state.loading_since = Some(side.now());
@@ -213,13 +212,13 @@
         }
         Ok(Given::OtherEngine { actual }) => {
             log::info!(
-                event = "order", order:? = order, meant:? = engine_id, actual:? = actual;
+                event = Event::Order, order:? = order, meant:? = engine_id, actual:? = actual;
                 "the engine has another name now"
             );
             side.state.lock().engine_id = actual.clone();
         }
         Err(error) => {
-            log::warn!(event = "order", order:? = order, orders; "{error}");
+            log::warn!(event = Event::Order, order:? = order, orders; "{error}");
             side.state.lock().planner.unanswered(side.now());
         }
     }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod clock;
 pub mod drain;
+pub mod event;
 pub mod logs;
 pub mod monitor;
 pub mod plugin;
--- a/crates/kernel/src/logs.rs
+++ b/crates/kernel/src/logs.rs
@@ -22,6 +22,8 @@
     record::{LevelFilter, Record},
 };
 
+use crate::event::Event;
+
 /// Lines that wait to be written.
 const QUEUE_LINES: usize = 4096;
 /// Bytes written at once.
@@ -114,7 +116,8 @@
         if 0 < lost {
             let _in_memory = writeln!(
                 batch,
-                r#"{{"level":"WARN","message":"log lines were dropped; the reader is too slow","kvs":{{"event":"log_dropped","lines":{lost}}}}}"#
+                r#"{{"level":"WARN","message":"log lines were dropped; the reader is too slow","kvs":{{"event":"{}","lines":{lost}}}}}"#,
+                Event::LogDropped
             );
         }
         let _nobody_reads = output.write_all(&batch).and_then(|()| output.flush());
--- a/crates/operator/src/story.rs
+++ b/crates/operator/src/story.rs
@@ -7,22 +7,24 @@
 
 use serde_json::{Map, Value};
 
+use kernel::event::Event;
+
 /// Time before and after a request in which other events are shown with it, in seconds.
 const CONTEXT_SECONDS: f64 = 2.0;
 /// Events that say what a process believed, shown around a request.
-const CONTEXT_EVENTS: [&str; 9] = [
-    "start",
-    "stop",
-    "reload",
-    "configuration",
-    "server",
-    "server_gone",
-    "dependency_lost",
-    "dependency_regained",
-    "peer_copy",
+const CONTEXT_EVENTS: [Event; 9] = [
+    Event::Start,
+    Event::Stop,
+    Event::Reload,
+    Event::Configuration,
+    Event::Server,
+    Event::ServerGone,
+    Event::DependencyLost,
+    Event::DependencyRegained,
+    Event::PeerCopy,
 ];
 /// Events that end a request without a success.
-const FAILURES: [&str; 3] = ["refused", "broken", "ended"];
+const FAILURES: [Event; 3] = [Event::Refused, Event::Broken, Event::Ended];
 /// Outcome of a request that ended well.
 const COMPLETE: &str = "complete";
 
@@ -73,7 +75,7 @@
     let is_context = |line: &Line| {
         let server = line.field("server");
         let concerns = server.is_empty() || servers.contains(&server);
-        CONTEXT_EVENTS.contains(&line.field("event")) && concerns && is_near(line)
+        line.is_one_of(&CONTEXT_EVENTS) && concerns && is_near(line)
     };
     let mut story: Vec<&Line> =
         lines.iter().filter(|line| line.field("request") == request || is_context(line)).collect();
@@ -113,8 +115,12 @@
         text(&self.fields, name)
     }
 
+    fn is_one_of(&self, events: &[Event]) -> bool {
+        events.iter().any(|event| event.name() == self.field("event"))
+    }
+
     fn is_failure(&self) -> bool {
-        FAILURES.contains(&self.field("event")) && self.field("outcome") != COMPLETE
+        self.is_one_of(&FAILURES) && self.field("outcome") != COMPLETE
     }
 
     /// Seconds within the day, for comparing times that are close.
