Say in the logs why no engine would answer in time

A line busy now gives the best engine, where the adapter is there, what waits before it, the age of that knowledge, and the limit.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -4,13 +4,14 @@
 
 use smallvec::SmallVec;
 
+use kernel::event::Event;
 use serving::{
     Moment, Name,
     directory::Listing,
     manifest::Engine,
     rejection,
     residency::Places,
-    selection::{self, Adapter, Candidate},
+    selection::{self, Adapter, Candidate, Choice},
 };
 
 use crate::{
@@ -135,6 +136,7 @@
         };
         let expected = choice.expected + field.held;
         if limit < expected {
+            self.log_busy(field, &choice, &candidates[choice.index], limit);
             let retry_after = rejection::retry_after(expected, limit);
             return Selection::Refuse { retry_after, reason: "the servers are busy for too long" };
         }
@@ -146,6 +148,19 @@
         }
     }
 
+    fn log_busy(&self, field: &Field<'_>, best: &Choice, engine: &Candidate, limit: Duration) {
+        let listing = field.open[best.index];
+        let seen = field.entry.sighting(listing).map(|sighting| sighting.at);
+        log::info!(
+            event = Event::Busy, request = &*self.ask.id, server = &*listing.id,
+            adapter:? = engine.adapter, queue = engine.queue, tokens_ahead = engine.tokens,
+            seen_ms_ago = field.now.saturating_sub(seen.unwrap_or_default()).as_millis() as u64,
+            expected_ms = best.expected.as_millis() as u64,
+            held_ms = field.held.as_millis() as u64, limit_ms = limit.as_millis() as u64;
+            "no engine is expected to answer in time"
+        );
+    }
+
     /// No engine has the model: one that loads it soon is waited for.
     fn without_model(&self, field: &Field<'_>) -> Selection {
         let expected = field.model_wait();
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -42,6 +42,8 @@
     Announce,
     /// A request waits for an adapter.
     Want,
+    /// No engine is expected to answer a request in time.
+    Busy,
     /// A request was sent to a server.
     Sent,
     /// The server did not run it.
@@ -70,7 +72,7 @@
 
 impl Event {
     /// All events, in the order of the operators' page.
-    pub const ALL: [Event; 27] = [
+    pub const ALL: [Event; 28] = [
         Event::Start,
         Event::Stop,
         Event::Reload,
@@ -86,6 +88,7 @@
         Event::PeerCopy,
         Event::Announce,
         Event::Want,
+        Event::Busy,
         Event::Sent,
         Event::NotRun,
         Event::Broken,
@@ -118,6 +121,7 @@
             Event::PeerCopy => "peer_copy",
             Event::Announce => "announce",
             Event::Want => "want",
+            Event::Busy => "busy",
             Event::Sent => "sent",
             Event::NotRun => "not_run",
             Event::Broken => "broken",
