Explore every history of six steps of a server's entry

262,144 histories of a ready or leaving entry of two processes, its removal, the store's return and waits: no older process, no leaving server that is ready again, nothing known after its grace.

--- a/crates/serving/tests/directory.rs
+++ b/crates/serving/tests/directory.rs
@@ -114,3 +114,76 @@
     assert_eq!(gone, [(name("s1"), Effect::Removed)]);
     assert!(directory.get("s2").is_some());
 }
+
+/// What can happen to one server's entry.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Put(u64, Phase),
+    Remove,
+    StoreReturns,
+    Wait(Duration),
+}
+
+const STEPS: [Step; 8] = [
+    Step::Put(1, Phase::Ready),
+    Step::Put(1, Phase::Leaving),
+    Step::Put(2, Phase::Ready),
+    Step::Put(2, Phase::Leaving),
+    Step::Remove,
+    Step::StoreReturns,
+    Step::Wait(Duration::from_millis(1500)),
+    Step::Wait(Duration::from_millis(3000)),
+];
+
+/// Carries out the steps and checks after each what must hold.
+fn check_history(history: &[Step]) {
+    let (mut directory, mut now) = (Directory::default(), seconds(60));
+    // When the entry was removed without having come back, and the store's last return.
+    let (mut removed, mut returned): (Option<Duration>, Option<Duration>) = (None, None);
+    for step in history {
+        let before = directory.get("s1").cloned();
+        match *step {
+            Step::Put(born_ms, phase) => {
+                let effect = directory.put(listing("s1", born_ms, phase));
+                if effect != Effect::Stale {
+                    removed = None;
+                }
+            }
+            Step::Remove => {
+                directory.remove(now, &name("s1"));
+                removed = removed.or(Some(now));
+            }
+            Step::StoreReturns => {
+                directory.store_returned(now);
+                returned = Some(now);
+            }
+            Step::Wait(time) => now += time,
+        }
+        directory.expire(now);
+        let after = directory.get("s1");
+
+        if let (Some(before), Some(after)) = (&before, after) {
+            assert!(before.born_ms <= after.born_ms, "an older process in {history:?}");
+            let is_same = before.born_ms == after.born_ms;
+            let is_back = before.phase == Phase::Leaving && after.phase == Phase::Ready;
+            assert!(!(is_same && is_back), "a leaving server is ready again in {history:?}");
+        }
+        if let (Some(removed), Some(after)) = (removed, after) {
+            assert_eq!(after.phase, Phase::Ready, "a leaving server outlives {history:?}");
+            let grace_end = returned.map(|returned| returned + RETURN_GRACE);
+            let has_grace = grace_end.is_some_and(|end| removed < end && now < end);
+            assert!(has_grace, "a removed server is known after its grace in {history:?}");
+        }
+    }
+}
+
+#[test]
+fn what_is_known_of_a_server_only_moves_forward_in_every_history_of_six_steps() {
+    const LENGTH: u32 = 6;
+    for number in 0..STEPS.len().pow(LENGTH) {
+        let digits = (0..LENGTH).map(|place| number / STEPS.len().pow(place) % STEPS.len());
+        let history: Vec<Step> = digits.map(|digit| STEPS[digit]).collect();
+
+        check_history(&history);
+    }
+}
