--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -54,6 +54,8 @@
     pub runs: u32,
     pub sends: u32,
     pub is_late: bool,
+    /// Answered or refused.
+    is_over: bool,
 }
 
 /// A request that was sent and answered so far.
@@ -89,6 +91,7 @@
             runs: 0,
             sends: 0,
             is_late: false,
+            is_over: false,
         }
     }
 
@@ -390,6 +393,7 @@
     }
 
     pub fn refuse(&mut self, entry: &Entry, rejection: &Rejection) -> Response<Body> {
+        self.is_over = true;
         if let (0, Some((units, at)), Some(account)) =
             (self.runs, self.charge.take(), &self.grant.account)
         {
@@ -399,7 +403,8 @@
         answer::respond(entry, Some(&self.ask.id), rejection)
     }
 
-    pub fn log_end(&self, entry: &Entry, outcome: &'static str, bytes: u64, server: &Name) {
+    pub fn log_end(&mut self, entry: &Entry, outcome: &'static str, bytes: u64, server: &Name) {
+        self.is_over = true;
         let took = entry.now().saturating_sub(self.arrived);
         metrics::histogram!("chivelatch_request_seconds", "outcome" => outcome)
             .record(took.as_secs_f64());
@@ -430,3 +435,16 @@
         }
     }
 }
+
+impl Drop for Job {
+    fn drop(&mut self) {
+        if !self.is_over {
+            metrics::counter!("chivelatch_callers_left_total").increment(1);
+            log::info!(
+                event = Event::CallerLeft, request = &*self.ask.id, sends = self.sends,
+                runs = self.runs;
+                "the caller left before its answer was whole"
+            );
+        }
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -181,7 +181,7 @@
         true
     }
 
-    fn finish(self) {
+    fn finish(mut self) {
         self.log_end("complete");
         self.entry.note_answer(&self.source.server, false);
         let Source { marks, connection, .. } = self.source;
@@ -190,7 +190,7 @@
         }
     }
 
-    fn log_end(&self, outcome: &'static str) {
+    fn log_end(&mut self, outcome: &'static str) {
         self.job.log_end(&self.entry, outcome, self.passed_bytes, &self.source.server);
     }
 }
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -56,6 +56,8 @@
     Resume,
     /// A request was answered by a server.
     Ended,
+    /// The caller left before its answer was whole.
+    CallerLeft,
     /// A request was refused.
     Refused,
     /// A client account's rate is used up.
@@ -72,7 +74,7 @@
 
 impl Event {
     /// All events, in the order of the operators' page.
-    pub const ALL: [Event; 28] = [
+    pub const ALL: [Event; 29] = [
         Event::Start,
         Event::Stop,
         Event::Reload,
@@ -95,6 +97,7 @@
         Event::ServerError,
         Event::Resume,
         Event::Ended,
+        Event::CallerLeft,
         Event::Refused,
         Event::OverRate,
         Event::Order,
@@ -128,6 +131,7 @@
             Event::ServerError => "server_error",
             Event::Resume => "resume",
             Event::Ended => "ended",
+            Event::CallerLeft => "caller_left",
             Event::Refused => "refused",
             Event::OverRate => "over_rate",
             Event::Order => "order",
