Share what two clients and two callers of them did alike

Sending over a kept or a new connection is one loop: a connection knows whether it was used before (is_reused was never read). Behaviour as before; path and format tests pass unchanged.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,6 @@
 //! One request to one backend server, up to the head of its answer.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -124,32 +124,33 @@
 ) -> Result<(hyper::Response<Incoming>, Connection), Failure> {
     let address = server.address;
     let mut request = request;
-    while let Some(mut connection) = pool.take(address, FRESH_IDLE) {
+    loop {
+        let mut connection = match pool.take(address, FRESH_IDLE) {
+            Some(kept) => kept,
+            None => connect(pool, address, limit).await?,
+        };
         *sent = true;
         match connection.send(request).await {
             Ok(response) => return Ok((response, connection)),
-            Err(SendError::Broken(error)) => return Err(broken(&error)),
+            Err(SendError::Broken(error)) => {
+                return Err(Failure::Broken { reason: error.to_string() });
+            }
+            Err(SendError::NotSent(_)) if !connection.is_reused => {
+                return Err(Failure::Unreachable {
+                    reason: "the connection closed at once".to_owned(),
+                });
+            }
             Err(SendError::NotSent(unsent)) => {
                 *sent = false;
                 request = *unsent;
             }
         }
     }
-    let connected = pool.connect(address, limit.min(CONNECT_TIMEOUT)).await;
-    let mut connection =
-        connected.map_err(|error| Failure::Unreachable { reason: error.to_string() })?;
-    *sent = true;
-    match connection.send(request).await {
-        Ok(response) => Ok((response, connection)),
-        Err(SendError::Broken(error)) => Err(broken(&error)),
-        Err(SendError::NotSent(_)) => {
-            Err(Failure::Unreachable { reason: "the connection closed at once".to_owned() })
-        }
-    }
 }
 
-fn broken(error: &hyper::Error) -> Failure {
-    Failure::Broken { reason: error.to_string() }
+async fn connect(pool: &Pool, address: SocketAddr, limit: Duration) -> Result<Connection, Failure> {
+    let connected = pool.connect(address, limit.min(CONNECT_TIMEOUT)).await;
+    connected.map_err(|error| Failure::Unreachable { reason: error.to_string() })
 }
 
 /// Reads a refusal's body to its end, so that the connection can be kept.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -13,7 +13,7 @@
 };
 
 use kernel::event::Event;
-use services::pool::Connection;
+use services::{http::MAX_ANSWER_BYTES, pool::Connection};
 use serving::{Moment, Name, directory::Listing, manifest::Grant, selection};
 
 use crate::{
@@ -25,8 +25,6 @@
     serve::START_PAUSE,
 };
 
-/// Largest plain answer, in bytes.
-const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 /// Tokens that a request is taken to read where it does not say.
 const DEFAULT_PROMPT_TOKENS: u64 = 500;
 /// Silence, as a multiple of the objective, after which a request that may run again is sent
--- a/crates/services/src/http.rs
+++ b/crates/services/src/http.rs
@@ -12,7 +12,7 @@
 use kernel::{Kernel, clock::Timeout};
 
 /// Largest answer read as a whole, in bytes.
-pub(crate) const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+pub const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
 /// Why a service gave no usable answer.
 #[derive(Debug, Snafu)]
@@ -36,6 +36,12 @@
 }
 
 impl Error {
+    /// A whole answer that says that the service would not do it.
+    pub fn refused(response: &Response<Bytes>) -> Error {
+        let reason = String::from_utf8_lossy(response.body()).into_owned();
+        Error::Status { status: response.status().as_u16(), reason }
+    }
+
     /// Whether the request certainly had no effect.
     pub fn is_without_effect(&self) -> bool {
         match self {
@@ -63,8 +69,7 @@
     kernel.spawn_detached(async move {
         let _seen_by_the_caller = connection.await;
     });
-    let host = address.to_string().parse().expect("a socket address is a valid header value");
-    request.headers_mut().insert(HOST, host);
+    set_host(&mut request, address);
     sender.send_request(request).await.context(ExchangeSnafu)
 }
 
@@ -79,12 +84,7 @@
     request: Request<Full<Bytes>>,
     limit: Duration,
 ) -> Result<Response<Bytes>, Error> {
-    let exchange = async {
-        let (head, body) = send(kernel, address, request).await?.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let body = body.map_err(|error| Error::Unreadable { reason: error.to_string() })?;
-        Ok(Response::from_parts(head, body.to_bytes()))
-    };
+    let exchange = async { whole(send(kernel, address, request).await?).await };
     let response = kernel.clock.timeout(limit, exchange).await.context(LateSnafu)??;
     metrics::counter!("chivelatch_platform_received_bytes_total")
         .increment(response.body().len() as u64);
@@ -92,8 +92,25 @@
     if status.is_success() || status == hyper::StatusCode::NOT_MODIFIED {
         return Ok(response);
     }
-    let reason = String::from_utf8_lossy(response.body()).into_owned();
-    Err(Error::Status { status: status.as_u16(), reason })
+    Err(Error::refused(&response))
+}
+
+/// Names the service that a request is for.
+pub(crate) fn set_host(request: &mut Request<Full<Bytes>>, address: SocketAddr) {
+    let host = address.to_string().parse().expect("a socket address is a valid header value");
+    request.headers_mut().insert(HOST, host);
+}
+
+/// Reads an answer to its end.
+///
+/// # Errors
+///
+/// [`Error::Unreadable`] when it breaks off or is larger than [`MAX_ANSWER_BYTES`].
+pub(crate) async fn whole(response: Response<Incoming>) -> Result<Response<Bytes>, Error> {
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+    let body = body.map_err(|error| Error::Unreadable { reason: error.to_string() })?;
+    Ok(Response::from_parts(head, body.to_bytes()))
 }
 
 /// A request without a body.
--- a/crates/services/src/pool.rs
+++ b/crates/services/src/pool.rs
@@ -14,21 +14,20 @@
 use async_executor::Task;
 use async_net::TcpStream;
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Request, Response,
     body::Incoming,
     client::conn::http1::{self, SendRequest},
-    header::HOST,
 };
 use parking_lot::Mutex;
 use smol_hyper::rt::FuturesIo;
+use snafu::ResultExt as _;
 use socket2::{SockRef, TcpKeepalive};
 
 use kernel::Kernel;
 
-use crate::http::{ConnectSnafu, Error, ExchangeSnafu, LateSnafu, MAX_ANSWER_BYTES};
-use snafu::ResultExt as _;
+use crate::http::{self, ConnectSnafu, Error, ExchangeSnafu, LateSnafu};
 
 /// Time without an acknowledgement after which a connection is given up.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1500);
@@ -131,15 +130,14 @@
     ///
     /// # Errors
     ///
-    /// See [`crate::http::fetch`].
+    /// Like those of [`http::fetch`], but an answer of any status is returned.
     pub async fn fetch(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<Response<Bytes>, Error> {
-        let host = address.to_string().parse().expect("a socket address is a valid header value");
-        request.headers_mut().insert(HOST, host);
+        http::set_host(&mut request, address);
         let exchange = async {
             let mut connection = match self.take(address, DEFAULT_IDLE) {
                 Some(connection) => connection,
@@ -153,11 +151,9 @@
                     connection.send(*request).await.map_err(SendError::into_error)?
                 }
             };
-            let (head, body) = response.into_parts();
-            let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-            let body = body.map_err(|error| Error::Unreadable { reason: error.to_string() })?;
+            let response = http::whole(response).await?;
             self.give_back(connection, None);
-            Ok(Response::from_parts(head, body.to_bytes()))
+            Ok(response)
         };
         let outcome = self.kernel.clock.timeout(limit, exchange).await.context(LateSnafu).flatten();
         if outcome.is_err() {
