Drop what was carried and never read

Revision in the entries' gossip, orders in an engine's status (accepted orders show in its adapters, and a new base model is told anyway), connections, slots and memory of the manifest. The bound of remembered uses is one constant at the head of its module.

--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -50,7 +50,6 @@
 pub struct Peer {
     pub heard: Option<Moment>,
     pub positions: Positions,
-    pub revision: u64,
 }
 
 impl Peers {
@@ -192,7 +191,7 @@
 
 fn note_gossip(entry: &Entry, from: SocketAddr, gossip: &Gossip) {
     let now = entry.now();
-    let peer = Peer { heard: Some(now), positions: gossip.positions, revision: gossip.revision };
+    let peer = Peer { heard: Some(now), positions: gossip.positions };
     entry.peers.lock().hear(from, peer);
     entry.ledger.lock().report(now, from, &gossip.statement);
 }
@@ -261,10 +260,7 @@
     loop {
         entry.kernel.clock.sleep(GOSSIP_INTERVAL).await;
         round += 1;
-        let (positions, revision) = entry.with_knowledge(|knowledge| {
-            let revision = knowledge.manifest.as_ref().map_or(0, |manifest| manifest.revision);
-            (knowledge.positions, revision)
-        });
+        let positions = entry.with_knowledge(|knowledge| knowledge.positions);
         let statement = {
             let (now, manifest) = (entry.now(), entry.manifest());
             let peers: Vec<SocketAddr> = entry.peers.lock().addresses().collect();
@@ -273,7 +269,7 @@
             ledger.prepare(now, manifest.iter().flat_map(|manifest| &manifest.accounts));
             ledger.statement(now, entry.incarnation)
         };
-        let gossip = Gossip { positions, revision, statement };
+        let gossip = Gossip { positions, statement };
         let message = Message::Gossip(gossip);
         let due = entry.peers.lock().due(entry.now(), round);
         for peer in due {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -51,7 +51,6 @@
     /// Name of the engine, once it is known.
     pub server: Option<Name>,
     pub born_ms: u64,
-    pub orders: u64,
     pub models: Vec<Name>,
     pub places: Places,
     /// Time since a base model is being loaded, in milliseconds.
@@ -68,6 +67,5 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Gossip {
     pub positions: Positions,
-    pub revision: u64,
     pub statement: Statement,
 }
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -289,7 +289,6 @@
         Status {
             server: self.engine_id.clone(),
             born_ms: holding.born_ms,
-            orders: holding.orders,
             models: holding.models.clone(),
             places: Places::default(),
             loading_ms: None,
--- a/crates/serving/src/manifest.rs
+++ b/crates/serving/src/manifest.rs
@@ -60,8 +60,6 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     pub name: Name,
-    /// Connections that one backend server takes from all callers.
-    pub max_connections: usize,
     /// Set for model engines.
     pub engine: Option<Engine>,
 }
@@ -69,9 +67,6 @@
 /// Model engines of a service.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Engine {
-    pub slots: u32,
-    /// Tokens that the memory of one engine holds.
-    pub memory_tokens: u64,
     /// Places for adapters on one engine.
     pub adapter_places: usize,
     pub models: Vec<Name>,
--- a/crates/serving/src/residency.rs
+++ b/crates/serving/src/residency.rs
@@ -23,6 +23,10 @@
 const USE_GRACE: Duration = Duration::from_millis(150);
 /// Time in which half of an adapter's uses fade.
 const USE_HALF_LIFE: Duration = Duration::from_secs(8);
+/// Adapters whose uses are remembered before faded ones are forgotten.
+const MAX_TRACKED: usize = 1024;
+/// Uses that have faded so far count for nothing.
+const FADED_USES: f64 = 0.05;
 /// Adapters that may be on their way to one engine.
 const MAX_PENDING: usize = 2;
 /// Adapters that an engine is taken to load again quickly, beside those that it holds.
@@ -265,16 +269,12 @@
     fn note_use(&mut self, now: Moment, adapter: &Name) {
         let uses = self.uses.entry(adapter.clone()).or_insert(Uses { count: 0.0, at: now });
         *uses = Uses { count: uses.faded(now) + 1.0, at: now };
-        if 4 * MAX_TRACKED < self.uses.len() {
-            let faded = |uses: &Uses| 0.05 < uses.faded(now);
-            self.uses.retain(|_, uses| faded(uses));
+        if MAX_TRACKED < self.uses.len() {
+            self.uses.retain(|_, uses| FADED_USES < uses.faded(now));
         }
     }
 }
 
-/// Adapters whose uses are remembered before faded ones are dropped, a quarter of the bound.
-const MAX_TRACKED: usize = 256;
-
 impl Uses {
     fn faded(&self, now: Moment) -> f64 {
         let age = now.saturating_sub(self.at).as_secs_f64();
