Make the roster anew only when the servers changed

Each batch of heartbeats, two a second, made the roster again and woke every waiting request, and the first reading did so twice; update_if stood beside update_knowledge to avoid that in one place. The directory and what is known now count their changes, update_knowledge looks at the count, and update_if is gone. A test holds that repeated records count for nothing. The fixture of a listing stood in two tests of this crate; one is left.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -10,7 +10,6 @@
     time::{Duration, Instant},
 };
 
-use event_listener::EventListener;
 use parking_lot::{Mutex, RwLock};
 
 use kernel::{
@@ -191,11 +190,13 @@
 
     /// Waits until the instance has heard its configuration and the servers, at most until `end`.
     pub async fn wait_until_informed(&self, end: Moment) {
-        while !self.is_informed() {
+        loop {
             let changed = self.residency.listen();
-            if self.is_informed() || self.end_of(end, changed).await {
+            let left = end.saturating_sub(self.now());
+            if self.is_informed() || left.is_zero() {
                 return;
             }
+            let _again_either_way = self.kernel.clock.timeout(left, changed).await;
         }
     }
 
@@ -204,12 +205,6 @@
         knowledge.manifest.is_some() && !knowledge.directory.is_empty()
     }
 
-    /// Waits for an event; tells whether the time was over before.
-    async fn end_of(&self, end: Moment, event: EventListener) -> bool {
-        let left = end.saturating_sub(self.now());
-        left.is_zero() || self.kernel.clock.timeout(left, event).await.is_err()
-    }
-
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Relaxed)
     }
@@ -219,11 +214,16 @@
         read(&self.knowledge.read())
     }
 
-    /// Changes what is known and makes the roster anew.
+    /// Changes what is known; where requests are concerned, makes the roster anew and wakes
+    /// those that wait.
     pub fn update_knowledge<T>(&self, update: impl FnOnce(Moment, &mut Knowledge) -> T) -> T {
         let now = self.now();
         let mut knowledge = self.knowledge.write();
+        let before = knowledge.changes();
         let result = update(now, &mut knowledge);
+        if knowledge.changes() == before {
+            return result;
+        }
         let roster = Roster::new(&knowledge.directory);
         drop(knowledge);
         *self.roster.write() = Arc::new(roster);
@@ -231,16 +231,6 @@
         result
     }
 
-    /// Like [`Entry::update_knowledge`], without a new roster when nothing came of it.
-    pub fn update_if<T>(&self, update: impl FnOnce(Moment, &mut Knowledge) -> Vec<T>) -> Vec<T> {
-        let now = self.now();
-        let changed = update(now, &mut self.knowledge.write());
-        if !changed.is_empty() {
-            self.update_knowledge(|_, _| ());
-        }
-        changed
-    }
-
     /// The store answered.
     pub fn store_answered(&self, topic: Topic) {
         let now = self.now();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -8,7 +8,8 @@
 use services::http::{self, Error};
 use serving::{
     Moment, Name,
-    knowledge::{Change, Copy, Outcome, Topic},
+    directory::Effect,
+    knowledge::{Change, Copy, Knowledge, Outcome, Positions, Topic},
 };
 
 use crate::{
@@ -71,7 +72,7 @@
                 pause = (pause * 2).min(MAX_PAUSE);
             }
         }
-        let expired = entry.update_if(|now, knowledge| knowledge.directory.expire(now));
+        let expired = entry.update_knowledge(|now, known| known.directory.expire(now));
         for server in expired {
             log::info!(event = Event::ServerGone, server = &*server; "it did not come back after the store's outage");
         }
@@ -149,12 +150,7 @@
     });
 }
 
-fn apply_record(
-    now: Moment,
-    knowledge: &mut serving::knowledge::Knowledge,
-    record: Record,
-    position: u64,
-) {
+fn apply_record(now: Moment, knowledge: &mut Knowledge, record: Record, position: u64) {
     let key = &*record.key;
     if let Change::Unreadable { reason, .. } = &record.change {
         log::warn!(event = Event::RecordSkipped, key, position; "{reason}");
@@ -168,7 +164,7 @@
             log::info!(event = Event::Configuration, revision, position; "an older revision is ignored");
         }
         Outcome::NewVersion => log::info!(event = Event::Version, key, position; "a new version"),
-        Outcome::Server(serving::directory::Effect::Same) => {}
+        Outcome::Server(Effect::Same) => {}
         Outcome::Server(effect) if is_server => {
             log::info!(event = Event::Server, server = key, effect:? = effect, position; "the list changed");
         }
@@ -200,7 +196,7 @@
         }
         let own = entry.with_knowledge(|knowledge| knowledge.positions);
         let peers = entry.peers.lock().best();
-        let knows_more = |positions: serving::knowledge::Positions| {
+        let knows_more = |positions: Positions| {
             own.operator < positions.operator || own.servers < positions.servers
         };
         let has_nothing = entry.manifest().is_none();
--- a/crates/serving/src/directory.rs
+++ b/crates/serving/src/directory.rs
@@ -61,9 +61,16 @@
     /// Removed just after the store's return, with the end of their grace.
     lapsed: HashMap<Name, Moment>,
     returned: Option<Moment>,
+    /// Changes of `servers` so far.
+    changes: u64,
 }
 
 impl Directory {
+    /// How often what [`Directory::iter`] shows has changed.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Notes that the store answers again after an outage.
     pub fn store_returned(&mut self, now: Moment) {
         self.returned = Some(now);
@@ -72,7 +79,7 @@
     /// Takes an entry of the list.
     pub fn put(&mut self, listing: Listing) -> Effect {
         let Some(known) = self.servers.get(&listing.id) else {
-            self.servers.insert(listing.id.clone(), listing);
+            self.insert(listing);
             return Effect::Added;
         };
         if listing.born_ms < known.born_ms {
@@ -86,7 +93,7 @@
         if *known == listing {
             return Effect::Same;
         }
-        self.servers.insert(listing.id.clone(), listing);
+        self.insert(listing);
         Effect::Changed
     }
 
@@ -100,8 +107,7 @@
             self.lapsed.insert(id.clone(), grace_end);
             return Effect::Lapsed;
         }
-        self.servers.remove(id);
-        self.lapsed.remove(id);
+        self.drop_server(id);
         Effect::Removed
     }
 
@@ -122,10 +128,7 @@
     pub fn expire(&mut self, now: Moment) -> Vec<Name> {
         let over: Vec<Name> =
             self.lapsed.iter().filter(|(_, end)| **end <= now).map(|(id, _)| id.clone()).collect();
-        for id in &over {
-            self.lapsed.remove(id);
-            self.servers.remove(id);
-        }
+        over.iter().for_each(|id| self.drop_server(id));
         over
     }
 
@@ -141,4 +144,15 @@
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty()
     }
+
+    fn insert(&mut self, listing: Listing) {
+        self.servers.insert(listing.id.clone(), listing);
+        self.changes += 1;
+    }
+
+    fn drop_server(&mut self, id: &Name) {
+        self.servers.remove(id);
+        self.lapsed.remove(id);
+        self.changes += 1;
+    }
 }
--- a/crates/serving/src/knowledge.rs
+++ b/crates/serving/src/knowledge.rs
@@ -67,6 +67,8 @@
     pub directory: Directory,
     pub positions: Positions,
     versions: HashMap<(Name, Name), u64>,
+    /// New manifests and versions so far.
+    changes: u64,
 }
 
 /// What a change did.
@@ -90,6 +92,7 @@
                     return Outcome::Nothing;
                 }
                 *known = version;
+                self.changes += 1;
                 Outcome::NewVersion
             }
             Change::Server(listing) => Outcome::Server(self.directory.put(listing)),
@@ -99,6 +102,11 @@
         }
     }
 
+    /// How often what requests are served by has changed; positions do not count.
+    pub fn changes(&self) -> u64 {
+        self.changes + self.directory.changes()
+    }
+
     /// The oldest version of an adapter that may run; 0 when none was announced.
     pub fn version(&self, model: &Name, adapter: &Name) -> u64 {
         self.versions.get(&(model.clone(), adapter.clone())).copied().unwrap_or(0)
@@ -150,6 +158,7 @@
             return Outcome::OldManifest(revision);
         }
         self.manifest = Some(manifest);
+        self.changes += 1;
         Outcome::NewManifest(revision)
     }
 }
--- a/crates/serving/tests/directory.rs
+++ b/crates/serving/tests/directory.rs
@@ -2,25 +2,16 @@
 //!
 //! Answers the pattern "the store is away while servers leave and others live on".
 
+mod support;
+
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use serving::{
     Name,
-    directory::{Directory, Effect, Listing, Phase, RETURN_GRACE},
+    directory::{Directory, Effect, Phase, RETURN_GRACE},
 };
 
-fn listing(id: &str, born_ms: u64, phase: Phase) -> Listing {
-    Listing {
-        id: Arc::from(id),
-        service: Arc::from("models"),
-        address: "127.0.0.1:9000".parse().unwrap(),
-        zone: Arc::from("a"),
-        slots: 4,
-        phase,
-        born_ms,
-        models: Vec::new(),
-    }
-}
+use support::listing;
 
 fn name(id: &str) -> Name {
     Arc::from(id)
--- a/crates/serving/tests/knowledge.rs
+++ b/crates/serving/tests/knowledge.rs
@@ -1,5 +1,7 @@
 //! The configuration never goes back, whatever comes from the store or a peer.
 
+mod support;
+
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use rand::{RngExt as _, seq::SliceRandom as _};
@@ -16,17 +18,8 @@
     Arc::new(Manifest { revision, ..Manifest::default() })
 }
 
-fn listing(id: &str) -> Listing {
-    Listing {
-        id: Arc::from(id),
-        service: Arc::from("models"),
-        address: "127.0.0.1:9000".parse().unwrap(),
-        zone: Arc::from("a"),
-        slots: 4,
-        phase: Phase::Ready,
-        born_ms: 1,
-        models: Vec::new(),
-    }
+fn ready(id: &str) -> Listing {
+    support::listing(id, 1, Phase::Ready)
 }
 
 fn version(version: u64) -> Change {
@@ -70,13 +63,13 @@
 #[test]
 fn a_peers_list_counts_only_when_it_is_newer() {
     let mut knowledge = Knowledge::default();
-    knowledge.apply(NOW, Change::Server(listing("s1")));
+    knowledge.apply(NOW, Change::Server(ready("s1")));
     knowledge.positions = Positions { operator: 5, servers: 5 };
     let older = Copy {
         positions: Positions { operator: 4, servers: 4 },
         manifest: None,
         versions: Vec::new(),
-        servers: vec![listing("s0")],
+        servers: vec![ready("s0")],
     };
     let newer = Copy { positions: Positions { operator: 6, servers: 6 }, ..older.clone() };
 
@@ -93,8 +86,8 @@
 #[test]
 fn an_unreadable_record_names_no_server() {
     let mut knowledge = Knowledge::default();
-    knowledge.apply(NOW, Change::Server(listing("s1")));
-    knowledge.apply(NOW, Change::Server(listing("s2")));
+    knowledge.apply(NOW, Change::Server(ready("s1")));
+    knowledge.apply(NOW, Change::Server(ready("s2")));
 
     let change = Change::Unreadable { key: Arc::from("s1"), reason: "no address".to_owned() };
     knowledge.apply(NOW, change);
@@ -102,3 +95,23 @@
     assert!(knowledge.directory.get("s1").is_none());
     assert!(knowledge.directory.get("s2").is_some());
 }
+
+#[test]
+fn only_what_requests_are_served_by_counts_as_a_change() {
+    let mut knowledge = Knowledge::default();
+    knowledge.apply(NOW, Change::Manifest(manifest(7)));
+    knowledge.apply(NOW, version(3));
+    knowledge.apply(NOW, Change::Server(ready("s1")));
+    let known = knowledge.changes();
+
+    knowledge.apply(NOW, Change::Manifest(manifest(7)));
+    knowledge.apply(NOW, version(3));
+    knowledge.apply(NOW, Change::Server(ready("s1")));
+    knowledge.apply(NOW, Change::ServerGone(Arc::from("s2")));
+    knowledge.positions.servers += 1;
+    let repeated = knowledge.changes();
+    knowledge.apply(NOW, Change::ServerGone(Arc::from("s1")));
+
+    assert_eq!((known, repeated), (3, 3));
+    assert_eq!(knowledge.changes(), 4);
+}
--- /dev/null
+++ b/crates/serving/tests/support/mod.rs
@@ -0,0 +1,19 @@
+//! Fixtures of several tests.
+
+use std::sync::Arc;
+
+use serving::directory::{Listing, Phase};
+
+/// A server of the service `models`.
+pub fn listing(id: &str, born_ms: u64, phase: Phase) -> Listing {
+    Listing {
+        id: Arc::from(id),
+        service: Arc::from("models"),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        zone: Arc::from("a"),
+        slots: 4,
+        phase,
+        born_ms,
+        models: Vec::new(),
+    }
+}
