Work out zones once, and look at each server once a choice

For each request of a popular adapter the hashes of a zone's servers were copied and searched by name: the roster now holds them with their positions. A choice reads one roster, locks each server's state once and no longer copies the engine's settings. What speaks against any server (suspect, zone, failures) stood twice in selection. A test holds that an adapter's zone home lies in that zone.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -20,7 +20,7 @@
     flight::Want,
     job::Job,
     ports::Model,
-    roster::Sighting,
+    roster::{Roster, Server, Sighting},
     serve::{START_PAUSE, authorize},
 };
 
@@ -46,6 +46,7 @@
 /// The servers that are open to a request at one moment.
 struct Field<'a> {
     entry: &'a Entry,
+    roster: &'a Roster,
     service: &'a str,
     open: Vec<&'a Listing>,
     now: Moment,
@@ -104,14 +105,16 @@
                 reason: "the route has no service",
             };
         };
-        let servers = entry.roster().servers(service);
+        let roster = entry.roster();
+        let servers = roster.servers(service);
         let open = servers.iter().filter(|server| !self.tried.contains(&server.id));
         let open: Vec<&Listing> = open.collect();
         if open.is_empty() {
             return Selection::Refuse { retry_after: START_PAUSE, reason: "no server is left" };
         }
-        let field = Field { entry, service, open, now, held: now.saturating_sub(began) };
-        match self.ask.model.as_ref().filter(|_| field.engine().is_some()) {
+        let field =
+            Field { entry, roster: &roster, service, open, now, held: now.saturating_sub(began) };
+        match self.ask.model.as_ref().filter(|_| field.has_engines()) {
             Some(model) => self.engine_selection(&field, model, wanted),
             None => field.plain_selection(),
         }
@@ -174,7 +177,9 @@
 
 impl Field<'_> {
     fn plain_selection(&self) -> Selection {
-        let candidates = self.open.iter().map(|listing| self.candidate(listing));
+        let candidates = self.open.iter().map(|listing| {
+            self.entry.with_server(&listing.id, |server| self.candidate(listing, server))
+        });
         let candidates: Vec<Candidate> = candidates.collect();
         match selection::plain(&candidates) {
             Some(index) => Selection::Send { server: self.open[index].clone(), tokens_ahead: 0 },
@@ -188,9 +193,10 @@
         let homes = self.homes(model);
         let candidates = self.open.iter().map(|listing| {
             let sighting = self.entry.sighting(listing);
-            let places = self.places(listing, sighting.as_ref());
-            let (adapter, queue) =
-                match residency(listing, sighting.as_ref(), model, version, self.now) {
+            let held = residency(listing, sighting.as_ref(), model, version, self.now);
+            self.entry.with_server(&listing.id, |server| {
+                let places = places(server, sighting.as_ref());
+                let (adapter, queue) = match held {
                     Adapter::Foreign | Adapter::Warm if wanted == Some(&listing.id) => {
                         (Adapter::Pending, places.rest_of_queue())
                     }
@@ -200,23 +206,16 @@
                     }
                     adapter => (adapter, places.queue()),
                 };
-            Candidate { adapter, queue, ..self.candidate(listing) }
+                Candidate { adapter, queue, ..self.candidate(listing, server) }
+            })
         });
         candidates.collect()
     }
 
-    /// How far a server's places are taken, with the wants that its side process has not heard.
-    fn places(&self, listing: &Listing, sighting: Option<&Sighting>) -> Places {
-        let told = sighting.map(|sighting| sighting.status.places).unwrap_or_default();
-        let own = self.entry.with_server(&listing.id, |server| server.wants.len());
-        Places { waiting: told.waiting.max(own), ..told }
-    }
-
     /// Names of the servers at which a model's adapter is at home for this instance.
     fn homes(&self, model: &Model) -> SmallVec<[Name; 2]> {
         let Some(adapter) = &model.adapter else { return SmallVec::new() };
-        let roster = self.entry.roster();
-        let servers = roster.servers(self.service);
+        let (roster, servers) = (self.roster, self.roster.servers(self.service));
         let is_popular = LOCAL_RATE <= self.entry.popularity.lock().rate(self.now, adapter);
         let zone = &self.entry.settings.zone;
         let zone_home = is_popular.then(|| roster.zone_home(self.service, adapter, zone)).flatten();
@@ -226,7 +225,7 @@
 
     /// Time until some engine is expected to have its model.
     fn model_wait(&self) -> Duration {
-        let reload = self.engine().map_or(MODEL_PAUSE, |engine| engine.reload);
+        let reload = self.with_engine(|engine| engine.reload).unwrap_or(MODEL_PAUSE);
         let sightings = self.open.iter().filter_map(|listing| self.entry.sighting(listing));
         let loading = sightings.filter_map(|sighting| {
             let loading = Duration::from_millis(sighting.status.loading_ms?);
@@ -235,14 +234,19 @@
         reload.saturating_sub(loading.max().unwrap_or_default()) + MODEL_MARGIN
     }
 
-    /// Set where the service is one of model engines.
-    fn engine(&self) -> Option<Engine> {
-        self.entry.manifest()?.services.get(self.service)?.engine.clone()
+    fn has_engines(&self) -> bool {
+        self.with_engine(|_| ()).is_some()
+    }
+
+    /// Reads the service's model engines, if it has any.
+    fn with_engine<T>(&self, read: impl FnOnce(&Engine) -> T) -> Option<T> {
+        let manifest = self.entry.manifest()?;
+        manifest.services.get(self.service)?.engine.as_ref().map(read)
     }
 
     /// What is known of a server, without the adapter.
-    fn candidate(&self, listing: &Listing) -> Candidate {
-        self.entry.with_server(&listing.id, |server| Candidate {
+    fn candidate(&self, listing: &Listing, server: &Server) -> Candidate {
+        Candidate {
             adapter: Adapter::Present,
             queue: 0,
             tokens: server.backlog.tokens(self.now),
@@ -252,10 +256,16 @@
             failure_share: server.backlog.failure_share(self.now),
             is_same_zone: listing.zone == self.entry.settings.zone,
             is_suspect: self.now < server.suspect_until,
-        })
+        }
     }
 }
 
+/// How far a server's places are taken, with the wants that its side process has not heard.
+fn places(server: &Server, sighting: Option<&Sighting>) -> Places {
+    let told = sighting.map(|sighting| sighting.status.places).unwrap_or_default();
+    Places { waiting: told.waiting.max(server.wants.len()), ..told }
+}
+
 /// Where a model is, seen from one server.
 fn residency(
     listing: &Listing,
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -22,8 +22,23 @@
 /// Servers that take new work, by service.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
-    services: HashMap<Name, Arc<Vec<Listing>>>,
-    hashes: HashMap<Name, Arc<Vec<rendezvous::Server>>>,
+    services: HashMap<Name, Service>,
+}
+
+/// The servers of one service.
+#[derive(Clone, Debug, Default)]
+struct Service {
+    listings: Arc<Vec<Listing>>,
+    hashes: Vec<rendezvous::Server>,
+    zones: HashMap<Name, Zone>,
+}
+
+/// Those of them in one availability zone.
+#[derive(Clone, Debug, Default)]
+struct Zone {
+    hashes: Vec<rendezvous::Server>,
+    /// Their positions among the service's servers.
+    positions: Vec<usize>,
 }
 
 impl Roster {
@@ -32,38 +47,43 @@
         for listing in directory.iter().filter(|listing| listing.phase == Phase::Ready) {
             services.entry(listing.service.clone()).or_default().push(listing.clone());
         }
-        let mut roster = Roster::default();
-        for (service, mut servers) in services {
-            servers.sort_by(|a, b| a.id.cmp(&b.id));
-            let hashes = servers.iter().map(|listing| {
-                rendezvous::Server::new(listing.id.clone(), listing.zone.clone(), 1)
-            });
-            roster.hashes.insert(service.clone(), Arc::new(hashes.collect()));
-            roster.services.insert(service, Arc::new(servers));
-        }
-        roster
+        let services = services.into_iter();
+        Roster { services: services.map(|(name, listings)| (name, service(listings))).collect() }
     }
 
     /// Servers of a service, in a fixed order.
     pub fn servers(&self, service: &str) -> Arc<Vec<Listing>> {
-        self.services.get(service).cloned().unwrap_or_default()
+        self.services.get(service).map(|service| Arc::clone(&service.listings)).unwrap_or_default()
     }
 
     /// Position of the server at which an adapter is at home for all.
     pub fn home(&self, service: &str, adapter: &str) -> Option<usize> {
-        let hashes = self.hashes.get(service)?;
-        rendezvous::first(rendezvous::seed(adapter), hashes, 1).first().copied()
+        first(adapter, &self.services.get(service)?.hashes)
     }
 
     /// Position of the server in one availability zone at which it is at home for that zone.
     pub fn zone_home(&self, service: &str, adapter: &str, zone: &str) -> Option<usize> {
-        let hashes = self.hashes.get(service)?;
-        let is_inside = |server: &&rendezvous::Server| &*server.zone == zone;
-        let inside: Vec<rendezvous::Server> = hashes.iter().filter(is_inside).cloned().collect();
-        let order = rendezvous::first(rendezvous::seed(adapter), &inside, 1);
-        let chosen = &inside[*order.first()?];
-        hashes.iter().position(|server| server.name == chosen.name)
+        let zone = self.services.get(service)?.zones.get(zone)?;
+        first(adapter, &zone.hashes).map(|index| zone.positions[index])
+    }
+}
+
+fn service(mut listings: Vec<Listing>) -> Service {
+    listings.sort_by(|a, b| a.id.cmp(&b.id));
+    let mut service = Service::default();
+    for (position, listing) in listings.iter().enumerate() {
+        let hashed = rendezvous::Server::new(listing.id.clone(), listing.zone.clone(), 1);
+        let zone = service.zones.entry(listing.zone.clone()).or_default();
+        zone.hashes.push(hashed.clone());
+        zone.positions.push(position);
+        service.hashes.push(hashed);
     }
+    service.listings = Arc::new(listings);
+    service
+}
+
+fn first(adapter: &str, hashes: &[rendezvous::Server]) -> Option<usize> {
+    rendezvous::first(rendezvous::seed(adapter), hashes, 1).first().copied()
 }
 
 /// What an entry instance knows of one server beside its listing.
--- a/crates/gateway/tests/sighting.rs
+++ b/crates/gateway/tests/sighting.rs
@@ -62,6 +62,23 @@
     assert_eq!(roster.home("models", "a1"), Some(0));
 }
 
+#[test]
+fn an_adapter_has_a_home_in_each_availability_zone() {
+    let mut directory = Directory::default();
+    for (id, zone) in [("i-1", "a"), ("i-2", "b"), ("i-3", "a"), ("i-4", "b")] {
+        directory.put(Listing { zone: Arc::from(zone), ..listing(id, 1, Phase::Ready) });
+    }
+
+    let roster = Roster::new(&directory);
+
+    let servers = roster.servers("models");
+    for zone in ["a", "b"] {
+        let home = roster.zone_home("models", "a1", zone).unwrap();
+        assert_eq!(&*servers[home].zone, zone);
+    }
+    assert_eq!(roster.zone_home("models", "a1", "c"), None);
+}
+
 #[test]
 fn events_are_passed_on_whole_with_their_last_identifier() {
     let mut events = Events::default();
--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -95,10 +95,7 @@
     let rated = candidates.iter().enumerate().map(|(index, candidate)| {
         let busy = f64::from(candidate.requests + 1) / f64::from(candidate.slots.max(1));
         let over = f64::from(candidate.requests.saturating_sub(candidate.slots)) * OVER_SLOTS_MS;
-        let suspect = if candidate.is_suspect { SUSPECT_MS } else { 0.0 };
-        let zone = if candidate.is_same_zone { 0.0 } else { CROSS_ZONE_MS };
-        let failures = candidate.failure_share * FAILURE_MS;
-        (index, busy * 100.0 * candidate.pace + over + suspect + zone + failures)
+        (index, busy * 100.0 * candidate.pace + over + avoidance_ms(candidate))
     });
     rated.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(index, _)| index)
 }
@@ -124,13 +121,15 @@
 
 /// What a choice costs others, in milliseconds.
 fn placement_ms(candidate: &Candidate) -> f64 {
-    let displaced = match candidate.adapter {
-        Adapter::Foreign => FOREIGN_MS,
-        _ => 0.0,
-    };
+    let displaced = if candidate.adapter == Adapter::Foreign { FOREIGN_MS } else { 0.0 };
+    displaced + avoidance_ms(candidate)
+}
+
+/// Why another server is preferred, whatever is asked for, in milliseconds.
+fn avoidance_ms(candidate: &Candidate) -> f64 {
     let suspect = if candidate.is_suspect { SUSPECT_MS } else { 0.0 };
     let zone = if candidate.is_same_zone { 0.0 } else { CROSS_ZONE_MS };
-    displaced + suspect + zone + candidate.failure_share * FAILURE_MS
+    suspect + zone + candidate.failure_share * FAILURE_MS
 }
 
 fn millis(value: f64) -> Duration {
