State each log event once

The enum, the list of all and the names were three lists; the list could miss an event without the test of the operators' page noticing. One macro makes all three.

--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -9,137 +9,87 @@
 
 use log::kv::{ToValue, Value};
 
-/// What a line of the logs is about.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Event {
+macro_rules! events {
+    ($($(#[$doc:meta])* $event:ident = $name:literal,)*) => {
+        /// What a line of the logs is about.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Event {
+            $($(#[$doc])* $event,)*
+        }
+
+        impl Event {
+            /// All events, in the order in which they are stated.
+            pub const ALL: &[Event] = &[$(Event::$event),*];
+
+            /// The name as it stands in the logs.
+            pub const fn name(self) -> &'static str {
+                match self {
+                    $(Event::$event => $name,)*
+                }
+            }
+        }
+    };
+}
+
+events! {
     /// The process starts, or cannot.
-    Start,
+    Start = "start",
     /// It was told to stop, or has stopped.
-    Stop,
+    Stop = "stop",
     /// The settings were read again, or stay as they were.
-    Reload,
+    Reload = "reload",
     /// A dependency does not answer.
-    DependencyLost,
+    DependencyLost = "dependency_lost",
     /// It answers again.
-    DependencyRegained,
+    DependencyRegained = "dependency_regained",
     /// A revision of the configuration was heard.
-    Configuration,
+    Configuration = "configuration",
     /// A new version of an adapter was heard.
-    Version,
+    Version = "version",
     /// The list of backend servers changed.
-    Server,
+    Server = "server",
     /// A server did not come back after the store's outage.
-    ServerGone,
+    ServerGone = "server_gone",
     /// A record of the store names nothing usable.
-    RecordSkipped,
+    RecordSkipped = "record_skipped",
     /// The store's records up to here were deleted.
-    LogExpired,
+    LogExpired = "log_expired",
     /// The store answered with an older state.
-    StoreStale,
+    StoreStale = "store_stale",
     /// A peer was asked for what it knows.
-    PeerCopy,
+    PeerCopy = "peer_copy",
     /// The instance could not make itself known.
-    Announce,
+    Announce = "announce",
     /// A request waits for an adapter.
-    Want,
+    Want = "want",
     /// No engine is expected to answer a request in time.
-    Busy,
+    Busy = "busy",
     /// A request was sent to a server.
-    Sent,
+    Sent = "sent",
     /// The server did not run it.
-    NotRun,
+    NotRun = "not_run",
     /// The server gave no usable answer; it may have run.
-    Broken,
+    Broken = "broken",
     /// The server failed it, and another one is tried.
-    ServerError,
+    ServerError = "server_error",
     /// A stream goes on at another server.
-    Resume,
+    Resume = "resume",
     /// A request was answered by a server.
-    Ended,
+    Ended = "ended",
     /// The caller left before its answer was whole.
-    CallerLeft,
+    CallerLeft = "caller_left",
     /// A request was refused.
-    Refused,
+    Refused = "refused",
     /// A client account's rate is used up.
-    OverRate,
+    OverRate = "over_rate",
     /// An engine was given an order.
-    Order,
+    Order = "order",
     /// The engine is a new process.
-    EngineStart,
+    EngineStart = "engine_start",
     /// A datagram is too large to be sent.
-    Mesh,
+    Mesh = "mesh",
     /// Lines did not fit the queue of the logs.
-    LogDropped,
-}
-
-impl Event {
-    /// All events, in the order of the operators' page.
-    pub const ALL: [Event; 29] = [
-        Event::Start,
-        Event::Stop,
-        Event::Reload,
-        Event::DependencyLost,
-        Event::DependencyRegained,
-        Event::Configuration,
-        Event::Version,
-        Event::Server,
-        Event::ServerGone,
-        Event::RecordSkipped,
-        Event::LogExpired,
-        Event::StoreStale,
-        Event::PeerCopy,
-        Event::Announce,
-        Event::Want,
-        Event::Busy,
-        Event::Sent,
-        Event::NotRun,
-        Event::Broken,
-        Event::ServerError,
-        Event::Resume,
-        Event::Ended,
-        Event::CallerLeft,
-        Event::Refused,
-        Event::OverRate,
-        Event::Order,
-        Event::EngineStart,
-        Event::Mesh,
-        Event::LogDropped,
-    ];
-
-    /// The name as it stands in the logs.
-    pub const fn name(self) -> &'static str {
-        match self {
-            Event::Start => "start",
-            Event::Stop => "stop",
-            Event::Reload => "reload",
-            Event::DependencyLost => "dependency_lost",
-            Event::DependencyRegained => "dependency_regained",
-            Event::Configuration => "configuration",
-            Event::Version => "version",
-            Event::Server => "server",
-            Event::ServerGone => "server_gone",
-            Event::RecordSkipped => "record_skipped",
-            Event::LogExpired => "log_expired",
-            Event::StoreStale => "store_stale",
-            Event::PeerCopy => "peer_copy",
-            Event::Announce => "announce",
-            Event::Want => "want",
-            Event::Busy => "busy",
-            Event::Sent => "sent",
-            Event::NotRun => "not_run",
-            Event::Broken => "broken",
-            Event::ServerError => "server_error",
-            Event::Resume => "resume",
-            Event::Ended => "ended",
-            Event::CallerLeft => "caller_left",
-            Event::Refused => "refused",
-            Event::OverRate => "over_rate",
-            Event::Order => "order",
-            Event::EngineStart => "engine_start",
-            Event::Mesh => "mesh",
-            Event::LogDropped => "log_dropped",
-        }
-    }
+    LogDropped = "log_dropped",
 }
 
 impl fmt::Display for Event {
