--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! a random number. Time and messages come in as arguments.
 
 pub mod change;
+pub mod decay;
 pub mod digest;
 pub mod freshness;
 pub mod lease;
--- a/crates/placement/src/popularity.rs
+++ b/crates/placement/src/popularity.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, hash::Hash, time::Duration};
 
-use fleet::lease::Moment;
+use fleet::{decay, lease::Moment};
 
 /// Counts below this are forgotten.
 const NEGLIGIBLE: f64 = 0.01;
@@ -66,8 +66,7 @@
 }
 
 fn decayed(count: Count, now: Moment, half_life: Duration) -> f64 {
-    let elapsed = now.saturating_sub(count.at).as_secs_f64();
-    count.value * 0.5f64.powf(elapsed / half_life.as_secs_f64())
+    count.value * decay::remaining(count.at, now, half_life)
 }
 
 fn per_second(value: f64, half_life: Duration) -> f64 {
--- a/crates/placement/src/slots.rs
+++ b/crates/placement/src/slots.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use fleet::lease::Moment;
+use fleet::{decay, lease::Moment};
 
 /// Half-life of a slot's use count.
 const USE_HALF_LIFE: Duration = Duration::from_secs(60);
@@ -231,6 +231,5 @@
 }
 
 fn decayed_uses(usage: Usage, now: Moment) -> f64 {
-    let elapsed = now.saturating_sub(usage.last_used).as_secs_f64();
-    usage.uses * 0.5f64.powf(elapsed / USE_HALF_LIFE.as_secs_f64())
+    usage.uses * decay::remaining(usage.last_used, now, USE_HALF_LIFE)
 }
--- a/crates/quota/src/pool.rs
+++ b/crates/quota/src/pool.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use fleet::lease::Moment;
+use fleet::{decay, lease::Moment};
 
 /// Half-life of the demand estimate.
 const DEMAND_HALF_LIFE: Duration = Duration::from_secs(2);
@@ -110,9 +110,8 @@
     }
 
     fn note_demand(&mut self, now: Moment, cost: u64) {
-        let elapsed = now.saturating_sub(self.demand_at).as_secs_f64();
-        let decay = 0.5f64.powf(elapsed / DEMAND_HALF_LIFE.as_secs_f64());
-        self.demand = self.demand * decay + cost as f64;
+        let remaining = decay::remaining(self.demand_at, now, DEMAND_HALF_LIFE);
+        self.demand = self.demand * remaining + cost as f64;
         self.demand_at = now;
     }
 }
--- a/crates/serving/src/backlog.rs
+++ b/crates/serving/src/backlog.rs
@@ -4,6 +4,8 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
+use fleet::decay;
+
 use crate::Moment;
 
 /// Reports of other entries older than this count for nothing.
@@ -113,21 +115,15 @@
 
     /// Share of lately failed requests; it fades, so that a server is tried again.
     pub fn failure_share(&self, now: Moment) -> f64 {
-        self.failures * faded(now, self.failures_at)
+        self.failures * decay::remaining(self.failures_at, now, HALF_LIFE)
     }
 
     /// Time that the server takes, as a multiple of the usual.
     pub fn pace(&self, now: Moment) -> f64 {
-        1.0 + (self.pace - 1.0) * faded(now, self.pace_at)
+        1.0 + (self.pace - 1.0) * decay::remaining(self.pace_at, now, HALF_LIFE)
     }
 
     fn fresh(&self, now: Moment) -> impl Iterator<Item = &Report> {
         self.others.values().filter(move |report| now < report.at + REPORT_LIFETIME)
     }
 }
-
-/// Part of what was learnt at `since` that still counts.
-fn faded(now: Moment, since: Moment) -> f64 {
-    let age = now.saturating_sub(since).as_secs_f64();
-    0.5f64.powf(age / HALF_LIFE.as_secs_f64())
-}
--- a/crates/serving/src/residency.rs
+++ b/crates/serving/src/residency.rs
@@ -13,6 +13,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use fleet::decay;
+
 use crate::{Moment, Name};
 
 /// Reports of entry instances older than this are forgotten.
@@ -277,7 +279,6 @@
 
 impl Uses {
     fn faded(&self, now: Moment) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        self.count * 0.5f64.powf(age / USE_HALF_LIFE.as_secs_f64())
+        self.count * decay::remaining(self.at, now, USE_HALF_LIFE)
     }
 }
