Log framing and tail of each response's end

Both are in the line now, and in the counter chivelatch_response_ends_total{framing,tail,outcome}. No decision changed.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,7 +10,10 @@
 use snafu::Snafu;
 
 use kernel::Kernel;
-use services::pool::{Connection, Pool, SendError};
+use services::{
+    framing::Framing,
+    pool::{Connection, Pool, SendError},
+};
 use serving::directory::Listing;
 
 use crate::ports::{Dialect, ResponseMeta};
@@ -25,6 +28,7 @@
 pub struct Reply {
     pub head: response::Parts,
     pub meta: ResponseMeta,
+    pub framing: Framing,
     pub body: Incoming,
     pub connection: Connection,
 }
@@ -92,15 +96,16 @@
     };
     let (head, body) = response.into_parts();
     let meta = (dialect.parse_response)(&head);
+    let framing = Framing::of(&head.headers, &body);
     if meta.request_id.as_deref() != Some(request_id) {
         return Err(mismatched_response(server, &meta, head.status));
     }
     if meta.is_not_run {
         let failure = not_run_failure(server, &meta, head.status);
-        drain_and_release(kernel, pool, Reply { head, meta, body, connection });
+        drain_and_release(kernel, pool, Reply { head, meta, framing, body, connection });
         return Err(failure);
     }
-    Ok(Reply { head, meta, body, connection })
+    Ok(Reply { head, meta, framing, body, connection })
 }
 
 /// Returns the failure for a response that has the id of another request or none.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -17,11 +17,12 @@
 };
 
 use kernel::event::Event;
-use services::{http::MAX_RESPONSE_BYTES, pool::Connection};
+use services::{framing::Framing, http::MAX_RESPONSE_BYTES, pool::Connection};
 use serving::{Moment, Name, directory::Listing, manifest::Grant, selection};
 
 use crate::{
     answer::{self, Rejection, check_head, end_to_end},
+    end::{End, Tail},
     entry::Entry,
     exchange::{self, Failure, NotRunReason, Reply},
     in_flight::InFlight,
@@ -66,6 +67,7 @@
 pub struct Upstream {
     pub head: response::Parts,
     pub meta: ResponseMeta,
+    pub framing: Framing,
     pub body: Incoming,
     pub connection: Connection,
     pub in_flight: InFlight,
@@ -211,7 +213,7 @@
         );
         metrics::counter!("chivelatch_sends_total").increment(1);
         self.attempts += 1;
-        let Reply { head, meta, body, connection } = exchange::send(
+        let Reply { head, meta, framing, body, connection } = exchange::send(
             &entry.kernel,
             &entry.pool,
             &entry.dialect,
@@ -225,7 +227,8 @@
             Failure::TimedOut => self.timeout_failure(entry),
             failure => failure,
         })?;
-        Ok(Upstream { head, meta, body, connection, in_flight, server: server.id.clone() })
+        let server = server.id.clone();
+        Ok(Upstream { head, meta, framing, body, connection, in_flight, server })
     }
 
     fn build_request(
@@ -255,7 +258,7 @@
         entry: &Entry,
         upstream: Upstream,
     ) -> Result<Response<Body>, Failure> {
-        let Upstream { head, meta, body, connection, mut in_flight, server } = upstream;
+        let Upstream { head, meta, framing, body, connection, mut in_flight, server } = upstream;
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let body = entry.kernel.clock.timeout(self.attempt_timeout(entry, self.runs), body).await;
         let body = body.map_err(|_| self.timeout_failure(entry))?;
@@ -268,7 +271,9 @@
         }
         entry.record_response(&server, head.status.is_server_error());
         let bytes = body.to_bytes();
-        self.log_end(entry, answer::outcome(head.status), bytes.len() as u64, &server);
+        let outcome = answer::outcome(head.status);
+        let end = End { outcome, framing, tail: Tail::NoEvents, bytes: bytes.len() as u64 };
+        self.log_end(entry, &server, &end);
         let mut headers = end_to_end(&head.headers);
         headers.remove(CONTENT_LENGTH);
         let body = Full::new(bytes).map_err(|never| match never {}).boxed_unsync();
@@ -456,14 +461,21 @@
     }
 
     /// Logs and measures the end of a response, complete or not.
-    pub fn log_end(&mut self, entry: &Entry, outcome: &'static str, bytes: u64, server: &Name) {
+    pub fn log_end(&mut self, entry: &Entry, server: &Name, end: &End) {
+        let End { outcome, framing, tail, bytes } = *end;
+        let (framing, tail) = (framing.name(), tail.name());
         self.is_finished = true;
         let elapsed = entry.now().saturating_sub(self.arrived);
         metrics::histogram!("chivelatch_request_seconds", "outcome" => outcome)
             .record(elapsed.as_secs_f64());
+        metrics::counter!(
+            "chivelatch_response_ends_total",
+            "framing" => framing, "tail" => tail, "outcome" => outcome
+        )
+        .increment(1);
         log::info!(
             event = Event::Ended, request = &*self.meta.id, server = &**server, outcome, bytes,
-            took_ms = elapsed.as_millis() as u64;
+            framing, tail, took_ms = elapsed.as_millis() as u64;
             "the response ended"
         );
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod answer;
 pub mod choose;
+pub mod end;
 pub mod entry;
 pub mod exchange;
 pub mod follow;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,10 +13,11 @@
 use hyper::body::{Frame, Incoming};
 
 use kernel::event::Event;
-use services::pool::Connection;
+use services::{event_stream::Scanner, framing::Framing, pool::Connection};
 use serving::Name;
 
 use crate::{
+    end::{End, Tail},
     entry::Entry,
     in_flight::InFlight,
     job::{Job, Upstream},
@@ -36,12 +37,14 @@
     events: Option<EventBuffer>,
     /// Data that was read and not forwarded yet.
     buffered: Option<Bytes>,
+    scanner: Scanner,
     forwarded_bytes: u64,
 }
 
 /// Server's response that the stream is read from.
 struct Source {
     body: Incoming,
+    framing: Framing,
     meta: ResponseMeta,
     connection: Connection,
     in_flight: InFlight,
@@ -74,6 +77,7 @@
             source: Source::new(upstream),
             events: is_resumable.then(EventBuffer::default),
             buffered: None,
+            scanner: Scanner::default(),
             forwarded_bytes: 0,
         };
         relay.buffered = relay.complete_events(first);
@@ -161,6 +165,7 @@
 
     /// Returns the data to forward after reading `chunk`, if there is any.
     fn complete_events(&mut self, chunk: Bytes) -> Option<Bytes> {
+        self.scanner.feed(&chunk);
         let chunk = match &mut self.events {
             Some(events) => events.push(&chunk),
             None => chunk,
@@ -189,6 +194,7 @@
             return false;
         }
         self.source = Source::new(upstream);
+        self.scanner = Scanner::default();
         self.buffered = self.complete_events(first);
         true
     }
@@ -204,13 +210,20 @@
     }
 
     fn log_end(&mut self, outcome: &'static str) {
-        self.job.log_end(&self.entry, outcome, self.forwarded_bytes, &self.source.server);
+        let end = End {
+            outcome,
+            framing: self.source.framing,
+            tail: Tail::of(&self.scanner),
+            bytes: self.forwarded_bytes,
+        };
+        self.job.log_end(&self.entry, &self.source.server, &end);
     }
 }
 
 impl Source {
     fn new(upstream: Upstream) -> Source {
         Source {
+            framing: upstream.framing,
             body: upstream.body,
             meta: upstream.meta,
             connection: upstream.connection,
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -6,6 +6,8 @@
 //! of these services.
 
 pub mod engine;
+pub mod event_stream;
+pub mod framing;
 pub mod http;
 pub mod list;
 pub mod log;
