Treat a stream that ends inside an event as broken off

Cause: a response without length and chunks ends with its connection, and a server that dies with an orderly close sends the same end as one that is done. The relay took any end of the body for the end of the stream; for a resumable one it even forwarded the partial event as its last piece. The same held for a length or a last chunk that states the end too early.

Change: each response is read through services::body::Body, which ends without an error only if it is whole: the connection held up to the stated end, and an event stream ended after an event, or, where only its connection ended it, not before the first one. So the relay, plain responses, the side process and the clients of the store and the peers have one check, and none can read around it. A stream that can be resumed goes on after its last whole event; any other one is aborted. A connection that ends with its response isn't pooled.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,12 +6,12 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, StatusCode, body::Incoming, http::response};
+use hyper::{Request, StatusCode, http::response};
 use snafu::Snafu;
 
 use kernel::Kernel;
 use services::{
-    framing::Framing,
+    body::Body,
     pool::{Connection, Pool, SendError},
 };
 use serving::directory::Listing;
@@ -28,8 +28,7 @@
 pub struct Reply {
     pub head: response::Parts,
     pub meta: ResponseMeta,
-    pub framing: Framing,
-    pub body: Incoming,
+    pub body: Body,
     pub connection: Connection,
 }
 
@@ -95,17 +94,17 @@
         }
     };
     let (head, body) = response.into_parts();
-    let meta = (dialect.parse_response)(&head);
-    let framing = Framing::of(&head.headers, &body);
+    let mut meta = (dialect.parse_response)(&head);
+    meta.closes_connection |= !body.framing().is_explicit();
     if meta.request_id.as_deref() != Some(request_id) {
         return Err(mismatched_response(server, &meta, head.status));
     }
     if meta.is_not_run {
         let failure = not_run_failure(server, &meta, head.status);
-        drain_and_release(kernel, pool, Reply { head, meta, framing, body, connection });
+        drain_and_release(kernel, pool, Reply { head, meta, body, connection });
         return Err(failure);
     }
-    Ok(Reply { head, meta, framing, body, connection })
+    Ok(Reply { head, meta, body, connection })
 }
 
 /// Returns the failure for a response that has the id of another request or none.
@@ -137,7 +136,7 @@
     request: Request<Full<Bytes>>,
     limit: Duration,
     is_sent: &mut bool,
-) -> Result<(hyper::Response<Incoming>, Connection), Failure> {
+) -> Result<(hyper::Response<Body>, Connection), Failure> {
     let address = server.address;
     let mut request = request;
     loop {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -11,18 +11,21 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{
     Request, Response, StatusCode,
-    body::Incoming,
     header::CONTENT_LENGTH,
     http::{request, response},
 };
 
 use kernel::event::Event;
-use services::{framing::Framing, http::MAX_RESPONSE_BYTES, pool::Connection};
+use services::{
+    body::{self, Tail},
+    http::MAX_RESPONSE_BYTES,
+    pool::Connection,
+};
 use serving::{Moment, Name, directory::Listing, manifest::Grant, selection};
 
 use crate::{
     answer::{self, Rejection, check_head, end_to_end},
-    end::{End, Tail},
+    end::End,
     entry::Entry,
     exchange::{self, Failure, NotRunReason, Reply},
     in_flight::InFlight,
@@ -67,8 +70,7 @@
 pub struct Upstream {
     pub head: response::Parts,
     pub meta: ResponseMeta,
-    pub framing: Framing,
-    pub body: Incoming,
+    pub body: body::Body,
     pub connection: Connection,
     pub in_flight: InFlight,
     pub server: Name,
@@ -213,7 +215,7 @@
         );
         metrics::counter!("chivelatch_sends_total").increment(1);
         self.attempts += 1;
-        let Reply { head, meta, framing, body, connection } = exchange::send(
+        let Reply { head, meta, mut body, connection } = exchange::send(
             &entry.kernel,
             &entry.pool,
             &entry.dialect,
@@ -228,7 +230,10 @@
             failure => failure,
         })?;
         let server = server.id.clone();
-        Ok(Upstream { head, meta, framing, body, connection, in_flight, server })
+        if self.grant.route.retry_policy.is_stream() && head.status.is_success() {
+            body.expect_events();
+        }
+        Ok(Upstream { head, meta, body, connection, in_flight, server })
     }
 
     fn build_request(
@@ -258,7 +263,8 @@
         entry: &Entry,
         upstream: Upstream,
     ) -> Result<Response<Body>, Failure> {
-        let Upstream { head, meta, framing, body, connection, mut in_flight, server } = upstream;
+        let Upstream { head, meta, body, connection, mut in_flight, server } = upstream;
+        let framing = body.framing();
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let body = entry.kernel.clock.timeout(self.attempt_timeout(entry, self.runs), body).await;
         let body = body.map_err(|_| self.timeout_failure(entry))?;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,18 +6,18 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use front::body::{Body, Truncated};
 use futures_lite::stream;
 use http_body_util::{BodyExt as _, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 
 use kernel::event::Event;
-use services::{event_stream::Scanner, framing::Framing, pool::Connection};
+use services::{event_stream::Splitter, pool::Connection};
 use serving::Name;
 
 use crate::{
-    end::{End, Tail},
+    end::End,
     entry::Entry,
     in_flight::InFlight,
     job::{Job, Upstream},
@@ -37,14 +37,12 @@
     events: Option<EventBuffer>,
     /// Data that was read and not forwarded yet.
     buffered: Option<Bytes>,
-    scanner: Scanner,
     forwarded_bytes: u64,
 }
 
 /// Server's response that the stream is read from.
 struct Source {
-    body: Incoming,
-    framing: Framing,
+    body: services::body::Body,
     meta: ResponseMeta,
     connection: Connection,
     in_flight: InFlight,
@@ -54,8 +52,7 @@
 /// Buffer that splits a stream into whole events.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
-    /// Start of an incomplete event.
-    partial: BytesMut,
+    splitter: Splitter,
     last_id: Option<Bytes>,
 }
 
@@ -77,7 +74,6 @@
             source: Source::new(upstream),
             events: is_resumable.then(EventBuffer::default),
             buffered: None,
-            scanner: Scanner::default(),
             forwarded_bytes: 0,
         };
         relay.buffered = relay.complete_events(first);
@@ -136,7 +132,7 @@
             let frame = self.entry.kernel.clock.timeout(limit, self.source.body.frame()).await;
             let chunk = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(Some(Err(_))) => return Step::Broken("broken_off"),
+                Ok(Some(Err(incomplete))) => return Step::Broken(incomplete.name()),
                 Ok(None) => return self.end_of_source(),
                 Err(_) if limit < remaining => return Step::Broken("silent"),
                 Err(_) => return Step::TimedOut,
@@ -147,9 +143,10 @@
         }
     }
 
-    /// Returns the step at the end of the source. An incomplete last event is forwarded as it is.
+    /// Returns the step at the end of the source. What may follow the last event, such as a
+    /// comment, is forwarded as it is.
     fn end_of_source(&mut self) -> Step {
-        let rest = self.events.as_mut().map(|events| events.partial.split().freeze());
+        let rest = self.events.as_mut().map(|events| events.splitter.take_rest());
         match rest.filter(|rest| !rest.is_empty()) {
             Some(rest) => Step::Chunk(rest),
             None => Step::End,
@@ -165,7 +162,6 @@
 
     /// Returns the data to forward after reading `chunk`, if there is any.
     fn complete_events(&mut self, chunk: Bytes) -> Option<Bytes> {
-        self.scanner.feed(&chunk);
         let chunk = match &mut self.events {
             Some(events) => events.push(&chunk),
             None => chunk,
@@ -180,7 +176,7 @@
         if !self.job.can_retry() {
             return false;
         }
-        events.partial.clear();
+        events.splitter = Splitter::default();
         self.job.last_event_id = events.last_id.clone().or(self.job.last_event_id.take());
         log::info!(
             event = Event::Resume, request = &*self.job.meta.id,
@@ -194,7 +190,6 @@
             return false;
         }
         self.source = Source::new(upstream);
-        self.scanner = Scanner::default();
         self.buffered = self.complete_events(first);
         true
     }
@@ -212,8 +207,8 @@
     fn log_end(&mut self, outcome: &'static str) {
         let end = End {
             outcome,
-            framing: self.source.framing,
-            tail: Tail::of(&self.scanner),
+            framing: self.source.body.framing(),
+            tail: self.source.body.tail(),
             bytes: self.forwarded_bytes,
         };
         self.job.log_end(&self.entry, &self.source.server, &end);
@@ -223,7 +218,6 @@
 impl Source {
     fn new(upstream: Upstream) -> Source {
         Source {
-            framing: upstream.framing,
             body: upstream.body,
             meta: upstream.meta,
             connection: upstream.connection,
@@ -236,9 +230,7 @@
 impl EventBuffer {
     /// Appends a chunk and returns the events that are complete now.
     pub fn push(&mut self, chunk: &[u8]) -> Bytes {
-        self.partial.extend_from_slice(chunk);
-        let Some(end) = end_of_events(&self.partial) else { return Bytes::new() };
-        let complete = self.partial.split_to(end).freeze();
+        let complete = self.splitter.push(chunk);
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
@@ -251,16 +243,9 @@
     }
 }
 
-/// Returns the position after the last empty line.
-fn end_of_events(bytes: &[u8]) -> Option<usize> {
-    let lf = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
-    let crlf = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    lf.max(crlf)
-}
-
 /// Returns the last event id in complete events.
 fn last_id(events: &Bytes) -> Option<Bytes> {
-    let mut lines = events.split(|byte| *byte == b'\n').rev();
+    let mut lines = events.split(|byte| matches!(byte, b'\n' | b'\r')).rev();
     let line = lines.find(|line| line.starts_with(b"id:"))?;
     Some(events.slice_ref(line[3..].trim_ascii()))
 }
--- a/crates/services/src/engine.rs
+++ b/crates/services/src/engine.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 use serde::Deserialize;
 use serde_json::json;
 
@@ -21,7 +21,10 @@
     plugin::{self, Plugin},
 };
 
-use crate::http::{self, Error};
+use crate::{
+    body::Body,
+    http::{self, Error},
+};
 
 /// Header with the fencing token of a request to load or unload.
 pub const FENCING_TOKEN_HEADER: &str = "x-fencing-number";
@@ -80,7 +83,7 @@
     /// # Errors
     ///
     /// See [`http::send`].
-    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Body>, Error> {
         http::send(&self.kernel, self.address, request).await
     }
 
--- a/crates/services/src/event_stream.rs
+++ b/crates/services/src/event_stream.rs
@@ -101,17 +101,8 @@
         self.partial.split_to(end.unwrap_or(0)).freeze()
     }
 
-    /// Returns the number of bytes of the incomplete event.
-    pub fn partial_len(&self) -> usize {
-        self.partial.len()
-    }
-
-    /// Drops the incomplete event, as the stream goes on elsewhere after the last whole one.
-    pub fn discard_partial(&mut self) {
-        *self = Splitter::default();
-    }
-
-    pub fn scanner(&self) -> &Scanner {
-        &self.scanner
+    /// Takes what follows the last whole event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.partial.split().freeze()
     }
 }
--- a/crates/services/src/http.rs
+++ b/crates/services/src/http.rs
@@ -8,12 +8,14 @@
 use async_net::TcpStream;
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::{Request, Response, body::Incoming, client::conn::http1, header::HOST};
+use hyper::{Request, Response, client::conn::http1, header::HOST};
 use smol_hyper::rt::FuturesIo;
 use snafu::{ResultExt as _, Snafu};
 
 use kernel::{Kernel, clock::Timeout};
 
+use crate::body::Body;
+
 /// Largest response body that is buffered.
 pub const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
@@ -71,7 +73,7 @@
     kernel: &Kernel,
     address: SocketAddr,
     mut request: Request<Full<Bytes>>,
-) -> Result<Response<Incoming>, Error> {
+) -> Result<Response<Body>, Error> {
     let stream = TcpStream::connect(address).await.context(ConnectSnafu { address })?;
     // Without TCP_NODELAY the exchange is merely slower.
     let _result = stream.set_nodelay(true);
@@ -82,7 +84,7 @@
         let _result = connection.await;
     });
     set_host(&mut request, address);
-    sender.send_request(request).await.context(ExchangeSnafu)
+    sender.send_request(request).await.map(Body::of).context(ExchangeSnafu)
 }
 
 /// Sends a request and returns the complete response, within `timeout`.
@@ -119,7 +121,7 @@
 /// # Errors
 ///
 /// [`Error::Unreadable`] when the body is incomplete or larger than [`MAX_RESPONSE_BYTES`].
-pub(crate) async fn collect_body(response: Response<Incoming>) -> Result<Response<Bytes>, Error> {
+pub(crate) async fn collect_body(response: Response<Body>) -> Result<Response<Bytes>, Error> {
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let body = body.map_err(|error| Error::Unreadable { reason: error.to_string() })?;
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -5,6 +5,7 @@
 //! Architecture Invariant: only this crate and the stand-ins know the protocols
 //! of these services.
 
+pub mod body;
 pub mod engine;
 pub mod event_stream;
 pub mod framing;
--- a/crates/services/src/pool.rs
+++ b/crates/services/src/pool.rs
@@ -19,7 +19,6 @@
 use http_body_util::Full;
 use hyper::{
     Request, Response,
-    body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
 use parking_lot::Mutex;
@@ -29,7 +28,10 @@
 
 use kernel::Kernel;
 
-use crate::http::{self, ConnectSnafu, Error, ExchangeSnafu, TimeoutSnafu};
+use crate::{
+    body::Body,
+    http::{self, ConnectSnafu, Error, ExchangeSnafu, TimeoutSnafu},
+};
 
 /// Time that sent data may stay unacknowledged before the operating system closes the connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -162,8 +164,11 @@
                     connection.send(*request).await.map_err(SendError::into_error)?
                 }
             };
+            let ends_connection = !response.body().framing().is_explicit();
             let response = http::collect_body(response).await?;
-            self.release(connection, None);
+            if !ends_connection {
+                self.release(connection, None);
+            }
             Ok(response)
         };
         let outcome =
@@ -185,9 +190,9 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<Body>, SendError> {
         let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut error| match error.take_message() {
+        sent.map(Body::of).map_err(|mut error| match error.take_message() {
             Some(request) => SendError::NotSent(Box::new(request)),
             None => SendError::Broken(error.into_error()),
         })
--- a/crates/side/src/relay.rs
+++ b/crates/side/src/relay.rs
@@ -10,11 +10,14 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{
     Request, Response, StatusCode,
-    body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
 };
 
-use services::{engine::REQUEST_ID_HEADER, http};
+use services::{
+    body::{self, Body},
+    engine::REQUEST_ID_HEADER,
+    http,
+};
 use wire::frame::{Attempt, AttemptId, Broken, Head, NotBegun, Reply, Target};
 
 use crate::{
@@ -30,7 +33,6 @@
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 /// Size of the chunks in which a buffered body is relayed.
 const CHUNK_BYTES: usize = 256 * 1024;
-const EVENT_STREAM: &str = "text/event-stream";
 
 /// Runs an admitted attempt.
 pub(crate) async fn run(
@@ -81,7 +83,7 @@
     attempt: &Attempt,
     ticket: &Ticket,
     responder: &mut Responder,
-    response: Response<Incoming>,
+    response: Response<Body>,
 ) -> Result<End, Disconnected> {
     if has_lost_adapter(side, attempt, &response).await {
         ticket.mark_engine_done();
@@ -102,7 +104,7 @@
         status: response.status().as_u16(),
         content_type: Arc::from(content_type),
     };
-    let is_stream = content_type.starts_with(EVENT_STREAM) && response.status().is_success();
+    let is_stream = body::is_event_stream(response.headers()) && response.status().is_success();
     if is_stream && key_of(&attempt.target).is_some() {
         relay_events(side, attempt, ticket, responder, head, response.into_body()).await
     } else {
@@ -117,7 +119,7 @@
     ticket: &Ticket,
     responder: &mut Responder,
     head: Head,
-    mut body: Incoming,
+    mut body: Body,
 ) -> Result<End, Disconnected> {
     let mut checker = Checker::new(&attempt.target_name());
     let mut head = Some(head);
@@ -152,7 +154,7 @@
     ticket: &Ticket,
     responder: &mut Responder,
     head: Head,
-    body: Incoming,
+    body: Body,
 ) -> Result<End, Disconnected> {
     let collected =
         responder.wait_with_keepalive(side, Limited::new(body, MAX_BODY_BYTES).collect()).await?;
@@ -196,7 +198,7 @@
 
 /// Returns whether the engine lost the adapter. An engine that restarted at the same address has
 /// no adapters loaded and responds with 404 before it runs anything.
-async fn has_lost_adapter(side: &Side, attempt: &Attempt, response: &Response<Incoming>) -> bool {
+async fn has_lost_adapter(side: &Side, attempt: &Attempt, response: &Response<Body>) -> bool {
     response.status() == StatusCode::NOT_FOUND
         && key_of(&attempt.target).is_some()
         && !engine_watch::has_adapter(side, &attempt.target_name()).await
@@ -215,7 +217,7 @@
 
 /// Returns whether the response belongs to the attempt. Engines return the id of the request;
 /// a response without an id is accepted.
-fn has_matching_id(attempt: &Attempt, response: &Response<Incoming>) -> bool {
+fn has_matching_id(attempt: &Attempt, response: &Response<Body>) -> bool {
     let returned = response.headers().get(REQUEST_ID_HEADER);
     let expected = HeaderValue::from_str(&backend_request_id(&attempt.id)).ok();
     returned.is_none() || returned == expected.as_ref()
