Take a dropped sender for the break of its response

Callers of our own interface could see a broken-off stream framed as complete: the body of a streamed response was complete when its sender was dropped without a word. So a caller that stopped reading for 30 s and then went on got the last chunk after what was sent so far, and so did one whose relaying task was dropped.

A response is complete only after Sender::finish now; a sender that is dropped breaks it off. The stand-in's truncated answer keeps its stated end, with a length.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -5,12 +5,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use async_channel::Sender;
 use bytes::Bytes;
 use futures_lite::future;
 use hyper::{Response, StatusCode};
 
-use front::body::{self, Body, Truncated};
+use front::body::{self, Body, Disconnected, Sender};
 
 use crate::{
     Entry,
@@ -55,16 +54,12 @@
 
 /// Relays a stream and settles its reservation. The reservation stays charged in full
 /// unless the stream is complete.
-async fn run(
-    entry: &Arc<Entry>,
-    admitted: AdmittedJob,
-    stream: Stream,
-    sender: Sender<Result<Bytes, Truncated>>,
-) {
+async fn run(entry: &Arc<Entry>, admitted: AdmittedJob, stream: Stream, sender: Sender) {
     match relay(entry, &admitted, stream, &sender).await {
         End::Complete { tokens } => {
             let used = tokens.unwrap_or(admitted.job.cost);
             answer::settle(entry, &admitted, used).await;
+            sender.finish().await;
             answer::count(&admitted.job, Outcome::Completed);
         }
         End::Failed(rejection) => {
@@ -72,7 +67,6 @@
             entry.node.note(request, format!("the stream was ended: {}", rejection.message));
             let event = format!("event: error\ndata: {}\n\n", rejection.body(request));
             let _disconnected = send_chunk(entry, &sender, Bytes::from(event)).await;
-            let _disconnected = sender.send(Err(Truncated)).await;
             answer::count(&admitted.job, Outcome::Unknown);
         }
         End::ClientDisconnect => {
@@ -83,12 +77,7 @@
 }
 
 /// Relays frames to the caller until the stream ends.
-async fn relay(
-    entry: &Arc<Entry>,
-    admitted: &AdmittedJob,
-    stream: Stream,
-    sender: &Sender<Result<Bytes, Truncated>>,
-) -> End {
+async fn relay(entry: &Arc<Entry>, admitted: &AdmittedJob, stream: Stream, sender: &Sender) -> End {
     let Stream { first, frames, .. } = stream;
     if send_chunk(entry, sender, Bytes::from(first)).await.is_err() {
         return End::ClientDisconnect;
@@ -135,11 +124,7 @@
 }
 
 /// Sends bytes to the caller; fails if it has disconnected or does not read them in time.
-async fn send_chunk(
-    entry: &Entry,
-    sender: &Sender<Result<Bytes, Truncated>>,
-    bytes: Bytes,
-) -> Result<(), Truncated> {
-    let sent = entry.node.kernel.clock.timeout(CLIENT_READ_TIMEOUT, sender.send(Ok(bytes))).await;
-    if matches!(sent, Ok(Ok(()))) { Ok(()) } else { Err(Truncated) }
+async fn send_chunk(entry: &Entry, sender: &Sender, bytes: Bytes) -> Result<(), Disconnected> {
+    let sent = entry.node.kernel.clock.timeout(CLIENT_READ_TIMEOUT, sender.send(bytes)).await;
+    sent.unwrap_or(Err(Disconnected))
 }
--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -3,11 +3,11 @@
 use std::{
     convert::Infallible,
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use bytes::Bytes;
 use futures_lite::{Stream, StreamExt as _};
 use http_body_util::{BodyExt as _, Full, Limited, StreamBody, combinators::UnsyncBoxBody};
@@ -32,6 +32,37 @@
 #[snafu(display("the response is incomplete; the connection is closed to tell the caller"))]
 pub struct Truncated;
 
+/// Sender of the chunks of a streamed response. The response is incomplete unless it is ended with
+/// [`Sender::finish`].
+#[derive(Debug)]
+pub struct Sender {
+    pieces: async_channel::Sender<Piece>,
+}
+
+#[derive(Debug)]
+enum Piece {
+    Chunk(Bytes),
+    End,
+}
+
+/// The caller has disconnected and gets no more of its response.
+#[derive(Clone, Copy, Debug)]
+pub struct Disconnected;
+
+/// Chunks of a [`Sender`].
+struct Chunks {
+    receiver: Pin<Box<Receiver<Piece>>>,
+    has_ended: bool,
+}
+
+/// Chunks whose [`Truncated`] is deferred by one poll, so that the server first sends its buffer:
+/// on an error it closes the connection and drops the buffer, and with it the event that gives the
+/// caller the reason.
+struct Deferred<S> {
+    chunks: S,
+    is_truncated: bool,
+}
+
 /// Error of [`read`]; the texts are sent to callers.
 #[derive(Debug, Snafu)]
 pub enum BodyError {
@@ -72,32 +103,66 @@
     response(status, content_type, body)
 }
 
-/// Returns a response whose body is sent in chunks, and their sender. The body is
-/// complete when the sender is dropped without having sent [`Truncated`].
-pub fn streamed(
-    status: StatusCode,
-    content_type: &str,
-) -> (Sender<Result<Bytes, Truncated>>, Response<Body>) {
-    let (sender, receiver) = async_channel::bounded(MAX_BUFFERED_CHUNKS);
-    (sender, response(status, content_type, from_receiver(receiver)))
+/// Returns a response whose body is sent in chunks, and their sender.
+pub fn streamed(status: StatusCode, content_type: &str) -> (Sender, Response<Body>) {
+    let (pieces, receiver) = async_channel::bounded(MAX_BUFFERED_CHUNKS);
+    (Sender { pieces }, response(status, content_type, from_chunks(Chunks::new(receiver))))
 }
 
-/// Chunks of a streamed response. Defers [`Truncated`] by one poll, so that the server
-/// first sends its buffer: on an error it closes the connection and drops the buffer,
-/// and with it the event that gives the caller the reason.
-struct Chunks {
-    receiver: Pin<Box<Receiver<Result<Bytes, Truncated>>>>,
-    is_truncated: bool,
+/// Returns a body of chunks. It is complete where they end without [`Truncated`].
+pub fn from_chunks(
+    chunks: impl Stream<Item = Result<Bytes, Truncated>> + Send + Unpin + 'static,
+) -> Body {
+    let chunks = Deferred { chunks, is_truncated: false };
+    StreamBody::new(chunks.map(|chunk| chunk.map(Frame::data))).boxed_unsync()
+}
+
+impl Sender {
+    /// Sends a chunk; waits while too many chunks are buffered.
+    ///
+    /// # Errors
+    ///
+    /// [`Disconnected`] if the caller has disconnected.
+    pub async fn send(&self, chunk: Bytes) -> Result<(), Disconnected> {
+        self.pieces.send(Piece::Chunk(chunk)).await.map_err(|_| Disconnected)
+    }
+
+    /// Ends the response as complete.
+    pub async fn finish(self) {
+        let _disconnected = self.pieces.send(Piece::End).await;
+    }
+}
+
+impl Chunks {
+    fn new(receiver: Receiver<Piece>) -> Chunks {
+        Chunks { receiver: Box::pin(receiver), has_ended: false }
+    }
 }
 
 impl Stream for Chunks {
     type Item = Result<Bytes, Truncated>;
 
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if self.has_ended {
+            return Poll::Ready(None);
+        }
+        let piece = ready!(self.receiver.as_mut().poll_next(context));
+        if let Some(Piece::Chunk(chunk)) = piece {
+            return Poll::Ready(Some(Ok(chunk)));
+        }
+        self.has_ended = true;
+        Poll::Ready(if piece.is_some() { None } else { Some(Err(Truncated)) })
+    }
+}
+
+impl<S: Stream<Item = Result<Bytes, Truncated>> + Unpin> Stream for Deferred<S> {
+    type Item = Result<Bytes, Truncated>;
+
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         if self.is_truncated {
             return Poll::Ready(Some(Err(Truncated)));
         }
-        match self.receiver.as_mut().poll_next(context) {
+        match Pin::new(&mut self.chunks).poll_next(context) {
             Poll::Ready(Some(Err(Truncated))) => {
                 self.is_truncated = true;
                 context.waker().wake_by_ref();
@@ -108,11 +173,6 @@
     }
 }
 
-fn from_receiver(receiver: Receiver<Result<Bytes, Truncated>>) -> Body {
-    let chunks = Chunks { receiver: Box::pin(receiver), is_truncated: false };
-    StreamBody::new(chunks.map(|chunk| chunk.map(Frame::data))).boxed_unsync()
-}
-
 fn response(status: StatusCode, content_type: &str, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
--- a/crates/standins/src/engine/adapters.rs
+++ b/crates/standins/src/engine/adapters.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use serde::Deserialize;
 use serde_json::json;
 
-use front::body::{self, Body, Truncated};
+use front::body::{self, Body};
 use services::{engine::FENCING_TOKEN_HEADER, http as client};
 
 use crate::{
@@ -76,10 +75,8 @@
 
 /// Returns a response that aborts the connection, as when the process crashes.
 pub fn aborted_response() -> Response<Body> {
-    let (sender, response) = body::streamed(StatusCode::BAD_GATEWAY, "text/plain");
-    let _closed = sender.try_send(Ok(Bytes::new()));
-    let _closed = sender.try_send(Err(Truncated));
-    response
+    // The sender is dropped without having finished the response.
+    body::streamed(StatusCode::BAD_GATEWAY, "text/plain").1
 }
 
 /// Reads a command after checking its fencing token.
--- a/crates/standins/src/engine/completion.rs
+++ b/crates/standins/src/engine/completion.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use bytes::Bytes;
 use hyper::{
     Request, Response, StatusCode,
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 
 use fleet::digest::Digest;
-use front::body::{self, Body, Truncated};
+use front::body::{self, Body, Sender};
 use services::engine::REQUEST_ID_HEADER;
 
 use crate::{
@@ -121,36 +121,33 @@
     with_request_id(response, &job.id)
 }
 
-/// Returns the head and the first half of an answer.
+/// Returns the first half of an answer, framed as complete.
 fn truncated_response(answer: &Value) -> Response<Body> {
     let text = answer.to_string();
-    let (sender, response) = body::streamed(StatusCode::OK, "application/json");
-    let _closed = sender.try_send(Ok(Bytes::from(text[..text.len() / 2].to_owned())));
-    response
+    body::full(StatusCode::OK, "application/json", text[..text.len() / 2].to_owned())
 }
 
 fn respond_streaming(engine: Arc<Engine>, job: Job) -> Response<Body> {
     let (sender, response) = body::streamed(StatusCode::OK, "text/event-stream");
     let response = with_request_id(response, &job.id);
     let kernel = engine.kernel.clone();
-    kernel.spawn_detached(async move { send_events(&engine, &job, &sender).await });
+    kernel.spawn_detached(async move { send_events(&engine, &job, sender).await });
     response
 }
 
-async fn send_events(engine: &Engine, job: &Job, sender: &Sender<Result<Bytes, Truncated>>) {
+async fn send_events(engine: &Engine, job: &Job, sender: Sender) {
     let count = if job.is_truncated { job.words.len() / 2 } else { job.words.len() };
     for (index, word) in job.words.iter().take(count).enumerate() {
         if job.tokens.recv().await.is_err() || job.generation != engine.generation() {
-            let _closed = sender.send(Err(Truncated)).await;
             return;
         }
         let text = if index == 0 { word.clone() } else { format!(" {word}") };
-        if sender.send(Ok(event(&chunk(job, &text)))).await.is_err() {
+        if sender.send(event(&chunk(job, &text))).await.is_err() {
             return;
         }
     }
     if job.is_truncated {
-        return;
+        return sender.finish().await;
     }
     let usage = json!({
         "id": job.id,
@@ -162,8 +159,9 @@
             "total_tokens": job.prompt_tokens + job.words.len() as u64,
         },
     });
-    let _closed = sender.send(Ok(event(&usage))).await;
-    let _closed = sender.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
+    let _closed = sender.send(event(&usage)).await;
+    let _closed = sender.send(Bytes::from_static(b"data: [DONE]\n\n")).await;
+    sender.finish().await;
 }
 
 fn chunk(job: &Job, text: &str) -> Value {
