Reset the connection of an incomplete response without chunks

A caller that speaks HTTP/1.0 takes the end of its connection for the end of the body, so a response that was broken off looked complete to it: the server closed the connection in an orderly way. Now such a connection is reset unless its response was complete, also when the process is killed midway, since the socket is set so when the request arrives. Over TLS an incomplete response ends without close_notify; a test holds that.

resets_connection_of_incomplete_response_without_chunks failed before: the connection of the caller ended in an orderly way after the first event.

--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -5,9 +5,10 @@
 use async_net::{TcpListener, TcpStream};
 use futures_lite::{AsyncRead, AsyncWrite, future};
 use futures_rustls::TlsAcceptor;
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{Request, Response, Version, body::Incoming, server::conn::http1, service::service_fn};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use snafu::{ResultExt as _, Snafu};
+use socket2::SockRef;
 
 use kernel::{
     Kernel,
@@ -93,7 +94,8 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     accept(kernel, listener, drain, |stream, guard| {
-        serve_connection(stream, limits(), drain.clone(), guard, handle.clone())
+        let socket = Some(stream.clone());
+        serve_connection(stream, socket, limits(), drain.clone(), guard, handle.clone())
     })
     .await;
 }
@@ -114,7 +116,8 @@
         async move {
             match clock.timeout(HEAD_TIMEOUT, acceptor.accept(stream)).await {
                 Ok(Ok(stream)) => {
-                    serve_connection(stream, Limits::default(), drain, guard, handle).await;
+                    let limits = Limits::default();
+                    serve_connection(stream, None, limits, drain, guard, handle).await;
                 }
                 Ok(Err(error)) => log::debug!("TLS handshake with a caller failed: {error}"),
                 Err(error) => log::debug!("TLS handshake with a caller did not complete: {error}"),
@@ -154,8 +157,13 @@
 
 /// Serves the requests of one connection. Once `drain` stops, ends the connection after its
 /// current request.
+///
+/// A caller that speaks HTTP/1.0 takes the end of its connection for the end of the response. Its
+/// connection is thus reset, unless the response is complete. `socket` is the socket of `stream`;
+/// with TLS it is not needed, as an incomplete response then ends without `close_notify`.
 async fn serve_connection<F>(
     stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    socket: Option<TcpStream>,
     limits: Limits,
     drain: Drain,
     guard: Guard,
@@ -163,7 +171,11 @@
 ) where
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let service = service_fn(move |request| {
+    let own_socket = socket.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        if request.version() == Version::HTTP_10 {
+            reset_on_drop(own_socket.as_ref(), true);
+        }
         let response = handle(request);
         async move { Ok::<_, Infallible>(response.await) }
     });
@@ -178,10 +190,23 @@
         drain.stopped().await;
         None
     };
-    let ended = future::or(async { Some(connection.as_mut().await) }, stopped).await;
+    let mut ended = future::or(async { Some(connection.as_mut().await) }, stopped).await;
     if ended.is_none() {
         connection.as_mut().graceful_shutdown();
-        let _closed_by_caller = connection.await;
+        ended = Some(connection.await);
+    }
+    if let Some(Ok(())) = ended {
+        reset_on_drop(socket.as_ref(), false);
     }
     drop(guard);
 }
+
+/// Sets whether the connection is reset, in place of an orderly end, when its socket is dropped or
+/// the process is killed.
+fn reset_on_drop(socket: Option<&TcpStream>, is_reset: bool) {
+    let Some(socket) = socket else { return };
+    let set = SockRef::from(socket).set_linger(is_reset.then_some(Duration::ZERO));
+    if let Err(error) = set {
+        log::debug!("cannot set how a caller's connection ends: {error}");
+    }
+}
--- a/crates/front/tests/body.rs
+++ b/crates/front/tests/body.rs
@@ -85,3 +85,21 @@
     assert!(until_close.text.ends_with("data: 1\n\n"), "{}", until_close.text);
     assert!(until_close.has_orderly_end);
 }
+
+// Guards against an incomplete response to a caller that knows no chunks: the end of the
+// connection is the end of its body.
+#[test]
+fn resets_connection_of_incomplete_response_without_chunks() {
+    let received = receive("HTTP/1.0", |kernel| {
+        let (sender, response) = body::streamed(StatusCode::OK, "text/event-stream");
+        let clock = kernel.clock.clone();
+        kernel.spawn_detached(async move {
+            sender.send(Bytes::from("data: 1\n\n")).await.unwrap();
+            clock.sleep(Duration::from_millis(50)).await;
+            drop(sender);
+        });
+        response
+    });
+
+    assert!(!received.has_orderly_end, "{}", received.text);
+}
--- a/crates/front/tests/tls.rs
+++ b/crates/front/tests/tls.rs
@@ -1,11 +1,11 @@
 //! Tests of TLS connections of callers.
 
-use std::{fs, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+use std::{fs, io::ErrorKind, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use async_net::TcpStream;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _};
 use futures_rustls::TlsConnector;
-use hyper::StatusCode;
+use hyper::{Response, StatusCode};
 use rcgen::{CertifiedKey, generate_simple_self_signed};
 use rustls::{
     ClientConfig, RootCertStore,
@@ -13,7 +13,8 @@
 };
 
 use front::{
-    body, server,
+    body::{self, Body},
+    server,
     tls::{self, Files},
 };
 use kernel::drain::Drain;
@@ -58,6 +59,15 @@
 fn with_server<T, F: Future<Output = T>>(
     fixture: &Fixture,
     call: impl FnOnce(SocketAddr) -> F,
+) -> T {
+    with_server_of(fixture, || body::full(StatusCode::OK, "text/plain", "hello"), call)
+}
+
+/// Serves the responses of `respond` over TLS and returns the result of `call`.
+fn with_server_of<T, F: Future<Output = T>>(
+    fixture: &Fixture,
+    respond: fn() -> Response<Body>,
+    call: impl FnOnce(SocketAddr) -> F,
 ) -> T {
     let acceptor = tls::acceptor(&fixture.files).expect("the certificate and key match");
     kernel::run(2, |kernel| async move {
@@ -66,8 +76,8 @@
         let address = listener.local_addr().expect("the listener is bound");
         let server_kernel = kernel.clone();
         kernel.spawn_detached(async move {
-            let hello = |_| async { body::full(StatusCode::OK, "text/plain", "hello") };
-            server::serve_tls(&server_kernel, listener, acceptor, &Drain::default(), hello).await;
+            let handle = move |_| async move { respond() };
+            server::serve_tls(&server_kernel, listener, acceptor, &Drain::default(), handle).await;
         });
         kernel.clock.timeout(TIMEOUT, call(address)).await.expect("the call completes in time")
     })
@@ -98,6 +108,25 @@
     assert!(response.starts_with("HTTP/1.1 200") && response.ends_with("hello"), "{response}");
 }
 
+// Guards against an incomplete response that looks complete to a caller without chunks: its
+// connection must end without `close_notify`.
+#[test]
+fn ends_incomplete_response_without_close_notify() {
+    let fixture = Fixture::new("tls-incomplete");
+    let connector = fixture.connector();
+    let incomplete = || body::streamed(StatusCode::OK, "text/plain").1;
+
+    let end = with_server_of(&fixture, incomplete, |address| async move {
+        let stream = TcpStream::connect(address).await.expect("the server listens");
+        let name = ServerName::try_from("localhost").expect("`localhost` is a valid name");
+        let mut stream = connector.connect(name, stream).await.expect("the certificate is trusted");
+        stream.write_all(b"GET / HTTP/1.0\r\n\r\n").await.expect("the server reads the request");
+        stream.read_to_end(&mut Vec::new()).await
+    });
+
+    assert_eq!(end.expect_err("the end is an error").kind(), ErrorKind::UnexpectedEof);
+}
+
 #[test]
 fn does_not_answer_caller_without_tls() {
     let fixture = Fixture::new("tls-plain");
