Forward the events that arrived before a stream broke off

A caller whose stream broke off right after its start got a reset connection without a byte, though whole events had arrived: the server drops its buffer, head included, when the body fails. Streams of the gateway defer the failure by one poll now, as those of our own interface did, so the buffer is sent first.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,10 +7,9 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use front::body::{Body, Truncated};
+use front::body::{self, Body, Truncated};
 use futures_lite::stream;
-use http_body_util::{BodyExt as _, StreamBody};
-use hyper::body::Frame;
+use http_body_util::BodyExt as _;
 
 use kernel::event::Event;
 use services::{event_stream::Splitter, pool::Connection};
@@ -85,7 +84,7 @@
         let chunks = stream::unfold(Some(self), |relay| async {
             let mut relay = relay?;
             match relay.next().await {
-                Some(Ok(chunk)) => Some((Ok(Frame::data(chunk)), Some(relay))),
+                Some(Ok(chunk)) => Some((Ok(chunk), Some(relay))),
                 Some(Err(truncated)) => Some((Err(truncated), None)),
                 None => {
                     relay.finish();
@@ -93,7 +92,7 @@
                 }
             }
         });
-        StreamBody::new(chunks).boxed_unsync()
+        body::from_chunks(Box::pin(chunks))
     }
 
     /// Returns the next chunk for the caller, or `None` at the end of the stream.
