Have stand-ins do nothing of a request that broke off

The stand-ins read the body of a request that broke off as an empty one: the log appended an empty record, the plain service executed an order. A test that counts effects would blame the product.

--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -12,9 +12,14 @@
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Reads the body of a request; empty if it cannot be read or is too large.
-pub async fn read(clock: &Clock, request: Request<Incoming>) -> Bytes {
-    body::read(clock, request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await.unwrap_or_default()
+/// Reads the body of a request.
+///
+/// # Errors
+///
+/// Returns the response to a request whose body is incomplete or too large; it must have no effect.
+pub async fn read(clock: &Clock, request: Request<Incoming>) -> Result<Bytes, Box<Response<Body>>> {
+    let body = body::read(clock, request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+    body.map_err(|error| Box::new(plain(StatusCode::BAD_REQUEST, &error.to_string())))
 }
 
 /// Returns a response with a JSON body.
@@ -34,7 +39,10 @@
     request: Request<Incoming>,
     set: impl FnOnce(T),
 ) -> Response<Body> {
-    let body = read(&kernel.clock, request).await;
+    let body = match read(&kernel.clock, request).await {
+        Ok(body) => body,
+        Err(rejection) => return *rejection,
+    };
     match serde_json::from_slice(&body) {
         Ok(faults) => {
             set(faults);
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -86,7 +86,10 @@
 }
 
 async fn announce(service: &Service, request: Request<Incoming>) -> Response<Body> {
-    let body = http::read(&service.kernel.clock, request).await;
+    let body = match http::read(&service.kernel.clock, request).await {
+        Ok(body) => body,
+        Err(rejection) => return *rejection,
+    };
     let Ok(member) = serde_json::from_slice::<Member>(&body) else {
         return http::plain(StatusCode::BAD_REQUEST, "not a member");
     };
--- a/crates/standins/src/log.rs
+++ b/crates/standins/src/log.rs
@@ -93,7 +93,10 @@
 }
 
 async fn append(service: &Service, stream: &str, request: Request<Incoming>) -> Response<Body> {
-    let body = http::read(&service.kernel.clock, request).await;
+    let body = match http::read(&service.kernel.clock, request).await {
+        Ok(body) => body,
+        Err(rejection) => return *rejection,
+    };
     let body = String::from_utf8_lossy(&body);
     let offset = service.append(stream, &body);
     if service.take_lost_ack() {
