Drop a metrics page that ends inside a line

The burn report counted what was left of a page that had been broken off: of a response without length and chunks, the end of the connection does not tell. A cut number is a wrong sample. The text format ends each line with a line feed, so a page without one is dropped, as if the instance had not responded. drops_page_that_ends_inside_a_line failed before.

--- a/crates/report/src/sample.rs
+++ b/crates/report/src/sample.rs
@@ -49,7 +49,7 @@
     Line { line: usize, source: serde_json::Error },
 }
 
-/// Fetches the metrics of an instance, or returns `None` if it does not respond.
+/// Fetches the metrics of an instance, or returns `None` if it does not respond with a whole page.
 pub async fn fetch(
     kernel: &Kernel,
     instance: SocketAddr,
@@ -57,6 +57,10 @@
 ) -> Option<Sample> {
     let page = http::fetch(kernel, instance, http::get("/metrics"), FETCH_TIMEOUT).await.ok()?;
     let text = String::from_utf8_lossy(page.body()).into_owned();
+    // The text format ends each line with a line feed.
+    if !text.is_empty() && !text.ends_with('\n') {
+        return None;
+    }
     Some(Sample { at_ms: kernel.clock.unix_ms(), instance, counts: count(&text, objectives) })
 }
 
