Count answers without a stated end as incomplete in the harness and the load tool

Entry instances state the end of each answer, so one that only its connection ends is at fault, and may have been broken off. The callers of the scenarios took it for complete, and so did the load tool. counts_only_answers_with_a_stated_end_as_complete failed before.

--- a/crates/load/src/live.rs
+++ b/crates/load/src/live.rs
@@ -93,8 +93,11 @@
     }
     let outcome = match http::send(kernel, plan.target, request).await {
         Ok(response) if response.status().is_success() => {
-            let body = response.into_body().collect().await;
-            if body.is_ok() { Outcome::Answered } else { Outcome::Failed }
+            let body = response.into_body();
+            // An entry instance states the end of each answer.
+            let is_framed = body.framing().is_explicit();
+            let is_whole = is_framed && body.collect().await.is_ok();
+            if is_whole { Outcome::Answered } else { Outcome::Failed }
         }
         Ok(_) => Outcome::Refused,
         Err(_) => Outcome::Failed,
--- a/crates/scenario/src/calls.rs
+++ b/crates/scenario/src/calls.rs
@@ -219,7 +219,8 @@
     }
     let (head, mut body) = http::send(kernel, entry, request).await.ok()?.into_parts();
     let mut bytes = Vec::new();
-    let mut is_complete = true;
+    // An entry instance states the end of each answer.
+    let mut is_complete = body.framing().is_explicit();
     while let Some(frame) = body.frame().await {
         match frame {
             Ok(frame) => bytes.extend(frame.into_data().unwrap_or_default()),
