Read engines' events with the shared event reader

The side process split streams at `\n\n` and checked only events that begin with `data: `. So an engine whose lines end with CRLF had each stream rejected as cut, and the output of another model passed in an event that had an `id` or a comment before its data. Events and their fields are read by services::event_stream now, as in the gateway: one way to tell a whole event from a broken one.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,10 @@
 use http_body_util::BodyExt as _;
 
 use kernel::event::Event;
-use services::{event_stream::Splitter, pool::Connection};
+use services::{
+    event_stream::{self, Splitter},
+    pool::Connection,
+};
 use serving::Name;
 
 use crate::{
@@ -244,7 +247,5 @@
 
 /// Returns the last event id in complete events.
 fn last_id(events: &Bytes) -> Option<Bytes> {
-    let mut lines = events.split(|byte| matches!(byte, b'\n' | b'\r')).rev();
-    let line = lines.find(|line| line.starts_with(b"id:"))?;
-    Some(events.slice_ref(line[3..].trim_ascii()))
+    event_stream::field(events, b"id").last().map(|id| events.slice_ref(id))
 }
--- a/crates/services/src/event_stream.rs
+++ b/crates/services/src/event_stream.rs
@@ -36,6 +36,22 @@
     partial: BytesMut,
 }
 
+/// Returns the events of a part of a stream that begins and ends between events.
+pub fn events(part: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut scanner = Scanner::default();
+    part.split_inclusive(move |byte| scanner.feed_byte(*byte))
+}
+
+/// Returns the lines of an event that have a field, without the field's name and the space that
+/// may follow it.
+pub fn field<'a>(event: &'a [u8], name: &'a [u8]) -> impl Iterator<Item = &'a [u8]> {
+    let lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.filter_map(move |line| {
+        let value = line.strip_prefix(name)?.strip_prefix(b":")?;
+        Some(value.strip_prefix(b" ").unwrap_or(value))
+    })
+}
+
 impl Scanner {
     /// Reads the next chunk. Returns the length of its part up to the end of the last whole event,
     /// or `None` if no event ends in it.
@@ -101,6 +117,11 @@
         self.partial.split_to(end.unwrap_or(0)).freeze()
     }
 
+    /// Returns the number of bytes after the last whole event.
+    pub fn rest_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Takes what follows the last whole event.
     pub fn take_rest(&mut self) -> Bytes {
         self.partial.split().freeze()
--- a/crates/side/src/events.rs
+++ b/crates/side/src/events.rs
@@ -4,32 +4,32 @@
 //! Engines that mix up concurrent requests are detected here, before their
 //! output reaches a caller.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use serde::Deserialize;
 
-/// Last event of a complete stream.
-const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
-const SEPARATOR: &[u8] = b"\n\n";
-const DATA_PREFIX: &[u8] = b"data: ";
+use services::event_stream::{self, Splitter};
+
+/// Data of the last event of a complete stream.
+const DONE: &[u8] = b"[DONE]";
 /// Largest single event, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// The checked fields of a completion or of one chunk of it.
 #[derive(Debug, Deserialize)]
-pub(crate) struct Completion {
-    pub(crate) model: String,
-    pub(crate) usage: Option<Usage>,
+pub struct Completion {
+    pub model: String,
+    pub usage: Option<Usage>,
 }
 
 /// Token usage as counted by the engine.
 #[derive(Clone, Copy, Debug, Deserialize)]
-pub(crate) struct Usage {
-    pub(crate) total_tokens: u64,
+pub struct Usage {
+    pub total_tokens: u64,
 }
 
 /// Reason why a response is invalid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Fault {
+pub enum Fault {
     /// The response names a model other than the requested one.
     Crossed,
     /// An event is not valid JSON or exceeds [`MAX_EVENT_BYTES`].
@@ -40,45 +40,50 @@
 
 /// Incremental checker of an event stream.
 #[derive(Debug)]
-pub(crate) struct Checker {
+pub struct Checker {
     /// The requested model.
     model: String,
-    /// Bytes of the incomplete last event.
-    buffer: BytesMut,
+    splitter: Splitter,
     is_done: bool,
     tokens: Option<u64>,
 }
 
 impl Checker {
-    pub(crate) fn new(model: &str) -> Checker {
-        Checker { model: model.to_owned(), buffer: BytesMut::new(), is_done: false, tokens: None }
+    pub fn new(model: &str) -> Checker {
+        Checker {
+            model: model.to_owned(),
+            splitter: Splitter::default(),
+            is_done: false,
+            tokens: None,
+        }
     }
 
     /// Appends `bytes` to the stream; checks the events that are now complete and returns them.
-    pub(crate) fn feed(&mut self, bytes: &[u8]) -> Result<Bytes, Fault> {
-        self.buffer.extend_from_slice(bytes);
-        let mut checked = 0;
-        while let Some(length) = find_end(&self.buffer[checked..], SEPARATOR) {
-            let event = &self.buffer[checked..checked + length];
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Bytes, Fault> {
+        let complete = self.splitter.push(bytes);
+        for event in event_stream::events(&complete) {
             let checked_event = check_event(event, &self.model)?;
             self.is_done |= checked_event.is_done;
             self.tokens = checked_event.tokens.or(self.tokens);
-            checked += length;
         }
-        if MAX_EVENT_BYTES < self.buffer.len() - checked {
+        if MAX_EVENT_BYTES < self.splitter.rest_len() {
             return Err(Fault::Malformed);
         }
-        Ok(self.buffer.split_to(checked).freeze())
+        Ok(complete)
     }
 
     /// Checks that the stream is complete; returns the total tokens used, if reported.
-    pub(crate) fn finish(&self) -> Result<Option<u64>, Fault> {
-        if self.is_done && self.buffer.is_empty() { Ok(self.tokens) } else { Err(Fault::Cut) }
+    pub fn finish(&self) -> Result<Option<u64>, Fault> {
+        if self.is_done && self.splitter.rest_len() == 0 {
+            Ok(self.tokens)
+        } else {
+            Err(Fault::Cut)
+        }
     }
 }
 
 /// Checks a completion that was not streamed; returns the total tokens used, if reported.
-pub(crate) fn check_body(body: &[u8], model: &str) -> Result<Option<u64>, Fault> {
+pub fn check_body(body: &[u8], model: &str) -> Result<Option<u64>, Fault> {
     let completion: Completion = serde_json::from_slice(body).map_err(|_| Fault::Cut)?;
     if completion.model != model {
         return Err(Fault::Crossed);
@@ -93,22 +98,18 @@
 }
 
 fn check_event(event: &[u8], model: &str) -> Result<Event, Fault> {
-    if event == DONE_EVENT {
-        return Ok(Event { is_done: true, tokens: None });
-    }
+    let mut checked = Event { is_done: false, tokens: None };
     // Comments and fields other than `data` carry no part of the completion.
-    let Some(data) = event.strip_prefix(DATA_PREFIX) else {
-        return Ok(Event { is_done: false, tokens: None });
-    };
-    let completion: Completion = serde_json::from_slice(data).map_err(|_| Fault::Malformed)?;
-    if completion.model != model {
-        return Err(Fault::Crossed);
+    for data in event_stream::field(event, b"data") {
+        if data == DONE {
+            checked.is_done = true;
+            continue;
+        }
+        let completion: Completion = serde_json::from_slice(data).map_err(|_| Fault::Malformed)?;
+        if completion.model != model {
+            return Err(Fault::Crossed);
+        }
+        checked.tokens = completion.usage.map(|usage| usage.total_tokens).or(checked.tokens);
     }
-    Ok(Event { is_done: false, tokens: completion.usage.map(|usage| usage.total_tokens) })
-}
-
-/// Returns the length up to the end of the first separator.
-fn find_end(bytes: &[u8], separator: &[u8]) -> Option<usize> {
-    let position = bytes.windows(separator.len()).position(|window| window == separator)?;
-    Some(position + separator.len())
+    Ok(checked)
 }
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -8,7 +8,7 @@
 mod attempt;
 mod dispatch;
 mod engine_watch;
-mod events;
+pub mod events;
 mod load;
 mod relay;
 pub mod settings;
