Keep the pause that a server asks for

A server that turns a request away with 503 may say for how long it wants nothing from the instance. The instance took such an answer for a failure: it avoided the server for 0.4 s and more as a last resort, excluded it for the request, and told callers to come back in 0.5 s whatever the server had said.

The pause counts as wait in the choice of a server, so a request goes elsewhere where that is sooner, waits where the end comes in time, and is rejected at once otherwise, with the end of the pause as its retry time.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -43,10 +43,21 @@
 
 /// Result of one evaluation of the servers for a request.
 enum Selection {
-    Send { server: Listing, tokens_ahead: u64 },
-    AwaitAdapter { server: Listing },
-    AwaitModel,
-    Reject { retry_after: Duration, reason: &'static str },
+    Send {
+        server: Listing,
+        tokens_ahead: u64,
+    },
+    AwaitAdapter {
+        server: Listing,
+    },
+    /// To wait for a base model, or for the end of a pause in `next_check`.
+    Await {
+        next_check: Duration,
+    },
+    Reject {
+        retry_after: Duration,
+        reason: &'static str,
+    },
 }
 
 /// Input of one evaluation of the servers for a request.
@@ -75,19 +86,29 @@
             self.authorize_again(entry)?;
             let changed = entry.state_changed.listen();
             let awaited_server = load_request.as_ref().map(|request| request.server.clone());
+            let mut limit = MAX_RECHECK_INTERVAL;
             match self.evaluate(entry, awaited_server.as_ref(), started_at) {
-                Selection::Send { server, tokens_ahead } => return Ok((server, tokens_ahead)),
+                Selection::Send { server, tokens_ahead } => {
+                    if entry.admit(&server) {
+                        return Ok((server, tokens_ahead));
+                    }
+                    // Another request was admitted since the evaluation.
+                    continue;
+                }
                 Selection::Reject { retry_after, reason } => {
                     return Err(self.final_rejection(reason, retry_after));
                 }
-                Selection::AwaitModel => load_request = None,
+                Selection::Await { next_check } => {
+                    load_request = None;
+                    limit = limit.min(next_check);
+                }
                 Selection::AwaitAdapter { server } => {
                     if awaited_server.as_ref() != Some(&server.id) {
                         load_request = LoadRequest::new(entry, &server, &self.meta);
                     }
                 }
             }
-            let limit = self.remaining(entry).min(MAX_RECHECK_INTERVAL);
+            let limit = self.remaining(entry).min(limit);
             let _changed_or_timed_out = entry.kernel.clock.timeout(limit, changed).await;
         }
     }
@@ -147,7 +168,7 @@
         };
         match self.meta.model.as_ref().filter(|_| context.has_engines()) {
             Some(model) => self.select_engine(&context, model, awaited_server),
-            None => context.select_plain_server(),
+            None => self.select_plain_server(&context),
         }
     }
 
@@ -172,11 +193,15 @@
         let expected = choice.expected + context.waited;
         if limit < expected {
             self.log_busy(context, &choice, &candidates[choice.index], limit);
-            let retry_after = rejection::retry_after(expected, limit);
+            let chosen = &candidates[choice.index];
+            let retry_after = rejection::retry_after(expected, limit).max(chosen.pause);
             return Selection::Reject { retry_after, reason: "the servers are busy for too long" };
         }
         let server = context.servers[choice.index].clone();
         let chosen = &candidates[choice.index];
+        if !chosen.pause.is_zero() {
+            return Selection::Await { next_check: chosen.pause };
+        }
         match chosen.adapter {
             AdapterState::Present => {
                 Selection::Send { server, tokens_ahead: chosen.outstanding_tokens }
@@ -185,6 +210,28 @@
         }
     }
 
+    fn select_plain_server(&self, context: &Context<'_>) -> Selection {
+        let candidates = context.servers.iter().map(|listing| {
+            context.entry.with_server(&listing.id, |server| context.candidate(listing, server))
+        });
+        let candidates: Vec<Candidate> = candidates.collect();
+        let Some(index) = selection::choose_plain_server(&candidates) else {
+            return Selection::Reject {
+                retry_after: DEFAULT_RETRY_AFTER,
+                reason: "no server is left",
+            };
+        };
+        let pause = candidates[index].pause;
+        if pause.is_zero() {
+            let server = context.servers[index].clone();
+            return Selection::Send { server, tokens_ahead: 0 };
+        }
+        if self.remaining(context.entry) <= pause + self.typical_latency(0) {
+            return Selection::Reject { retry_after: pause, reason: "the servers want a pause" };
+        }
+        Selection::Await { next_check: pause }
+    }
+
     fn log_busy(&self, context: &Context<'_>, best: &Choice, engine: &Candidate, limit: Duration) {
         let listing = context.servers[best.index];
         let seen = context.entry.status_report(listing).map(|report| report.received_at);
@@ -208,26 +255,13 @@
             self.remaining(context.entry) + context.waited,
         );
         if context.waited + expected <= time_budget {
-            return Selection::AwaitModel;
+            return Selection::Await { next_check: MAX_RECHECK_INTERVAL };
         }
         Selection::Reject { retry_after: expected, reason: "no server has the model" }
     }
 }
 
 impl Context<'_> {
-    fn select_plain_server(&self) -> Selection {
-        let candidates = self.servers.iter().map(|listing| {
-            self.entry.with_server(&listing.id, |server| self.candidate(listing, server))
-        });
-        let candidates: Vec<Candidate> = candidates.collect();
-        match selection::choose_plain_server(&candidates) {
-            Some(index) => Selection::Send { server: self.servers[index].clone(), tokens_ahead: 0 },
-            None => {
-                Selection::Reject { retry_after: DEFAULT_RETRY_AFTER, reason: "no server is left" }
-            }
-        }
-    }
-
     /// Returns the servers as candidates for a request of this model. `awaited_server` is the one
     /// that the request already waits for, if any.
     fn engine_candidates(&self, model: &Model, awaited_server: Option<&Name>) -> Vec<Candidate> {
@@ -305,6 +339,7 @@
             failure_rate: server.backlog.failure_rate(self.now),
             is_same_zone: listing.zone == self.entry.settings.zone,
             is_suspect: self.now < server.suspect_until,
+            pause: server.pause.wait(self.now),
         }
     }
 }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use hyper::http::response;
 use parking_lot::{Mutex, RwLock};
 
 use kernel::{
@@ -32,7 +33,7 @@
 use crate::{
     follow, listen, mesh,
     mesh::Peers,
-    ports::{Dialect, Model, Reloader, Settings, Store, Tunable},
+    ports::{Dialect, Model, Reloader, ResponseMeta, Settings, Store, Tunable},
     reload,
     roster::{Roster, Server, StatusReport},
 };
@@ -77,6 +78,8 @@
     store_health: Mutex<StoreHealth>,
     tunable: RwLock<Tunable>,
     is_stopping: AtomicBool,
+    /// Position among the instances that end a server's pause at the same time, from 0 to 1.
+    return_position: f64,
     start: Instant,
 }
 
@@ -163,6 +166,7 @@
             store_health: Mutex::default(),
             tunable: RwLock::new(settings.tunable.clone()),
             is_stopping: AtomicBool::new(false),
+            return_position: rand::random(),
             start: kernel.clock.now(),
             settings,
         }
@@ -298,6 +302,34 @@
         });
     }
 
+    /// Returns whether a request may be sent to a server now, and counts it if so.
+    pub fn admit(&self, server: &Listing) -> bool {
+        let now = self.now();
+        self.with_server(&server.id, |state| state.pause.admit(now))
+    }
+
+    /// Returns the metadata of a response, and records what the server says about itself there.
+    pub fn read_head(&self, server: &Listing, head: &response::Parts) -> ResponseMeta {
+        let meta = (self.dialect.parse_response)(head);
+        if let Some(asked) = meta.pause {
+            self.record_pause(server, asked);
+        }
+        meta
+    }
+
+    fn record_pause(&self, server: &Listing, asked: Duration) {
+        let now = self.now();
+        let is_longer = self
+            .with_server(&server.id, |state| state.pause.record(now, asked, self.return_position));
+        if is_longer {
+            metrics::counter!("chivelatch_pauses_total").increment(1);
+            log::info!(
+                event = Event::Pause, server = &*server.id, asked_ms = asked.as_millis() as u64;
+                "the server wants no requests for a while"
+            );
+        }
+    }
+
     /// Records a whole response of a server, which is then no longer avoided. An error response
     /// still counts towards the failure rate.
     pub fn record_response(&self, id: &Name, is_failure: bool) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,7 +16,7 @@
 };
 use serving::directory::Listing;
 
-use crate::ports::{Dialect, ResponseMeta};
+use crate::ports::ResponseMeta;
 
 /// Time that a backend server may take to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -54,6 +54,8 @@
 pub enum NotRunReason {
     /// The server is overloaded or leaving.
     Unavailable,
+    /// The server wants no requests for a while.
+    Pausing,
     /// The adapter is not resident on the server.
     AdapterMissing,
     /// The request was addressed to another server.
@@ -67,7 +69,8 @@
     }
 }
 
-/// Sends a request and waits for the head of the response, at most for `limit`.
+/// Sends a request and waits for the head of the response, at most for `limit`. `read_head`
+/// is called with each head that arrives, whether or not the response can be used.
 ///
 /// # Errors
 ///
@@ -75,11 +78,11 @@
 pub async fn send(
     kernel: &Kernel,
     pool: &Pool,
-    dialect: &Dialect,
     server: &Listing,
     request_id: &str,
     request: Request<Full<Bytes>>,
     limit: Duration,
+    read_head: impl FnOnce(&response::Parts) -> ResponseMeta,
 ) -> Result<Reply, Failure> {
     let mut is_sent = false;
     let response = send_request(pool, server, request, limit, &mut is_sent);
@@ -94,7 +97,7 @@
         }
     };
     let (head, body) = response.into_parts();
-    let mut meta = (dialect.parse_response)(&head);
+    let mut meta = read_head(&head);
     meta.closes_connection |= !body.framing().is_explicit();
     if meta.request_id.as_deref() != Some(request_id) {
         return Err(mismatched_response(server, &meta, head.status));
@@ -122,6 +125,7 @@
         // The addressed server itself responds so if it lacks the adapter.
         StatusCode::MISDIRECTED_REQUEST if is_addressed_server => NotRunReason::AdapterMissing,
         StatusCode::MISDIRECTED_REQUEST => NotRunReason::WrongServer,
+        _ if meta.pause.is_some() => NotRunReason::Pausing,
         _ => NotRunReason::Unavailable,
     };
     Failure::NotRun { status: status.as_u16(), reason }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -218,11 +218,11 @@
         let Reply { head, meta, mut body, connection } = exchange::send(
             &entry.kernel,
             &entry.pool,
-            &entry.dialect,
             server,
             &self.meta.id,
             request,
             self.attempt_timeout(entry, self.runs + 1),
+            |head| entry.read_head(server, head),
         )
         .await
         .map_err(|failure| match failure {
@@ -351,6 +351,7 @@
                 self.forget_adapter(entry, server);
                 return Ok(());
             }
+            Failure::NotRun { reason: NotRunReason::Pausing, .. } => return Ok(()),
             Failure::Unreachable { .. } => {
                 self.attempts -= 1;
                 entry.pool.close_idle(server.address);
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -116,6 +116,8 @@
     /// Server that sent the response, if stated.
     pub server: Option<Name>,
     pub closes_connection: bool,
+    /// Time for which the server wants no further request, if it asks for a pause.
+    pub pause: Option<Duration>,
     /// Time for which the server keeps an idle connection open, if stated.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -10,6 +10,7 @@
     Moment, Name,
     backlog::Backlog,
     directory::{Directory, Listing, Phase},
+    pause::Pause,
 };
 
 use crate::message::Status;
@@ -104,6 +105,7 @@
     pub consecutive_failures: u32,
     /// Time until which the server is avoided because it failed.
     pub suspect_until: Moment,
+    pub pause: Pause,
 }
 
 impl StatusReport {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 pub mod manifest;
 pub mod mirror;
+pub mod pause;
 pub mod rate_limit;
 pub mod rejection;
 pub mod residency;
--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -8,6 +8,8 @@
 //! adapter slots are in use, each load queued for a slot adds to the expected time.
 //!
 //! For plain services: the server with the fewest requests in flight per slot.
+//!
+//! The pause that a server asked for adds to the time that a request would wait there.
 
 use std::time::Duration;
 
@@ -75,6 +77,8 @@
     pub is_same_zone: bool,
     /// Whether the server failed recently and is avoided for a while.
     pub is_suspect: bool,
+    /// Time until the server takes the next request, if it asked for a pause.
+    pub pause: Duration,
 }
 
 /// The chosen candidate.
@@ -107,7 +111,8 @@
         let excess = f64::from(candidate.requests_in_flight.saturating_sub(candidate.slots))
             * EXCESS_REQUEST_MS;
         // Full utilization costs as much as a delay of 100 ms.
-        (index, utilization * 100.0 * candidate.slowdown + excess + avoidance_cost_ms(candidate))
+        let delay = utilization * 100.0 * candidate.slowdown + excess + as_ms(candidate.pause);
+        (index, delay + avoidance_cost_ms(candidate))
     });
     rated.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(index, _)| index)
 }
@@ -130,7 +135,8 @@
         AdapterState::Home | AdapterState::Foreign | AdapterState::Unreachable => COLD_LOAD_MS,
     };
     let slot_wait = if load == 0.0 { 0.0 } else { candidate.slot_queue as f64 * SLOT_WAIT_MS };
-    (prefill + IDLE_FIRST_EVENT_MS + decode) * candidate.slowdown + excess + load + slot_wait
+    let run = (prefill + IDLE_FIRST_EVENT_MS + decode) * candidate.slowdown + excess;
+    as_ms(candidate.pause) + run + load + slot_wait
 }
 
 /// Returns the cost of a choice beyond the request's own wait.
@@ -147,6 +153,10 @@
     suspect + zone + candidate.failure_rate * FAILURE_RATE_PENALTY_MS
 }
 
+fn as_ms(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1000.0
+}
+
 fn millis(value: f64) -> Duration {
     Duration::from_secs_f64((value / 1000.0).max(0.0))
 }
--- a/crates/serving/tests/selection.rs
+++ b/crates/serving/tests/selection.rs
@@ -22,6 +22,7 @@
     failure_rate: 0.0,
     is_same_zone: true,
     is_suspect: false,
+    pause: Duration::ZERO,
 };
 
 fn chosen(candidates: &[Candidate]) -> usize {
