Heed a server that announces in a response that it leaves

A server that leaves says so in all its responses.

Whatever the response (plain, error, rejection, 421, head of a stream), the process of the server gets nothing new from then on; waiting requests move on, running ones end. The announcement holds for that process: not undone by its listing, by a removal and a late record, or by the response of an earlier process with its name; a process that starts later is used again. Peers learn it by a datagram at once and in each round for a second; a side process sees it in its engine's status report, orders nothing more and tells the instances.

The exhaustive test of the directory found that a server whose record had lapsed kept its grace period after announcing; it is removed at once.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -33,6 +33,7 @@
 use crate::{
     follow, listen, mesh,
     mesh::Peers,
+    message::LeavingServer,
     ports::{Dialect, Model, Reloader, ResponseMeta, Settings, Store, Tunable},
     reload,
     roster::{Roster, Server, StatusReport},
@@ -62,6 +63,10 @@
     pub drain: Drain,
     /// Notified when the configuration, the servers or their adapters change.
     pub state_changed: event_listener::Event,
+    /// Servers that announced to this instance that they leave, with the time, for its peers.
+    pub leaving_servers: Mutex<Vec<(Moment, LeavingServer)>>,
+    /// Notified when a server announces that it leaves.
+    pub leaving_announced: event_listener::Event,
     /// Notified when a request starts to wait for an adapter.
     pub load_requested: event_listener::Event,
     pub servers: shard::Map<Name, Server>,
@@ -154,6 +159,8 @@
             incarnation: rand::random(),
             drain: Drain::default(),
             state_changed: event_listener::Event::new(),
+            leaving_servers: Mutex::default(),
+            leaving_announced: event_listener::Event::new(),
             load_requested: event_listener::Event::new(),
             servers: shard::Map::default(),
             status_reports: shard::Map::default(),
@@ -314,9 +321,29 @@
         if let Some(asked) = meta.pause {
             self.record_pause(server, asked);
         }
+        if meta.is_leaving {
+            // A response may come from another server that was started at the address.
+            let is_other = meta.server.as_ref().is_some_and(|id| *id != server.id);
+            if !is_other && self.record_leaving(&server.id, server.born_ms) {
+                let leaving = LeavingServer { server: server.id.clone(), born_ms: server.born_ms };
+                self.leaving_servers.lock().push((self.now(), leaving));
+                self.leaving_announced.notify(usize::MAX);
+            }
+        }
         meta
     }
 
+    /// Records that a process of a server announced that it leaves. Waiting requests move on.
+    /// Returns whether this is new.
+    pub fn record_leaving(&self, id: &Name, born_ms: u64) -> bool {
+        let is_new = self.update_mirror(|_, mirror| mirror.directory.announce_leaving(id, born_ms));
+        if is_new {
+            metrics::counter!("chivelatch_leaving_servers_total").increment(1);
+            log::info!(event = Event::Leaving, server = &**id, born_ms; "the server leaves");
+        }
+        is_new
+    }
+
     fn record_pause(&self, server: &Listing, asked: Duration) {
         let now = self.now();
         let is_longer = self
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     entry::Entry,
-    message::{Demand, Gossip, MAX_BYTES, Message, Status, Work},
+    message::{Demand, Gossip, LeavingServer, MAX_BYTES, Message, Status, Work},
     roster::{Server, StatusReport},
 };
 
@@ -36,6 +36,10 @@
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(150);
 /// Silence after which a peer gets gossip less often.
 const PEER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Number of leaving servers in a message, so that it fits into a datagram.
+const MAX_LEAVING_SERVERS: usize = 100;
+/// Time for which a server that leaves is named in each round, since datagrams may be lost.
+const LEAVING_REPEAT_PERIOD: Duration = Duration::from_secs(1);
 /// Gossip to a silent peer is sent once in this many intervals.
 const SILENT_PEER_ROUNDS: u64 = 10;
 
@@ -144,6 +148,11 @@
                 record_work_update(&entry, from, born_ms, slot_usage, &work);
             }
             Some((from, Message::Gossip(gossip))) => record_gossip(&entry, from, &gossip),
+            Some((_, Message::Leaving(servers))) => {
+                for server in servers {
+                    entry.record_leaving(&server.server, server.born_ms);
+                }
+            }
             Some((_, Message::Demand(_))) | None => {}
         }
     }
@@ -289,11 +298,16 @@
     }
 }
 
-/// Sends the rate limit usage and the positions in the store to peers.
+/// Sends the rate limit usage, the positions in the store and the servers that leave to peers.
 async fn gossip(entry: Arc<Entry>, socket: Arc<UdpSocket>) {
     let mut round = 0;
     loop {
-        entry.kernel.clock.sleep(GOSSIP_INTERVAL).await;
+        let announced = entry.leaving_announced.listen();
+        let is_announced = entry.kernel.clock.timeout(GOSSIP_INTERVAL, announced).await.is_ok();
+        send_leaving(&entry, &socket, round).await;
+        if is_announced {
+            continue;
+        }
         round += 1;
         let positions = entry.with_mirror(|mirror| mirror.positions);
         let usage = {
@@ -312,3 +326,20 @@
         }
     }
 }
+
+/// Sends the servers that announced lately that they leave to peers, if there are any.
+async fn send_leaving(entry: &Entry, socket: &UdpSocket, round: u64) {
+    let servers: Vec<LeavingServer> = {
+        let (now, mut servers) = (entry.now(), entry.leaving_servers.lock());
+        servers.retain(|(announced_at, _)| now < *announced_at + LEAVING_REPEAT_PERIOD);
+        servers.iter().rev().take(MAX_LEAVING_SERVERS).map(|(_, server)| server.clone()).collect()
+    };
+    if servers.is_empty() {
+        return;
+    }
+    let message = Message::Leaving(servers);
+    let due = entry.peers.lock().due(entry.now(), round);
+    for peer in due {
+        send(socket, peer, &message).await;
+    }
+}
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -29,6 +29,17 @@
     },
     /// Between entry instances.
     Gossip(Gossip),
+    /// From any process to the entry instances: servers that announced in a response that they
+    /// leave.
+    Leaving(Vec<LeavingServer>),
+}
+
+/// The process of a server that leaves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingServer {
+    pub server: Name,
+    /// Start of the server's process, in milliseconds since the Unix epoch.
+    pub born_ms: u64,
 }
 
 /// Prompt tokens outstanding and requests in flight at an engine, by entry instance.
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -118,6 +118,8 @@
     pub closes_connection: bool,
     /// Time for which the server wants no further request, if it asks for a pause.
     pub pause: Option<Duration>,
+    /// Whether the server announces that it leaves.
+    pub is_leaving: bool,
     /// Time for which the server keeps an idle connection open, if stated.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     listen, mesh,
-    message::{Demand, Message, Status, Work},
+    message::{Demand, LeavingServer, Message, Status, Work},
     ports::{Engine, OrderResponse, Settings},
 };
 
@@ -58,6 +58,8 @@
     born_ms: u64,
     /// Name of the engine with this start, if it is known.
     engine_id: Option<Name>,
+    /// Start of the engine's process that announced that it leaves, and was reported.
+    reported_leaving: Option<u64>,
     /// Time at which the engine accepted the latest order to load a base model.
     loading_since: Option<Moment>,
     /// Latest status sent, without the work in flight; `None` forces a new report.
@@ -173,6 +175,7 @@
                         "the engine is reachable again"
                     );
                 }
+                report_leaving(&side, &engine).await;
                 send_updates(&side, &engine).await;
                 if send_next_order(&side, &engine).await {
                     continue;
@@ -262,6 +265,29 @@
     }
 }
 
+/// Tells the subscribers once if the engine announces that it leaves and its name is known.
+async fn report_leaving(side: &Side, engine: &EngineState) {
+    if !engine.is_leaving {
+        return;
+    }
+    let (server, subscribers) = {
+        let mut state = side.state.lock();
+        let Some(server) = state.engine_id.clone() else { return };
+        if state.reported_leaving.replace(engine.born_ms) == Some(engine.born_ms) {
+            return;
+        }
+        (server, state.subscribers.keys().copied().collect::<Vec<_>>())
+    };
+    log::info!(
+        event = Event::Leaving, server = &*server, born_ms = engine.born_ms;
+        "the engine leaves; it gets no more orders"
+    );
+    let message = Message::Leaving(vec![LeavingServer { server, born_ms: engine.born_ms }]);
+    for subscriber in subscribers {
+        mesh::send(&side.socket, subscriber, &message).await;
+    }
+}
+
 /// Sends the due report, if any, to the subscribers.
 async fn send_updates(side: &Side, engine: &EngineState) {
     let Some((message, subscribers)) = pending_update(side, engine) else { return };
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -71,6 +71,8 @@
     NotRun = "not_run",
     /// A server gave no usable answer to a request, and may have run it.
     Broken = "broken",
+    /// A server announced in a response that it leaves.
+    Leaving = "leaving",
     /// A server asked for a pause.
     Pause = "pause",
     /// A server answered a request with an error; it is retried on another server.
--- a/crates/serving/src/directory.rs
+++ b/crates/serving/src/directory.rs
@@ -1,6 +1,8 @@
 //! Backend servers registered in the platform's store.
 //!
-//! A server that announces that it is leaving gets no new requests from then on.
+//! A server that announces that it is leaving, in its listing or in a response, gets no new
+//! requests from then on. The announcement holds for that process of the server, whatever its
+//! listing says later.
 //! A server whose listing is removed is dropped, with one exception: listings expire
 //! while the store is unreachable, so a removal seen soon after the store
 //! recovers takes effect only if the server does not register again in time.
@@ -18,6 +20,9 @@
 /// Time after the store recovers in which running servers whose listings expired register again.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2200);
 
+/// Number of announcements from which those of servers that are not listed are forgotten.
+const MAX_ANNOUNCEMENTS: usize = 1024;
+
 /// Listing of one backend server, as the server itself registers it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
@@ -66,6 +71,9 @@
     /// Servers whose listings were removed soon after the store recovered, with the end of
     /// their grace period.
     lapsed: HashMap<Name, Moment>,
+    /// Processes that announced in a response that they leave: server and its start, in
+    /// milliseconds since the Unix epoch.
+    announced: HashMap<Name, u64>,
     store_recovered_at: Option<Moment>,
     /// Number of changes of `servers`.
     generation: u64,
@@ -82,8 +90,34 @@
         self.store_recovered_at = Some(now);
     }
 
+    /// Records that a process of a server announced in a response that it leaves. Returns whether
+    /// this is new.
+    pub fn announce_leaving(&mut self, id: &Name, born_ms: u64) -> bool {
+        if self.announced.get(id).is_some_and(|known| born_ms <= *known) {
+            return false;
+        }
+        if MAX_ANNOUNCEMENTS <= self.announced.len() {
+            self.announced.retain(|id, _| self.servers.contains_key(id));
+        }
+        self.announced.insert(id.clone(), born_ms);
+        let Some(listing) = self.servers.get_mut(id).filter(|known| known.born_ms == born_ms)
+        else {
+            return true;
+        };
+        listing.phase = Phase::Leaving;
+        self.generation += 1;
+        // A leaving server has no grace period.
+        if self.lapsed.contains_key(id) {
+            self.remove_now(id);
+        }
+        true
+    }
+
     /// Adds or updates a listing, unless the known one is newer.
-    pub fn upsert(&mut self, listing: Listing) -> Effect {
+    pub fn upsert(&mut self, mut listing: Listing) -> Effect {
+        if self.announced.get(&listing.id) == Some(&listing.born_ms) {
+            listing.phase = Phase::Leaving;
+        }
         let Some(known) = self.servers.get(&listing.id) else {
             self.insert(listing);
             return Effect::Added;
--- a/crates/serving/src/residency.rs
+++ b/crates/serving/src/residency.rs
@@ -48,6 +48,8 @@
     pub orders: u64,
     /// Whether a base model is being loaded or unloaded.
     pub is_busy: bool,
+    /// Whether the engine announces that it leaves.
+    pub is_leaving: bool,
     /// Loaded base models.
     pub models: Vec<Name>,
     /// Base models of which the engine's machine has copies, loaded or not.
@@ -168,7 +170,7 @@
     pub fn next_order(&mut self, now: Moment, engine: &EngineState) -> Option<Order> {
         self.reports.retain(|_, (at, _)| now < *at + REPORT_LIFETIME);
         self.load_requests.retain(|_, request| now < request.renewed + LOAD_REQUEST_LIFETIME);
-        if engine.is_busy || now < self.paused_until {
+        if engine.is_busy || engine.is_leaving || now < self.paused_until {
             return None;
         }
         if let Some(model) = self.missing_model(engine) {
--- a/crates/serving/tests/directory.rs
+++ b/crates/serving/tests/directory.rs
@@ -96,6 +96,32 @@
     assert_eq!(directory.upsert(listing("s1", 1, Phase::Ready)), Effect::Stale);
 }
 
+#[test]
+fn keeps_an_announcement_whatever_the_listing_says() {
+    let mut directory = with_one_server();
+
+    assert!(directory.announce_leaving(&name("s1"), 1));
+    assert!(!directory.announce_leaving(&name("s1"), 1));
+
+    assert_eq!(directory.get("s1").unwrap().phase, Phase::Leaving);
+    directory.remove(seconds(10), &name("s1"));
+    assert_eq!(directory.upsert(listing("s1", 1, Phase::Ready)), Effect::Added);
+    assert_eq!(directory.get("s1").unwrap().phase, Phase::Leaving);
+    assert_eq!(directory.upsert(listing("s1", 2, Phase::Ready)), Effect::Changed);
+    assert_eq!(directory.get("s1").unwrap().phase, Phase::Ready);
+}
+
+// Guards against a late response of an earlier process that takes its successor out of use.
+#[test]
+fn ignores_an_announcement_of_an_earlier_process() {
+    let mut directory = with_one_server();
+    directory.upsert(listing("s1", 2, Phase::Ready));
+
+    directory.announce_leaving(&name("s1"), 1);
+
+    assert_eq!(directory.get("s1").unwrap().phase, Phase::Ready);
+}
+
 #[test]
 fn removes_servers_that_are_missing_from_the_store() {
     let mut directory = with_one_server();
@@ -111,16 +137,19 @@
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Upsert(u64, Phase),
+    /// The process with this start announces in a response that it leaves.
+    Announce(u64),
     Remove,
     StoreRecovers,
     Wait(Duration),
 }
 
-const STEPS: [Step; 8] = [
+const STEPS: [Step; 9] = [
     Step::Upsert(1, Phase::Ready),
     Step::Upsert(1, Phase::Leaving),
     Step::Upsert(2, Phase::Ready),
     Step::Upsert(2, Phase::Leaving),
+    Step::Announce(1),
     Step::Remove,
     Step::StoreRecovers,
     Step::Wait(Duration::from_millis(1500)),
@@ -132,6 +161,7 @@
     let (mut directory, mut now) = (Directory::default(), seconds(60));
     // Time of the removal, unless the server registered again, and of the store's last recovery.
     let (mut removed, mut recovered): (Option<Duration>, Option<Duration>) = (None, None);
+    let mut announced = None;
     for step in history {
         let before = directory.get("s1").cloned();
         match *step {
@@ -141,6 +171,10 @@
                     removed = None;
                 }
             }
+            Step::Announce(born_ms) => {
+                directory.announce_leaving(&name("s1"), born_ms);
+                announced = Some(born_ms);
+            }
             Step::Remove => {
                 directory.remove(now, &name("s1"));
                 removed = removed.or(Some(now));
@@ -160,6 +194,9 @@
             let is_ready_again = before.phase == Phase::Leaving && after.phase == Phase::Ready;
             assert!(!(is_same && is_ready_again), "a leaving server is ready again in {history:?}");
         }
+        if let Some(after) = after.filter(|after| Some(after.born_ms) == announced) {
+            assert_eq!(after.phase, Phase::Leaving, "ready after its announcement in {history:?}");
+        }
         if let (Some(removed), Some(after)) = (removed, after) {
             assert_eq!(after.phase, Phase::Ready, "a leaving server was kept in {history:?}");
             let grace_end = recovered.map(|recovered| recovered + REREGISTRATION_GRACE);
--- a/crates/serving/tests/residency.rs
+++ b/crates/serving/tests/residency.rs
@@ -224,3 +224,15 @@
 
     assert_eq!((before, planner.recent_adapters()), (3, &[adapter_version("a4", 1)][..]));
 }
+
+// Guards against adapters that are loaded on an engine that gets no more requests for them.
+#[test]
+fn sends_no_order_to_an_engine_that_leaves() {
+    let mut planner = Planner::default();
+    planner.record_report(millis(0), entry(1), report(&["a1"], &[]));
+    let staying = engine_with(&[]);
+    let leaving = EngineState { is_leaving: true, ..engine_with(&[]) };
+
+    assert_eq!(planner.next_order(millis(1), &leaving), None);
+    assert!(planner.next_order(millis(1), &staying).is_some());
+}
