Follow a store that was restored from an older copy

After a restore, offsets go back and are given out again.

Servers that the copy lacks get the grace period of an outage; those known to leave or to be gone are not brought back by it. The instance writes its own record again. A store that lags is read after a pause.

Gossip and peer copies carry the era: instances of the build before do not read them.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -63,6 +63,8 @@
     pub drain: Drain,
     /// Notified when the configuration, the servers or their adapters change.
     pub state_changed: event_listener::Event,
+    /// Notified when the store was restored from an older copy.
+    pub store_restored: event_listener::Event,
     /// Servers that announced to this instance that they leave, with the time, for its peers.
     pub leaving_servers: Mutex<Vec<(Moment, LeavingServer)>>,
     /// Notified when a server announces that it leaves.
@@ -159,6 +161,7 @@
             incarnation: rand::random(),
             drain: Drain::default(),
             state_changed: event_listener::Event::new(),
+            store_restored: event_listener::Event::new(),
             leaving_servers: Mutex::default(),
             leaving_announced: event_listener::Event::new(),
             load_requested: event_listener::Event::new(),
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -9,6 +9,7 @@
 use services::http::{self, Error};
 use serving::{
     Moment, Name,
+    cursor::{Cursor, Position, Read, Verdict},
     directory::Effect,
     mirror::{Change, Mirror, Outcome, PeerCopy, Positions, Topic},
 };
@@ -16,7 +17,7 @@
 use crate::{
     entry::Entry,
     listen::PEER_COPY_PATH,
-    ports::{Record, Tail},
+    ports::{Record, Snapshot, Tail},
 };
 
 /// Time that a read of a log waits for the first new record.
@@ -49,20 +50,16 @@
 
 /// Reads one log for as long as the process runs.
 async fn follow_log(entry: Arc<Entry>, topic: Topic) {
-    let mut position = None;
+    let mut cursor = Cursor::default();
     let mut delay = MIN_RETRY_DELAY;
     loop {
-        if topic != Topic::Instances {
-            position = position.map(|position: u64| position.max(mirrored_position(&entry, topic)));
-        }
-        let read = match position {
-            None => read_snapshot(&entry, topic).await,
-            Some(position) => read_tail(&entry, topic, position).await,
+        let read = match cursor.next_read(mirrored_position(&entry, topic)) {
+            Read::Snapshot => read_snapshot(&entry, topic, &mut cursor).await,
+            Read::Tail(from) => read_tail(&entry, topic, &mut cursor, from).await,
         };
         match read {
-            Ok(next) => {
+            Ok(()) => {
                 entry.record_store_response(topic);
-                position = next;
                 delay = MIN_RETRY_DELAY;
                 if topic == Topic::Servers {
                     entry.kernel.clock.sleep(SERVERS_BATCH_INTERVAL).await;
@@ -86,26 +83,27 @@
 
 /// Returns the position up to which the mirror has a log. It has no records of the instances' log,
 /// which only yields peer addresses.
-fn mirrored_position(entry: &Entry, topic: Topic) -> u64 {
+fn mirrored_position(entry: &Entry, topic: Topic) -> Position {
     entry.with_mirror(|mirror| match topic {
         Topic::Operator => mirror.positions.operator,
         Topic::Servers => mirror.positions.servers,
-        Topic::Instances => 0,
+        Topic::Instances => Position::default(),
     })
 }
 
-/// Reads the newest records of a log. Returns the position of the next read.
-async fn read_snapshot(entry: &Entry, topic: Topic) -> Result<Option<u64>, Error> {
-    let snapshot = (entry.store.snapshot)(topic).await?;
-    if snapshot.end < mirrored_position(entry, topic) {
-        log::warn!(
-            event = Event::StoreStale, topic:? = topic, end = snapshot.end;
-            "ignoring a snapshot of the store that is older than the mirror"
-        );
-        return Ok(Some(mirrored_position(entry, topic)));
+/// Reads the newest records of a log.
+async fn read_snapshot(entry: &Entry, topic: Topic, cursor: &mut Cursor) -> Result<(), Error> {
+    let Snapshot { records, end } = (entry.store.snapshot)(topic).await?;
+    let verdict = cursor.record_snapshot(mirrored_position(entry, topic), end);
+    match verdict {
+        Verdict::Apply => {}
+        Verdict::ApplyRestored => record_restore(entry, topic, end),
+        Verdict::Discard | Verdict::Stale => {
+            return ignore_stale(entry, topic, end).await;
+        }
     }
-    let present: HashSet<Name> = snapshot.records.iter().map(|record| record.key.clone()).collect();
-    apply(entry, topic, snapshot.records, snapshot.end);
+    let present: HashSet<Name> = records.iter().map(|record| record.key.clone()).collect();
+    apply(entry, topic, records, end, verdict);
     if topic == Topic::Servers {
         let removed = entry.update_mirror(|now, mirror| mirror.retain_servers(now, &present));
         for (server, effect) in removed {
@@ -115,32 +113,64 @@
             );
         }
     }
-    Ok(Some(snapshot.end))
+    Ok(())
 }
 
-/// Reads a log from a position on. Returns the position of the next read, or `None` if a snapshot
-/// has to be read.
-async fn read_tail(entry: &Entry, topic: Topic, from: u64) -> Result<Option<u64>, Error> {
+/// Reads a log from a position on.
+async fn read_tail(
+    entry: &Entry,
+    topic: Topic,
+    cursor: &mut Cursor,
+    from: Position,
+) -> Result<(), Error> {
     let wait = if topic == Topic::Servers { SERVERS_READ_WAIT } else { READ_WAIT };
-    match (entry.store.read)(topic, from, wait).await? {
+    match (entry.store.read)(topic, from.offset, wait).await? {
         Tail::Expired => {
             log::info!(
-                event = Event::LogExpired, topic:? = topic, from;
-                "the log no longer has the next records; reading a snapshot"
+                event = Event::LogExpired, topic:? = topic, from = from.offset, era = from.era;
+                "the log does not have the next records; reading a snapshot"
             );
-            Ok(None)
+            cursor.record_expired();
         }
-        Tail::Records { records, next } => {
-            if !records.is_empty() {
-                apply(entry, topic, records, next);
+        Tail::Records { records, next } => match cursor.record_tail(from, next) {
+            Verdict::Apply if records.is_empty() => {}
+            Verdict::Apply | Verdict::ApplyRestored => {
+                apply(entry, topic, records, next, Verdict::Apply);
             }
-            Ok(Some(next))
-        }
+            Verdict::Discard => {}
+            Verdict::Stale => return ignore_stale(entry, topic, next).await,
+        },
+    }
+    Ok(())
+}
+
+/// Logs a response that is older than the mirror, and waits, so that a store that lags is not read
+/// in a loop.
+async fn ignore_stale(entry: &Entry, topic: Topic, end: Position) -> Result<(), Error> {
+    log::warn!(
+        event = Event::StoreStale, topic:? = topic, end = end.offset, era = end.era;
+        "ignoring a response of the store that is older than the mirror"
+    );
+    entry.kernel.clock.sleep(MIN_RETRY_DELAY).await;
+    Ok(())
+}
+
+/// Records that the store was restored from an older copy. Servers that are missing from it write
+/// their records again, as after an outage, and so does this instance.
+fn record_restore(entry: &Entry, topic: Topic, end: Position) {
+    log::warn!(
+        event = Event::StoreRestored, topic:? = topic, end = end.offset, era = end.era;
+        "the store was restored from an older copy"
+    );
+    metrics::counter!("chivelatch_store_restores_total").increment(1);
+    entry.update_mirror(|now, mirror| mirror.directory.record_store_recovery(now));
+    if topic == Topic::Instances {
+        entry.store_restored.notify(usize::MAX);
     }
 }
 
 /// Applies the records of one log up to the position `next`.
-fn apply(entry: &Entry, topic: Topic, records: Vec<Record>, next: u64) {
+fn apply(entry: &Entry, topic: Topic, records: Vec<Record>, next: Position, verdict: Verdict) {
     if topic == Topic::Instances {
         let mut peers = entry.peers.lock();
         for record in records {
@@ -155,7 +185,7 @@
     }
     entry.update_mirror(|now, mirror| {
         for record in records {
-            apply_record(now, mirror, record, next);
+            apply_record(now, mirror, record, next, verdict);
         }
         match topic {
             Topic::Operator => {
@@ -167,8 +197,14 @@
     });
 }
 
-fn apply_record(now: Moment, mirror: &mut Mirror, record: Record, position: u64) {
-    let key = &*record.key;
+fn apply_record(
+    now: Moment,
+    mirror: &mut Mirror,
+    record: Record,
+    position: Position,
+    verdict: Verdict,
+) {
+    let (key, era, position) = (&*record.key, position.era, position.offset);
     if let Change::Invalid { reason, .. } = &record.change {
         log::warn!(
             event = Event::RecordSkipped, key, position;
@@ -176,27 +212,32 @@
         );
     }
     let is_server = matches!(record.change, Change::Server(_) | Change::ServerRemoved(_));
-    match mirror.apply(now, record.change) {
+    let outcome = if verdict == Verdict::ApplyRestored {
+        mirror.apply_restored(now, record.change)
+    } else {
+        mirror.apply(now, record.change)
+    };
+    match outcome {
         Outcome::NewManifest(revision) => {
             log::info!(
-                event = Event::Configuration, revision, position;
+                event = Event::Configuration, revision, position, era;
                 "a new configuration revision is active"
             );
         }
         Outcome::StaleManifest(revision) => {
             log::info!(
-                event = Event::Configuration, revision, position;
+                event = Event::Configuration, revision, position, era;
                 "ignoring a configuration revision that is not newer than the active one"
             );
         }
         Outcome::NewVersion => log::info!(
-            event = Event::Version, key, position;
+            event = Event::Version, key, position, era;
             "a new version of an adapter"
         ),
         Outcome::Server(Effect::Same) => {}
         Outcome::Server(effect) if is_server => {
             log::info!(
-                event = Event::Server, server = key, effect:? = effect, position;
+                event = Event::Server, server = key, effect:? = effect, position, era;
                 "read a record of a server"
             );
         }
@@ -204,14 +245,20 @@
     }
 }
 
-/// Writes this instance's address to the store, for its peers.
+/// Writes this instance's address to the store, for its peers, and again after each restore of the
+/// store.
 async fn announce(entry: Arc<Entry>) {
     let address = entry.settings.mesh;
     let mut delay = MIN_RETRY_DELAY;
     loop {
+        let restored = entry.store_restored.listen();
         let value = address.to_string().into_bytes().into();
         match (entry.store.announce)(&entry.settings.instance, value).await {
-            Ok(()) => return,
+            Ok(()) => {
+                delay = MIN_RETRY_DELAY;
+                restored.await;
+                continue;
+            }
             Err(error) => log::warn!(
                 event = Event::Announce;
                 "cannot announce this instance in the store; retrying: {error}"
@@ -244,7 +291,8 @@
                 let is_newer = entry.update_mirror(|now, mirror| mirror.merge(now, copy));
                 log::info!(
                     event = Event::PeerCopy, peer:% = address, is_newer,
-                    operator = positions.operator, servers = positions.servers,
+                    operator = positions.operator.offset, servers = positions.servers.offset,
+                    era = positions.servers.era,
                     store_silent_ms = entry.store_silence().as_millis() as u64;
                     "merged the copy of a peer"
                 );
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -18,6 +18,7 @@
 use services::{BoxFuture, http::Error};
 use serving::{
     Name,
+    cursor::Position,
     mirror::{Change, Topic},
     residency::{EngineState, Order},
     retry,
@@ -145,7 +146,7 @@
 pub struct Snapshot {
     pub records: Vec<Record>,
     /// Position after the last record.
-    pub end: u64,
+    pub end: Position,
 }
 
 /// Records of a log from a position on.
@@ -153,8 +154,8 @@
 pub enum Tail {
     Records {
         records: Vec<Record>,
-        /// Position of the next read.
-        next: u64,
+        /// Position of the next read, in the era of the response.
+        next: Position,
     },
     /// The log no longer has the records at this position; read a snapshot instead.
     Expired,
@@ -169,7 +170,7 @@
 pub struct Store {
     /// Reads the newest record of each key.
     pub snapshot: Arc<ReadSnapshot>,
-    /// Reads the records from a position on. Waits up to the given time for the first one.
+    /// Reads the records from an offset on. Waits up to the given time for the first one.
     pub read: Arc<ReadTail>,
     /// Writes the value of a key of [`Topic::Instances`].
     pub announce: Arc<Announce>,
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -57,6 +57,8 @@
     LogExpired = "log_expired",
     /// The store returned an older state than the known one; it is ignored.
     StoreStale = "store_stale",
+    /// The store was restored from an older copy, so records that were read before may be gone.
+    StoreRestored = "store_restored",
     /// A peer was asked for its copy of the store's state.
     PeerCopy = "peer_copy",
     /// The instance failed to announce itself to its peers.
--- a/crates/serving/src/directory.rs
+++ b/crates/serving/src/directory.rs
@@ -2,7 +2,7 @@
 //!
 //! A server that announces that it is leaving, in its listing or in a response, gets no new
 //! requests from then on. The announcement holds for that process of the server, whatever its
-//! listing says later.
+//! listing says later, also if the store is restored from a copy that is older than it.
 //! A server whose listing is removed is dropped, with one exception: listings expire
 //! while the store is unreachable, so a removal seen soon after the store
 //! recovers takes effect only if the server does not register again in time.
@@ -20,8 +20,9 @@
 /// Time after the store recovers in which running servers whose listings expired register again.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2200);
 
-/// Number of announcements from which those of servers that are not listed are forgotten.
-const MAX_ANNOUNCEMENTS: usize = 1024;
+/// Number of processes from which those that announced that they leave, or were removed, are
+/// forgotten if their servers are not listed.
+const MAX_REMEMBERED: usize = 1024;
 
 /// Listing of one backend server, as the server itself registers it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -71,9 +72,11 @@
     /// Servers whose listings were removed soon after the store recovered, with the end of
     /// their grace period.
     lapsed: HashMap<Name, Moment>,
-    /// Processes that announced in a response that they leave: server and its start, in
-    /// milliseconds since the Unix epoch.
+    /// Processes that announced that they leave: server and its start, in milliseconds since the
+    /// Unix epoch.
     announced: HashMap<Name, u64>,
+    /// Processes whose listings were removed, in the same form.
+    removed: HashMap<Name, u64>,
     store_recovered_at: Option<Moment>,
     /// Number of changes of `servers`.
     generation: u64,
@@ -96,10 +99,7 @@
         if self.announced.get(id).is_some_and(|known| born_ms <= *known) {
             return false;
         }
-        if MAX_ANNOUNCEMENTS <= self.announced.len() {
-            self.announced.retain(|id, _| self.servers.contains_key(id));
-        }
-        self.announced.insert(id.clone(), born_ms);
+        self.remember_leaving(id, born_ms);
         let Some(listing) = self.servers.get_mut(id).filter(|known| known.born_ms == born_ms)
         else {
             return true;
@@ -115,9 +115,15 @@
 
     /// Adds or updates a listing, unless the known one is newer.
     pub fn upsert(&mut self, mut listing: Listing) -> Effect {
-        if self.announced.get(&listing.id) == Some(&listing.born_ms) {
+        let announced = self.announced.get(&listing.id);
+        let is_leaving = announced.is_some_and(|announced| listing.born_ms <= *announced);
+        let listed_phase = listing.phase;
+        if is_leaving {
             listing.phase = Phase::Leaving;
         }
+        if listing.phase == Phase::Leaving {
+            self.remember_leaving(&listing.id, listing.born_ms);
+        }
         let Some(known) = self.servers.get(&listing.id) else {
             self.insert(listing);
             return Effect::Added;
@@ -126,7 +132,7 @@
             return Effect::Stale;
         }
         let is_same_process = listing.born_ms == known.born_ms;
-        if is_same_process && known.phase == Phase::Leaving && listing.phase == Phase::Ready {
+        if is_same_process && known.phase == Phase::Leaving && listed_phase == Phase::Ready {
             return Effect::Stale;
         }
         self.lapsed.remove(&listing.id);
@@ -137,6 +143,11 @@
         Effect::Changed
     }
 
+    /// Returns whether the listing of this process was removed, and not added again since.
+    pub fn was_removed(&self, listing: &Listing) -> bool {
+        self.removed.get(&listing.id).is_some_and(|removed| listing.born_ms <= *removed)
+    }
+
     /// Removes a listing, or starts its grace period if the store recovered recently.
     pub fn remove(&mut self, now: Moment, id: &Name) -> Effect {
         let Some(known) = self.servers.get(id) else { return Effect::Unknown };
@@ -186,13 +197,27 @@
         self.servers.is_empty()
     }
 
+    fn remember_leaving(&mut self, id: &Name, born_ms: u64) {
+        if MAX_REMEMBERED <= self.announced.len() {
+            self.announced.retain(|id, _| self.servers.contains_key(id));
+        }
+        let known = self.announced.entry(id.clone()).or_default();
+        *known = born_ms.max(*known);
+    }
+
     fn insert(&mut self, listing: Listing) {
+        self.removed.remove(&listing.id);
         self.servers.insert(listing.id.clone(), listing);
         self.generation += 1;
     }
 
     fn remove_now(&mut self, id: &Name) {
-        self.servers.remove(id);
+        if MAX_REMEMBERED <= self.removed.len() {
+            self.removed.clear();
+        }
+        if let Some(listing) = self.servers.remove(id) {
+            self.removed.insert(id.clone(), listing.born_ms);
+        }
         self.lapsed.remove(id);
         self.generation += 1;
     }
--- a/crates/serving/src/mirror.rs
+++ b/crates/serving/src/mirror.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     Moment, Name,
+    cursor::Position,
     directory::{Directory, Effect, Listing},
     manifest::Manifest,
 };
@@ -53,8 +54,8 @@
 /// Positions up to which the logs were read.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Positions {
-    pub operator: u64,
-    pub servers: u64,
+    pub operator: Position,
+    pub servers: Position,
 }
 
 /// Contents of the mirror, sent to a peer that cannot reach the store.
@@ -112,6 +113,15 @@
         }
     }
 
+    /// Applies one record of a store that was restored from an older copy. A server that is known to
+    /// have been removed is not added again.
+    pub fn apply_restored(&mut self, now: Moment, change: Change) -> Outcome {
+        match change {
+            Change::Server(listing) if self.directory.was_removed(&listing) => Outcome::Unchanged,
+            change => self.apply(now, change),
+        }
+    }
+
     /// Returns a number that grows with each change of the manifest, the versions or the
     /// servers, but not of the positions.
     pub fn generation(&self) -> u64 {
@@ -154,6 +164,9 @@
         }
         self.positions.operator = self.positions.operator.max(copy.positions.operator);
         if self.positions.servers < copy.positions.servers {
+            if self.positions.servers.era < copy.positions.servers.era {
+                self.directory.record_store_recovery(now);
+            }
             self.positions.servers = copy.positions.servers;
             let present = copy.servers.iter().map(|listing| listing.id.clone()).collect();
             self.retain_servers(now, &present);
--- a/crates/serving/tests/directory.rs
+++ b/crates/serving/tests/directory.rs
@@ -111,6 +111,19 @@
     assert_eq!(directory.get("s1").unwrap().phase, Phase::Ready);
 }
 
+// Guards against a server that gets requests again, since its record that it leaves is lost in a
+// restore of the store, or comes late.
+#[test]
+fn remembers_a_leaving_server_after_its_removal() {
+    let mut directory = with_one_server();
+    directory.upsert(listing("s1", 1, Phase::Leaving));
+    directory.remove(seconds(10), &name("s1"));
+
+    directory.upsert(listing("s1", 1, Phase::Ready));
+
+    assert_eq!(directory.get("s1").unwrap().phase, Phase::Leaving);
+}
+
 // Guards against a late response of an earlier process that takes its successor out of use.
 #[test]
 fn ignores_an_announcement_of_an_earlier_process() {
--- a/crates/serving/tests/mirror.rs
+++ b/crates/serving/tests/mirror.rs
@@ -9,6 +9,7 @@
 use rand::{RngExt as _, seq::SliceRandom as _};
 
 use serving::{
+    cursor::Position,
     directory::{Listing, Phase},
     manifest::Manifest,
     mirror::{Change, Mirror, Outcome, PeerCopy, Positions},
@@ -24,6 +25,11 @@
     support::listing(id, 1, Phase::Ready)
 }
 
+fn positions(offset: u64) -> Positions {
+    let position = Position { era: 1, offset };
+    Positions { operator: position, servers: position }
+}
+
 fn version(version: u64) -> Change {
     Change::Version { model: Arc::from("m"), adapter: Arc::from("a1"), version }
 }
@@ -68,14 +74,14 @@
 fn merges_the_servers_of_a_peer_only_if_they_are_newer() {
     let mut mirror = Mirror::default();
     mirror.apply(NOW, Change::Server(ready("s1")));
-    mirror.positions = Positions { operator: 5, servers: 5 };
+    mirror.positions = positions(5);
     let older = PeerCopy {
-        positions: Positions { operator: 4, servers: 4 },
+        positions: positions(4),
         manifest: None,
         versions: Vec::new(),
         servers: vec![ready("s0")],
     };
-    let newer = PeerCopy { positions: Positions { operator: 6, servers: 6 }, ..older.clone() };
+    let newer = PeerCopy { positions: positions(6), ..older.clone() };
 
     let is_older_merged = mirror.merge(NOW, older);
     let before: HashSet<_> = mirror.directory.iter().map(|server| server.id.clone()).collect();
@@ -84,7 +90,7 @@
     assert!(!is_older_merged && is_newer_merged);
     assert_eq!(before, HashSet::from([Arc::from("s1")]));
     assert!(mirror.directory.get("s0").is_some() && mirror.directory.get("s1").is_none());
-    assert_eq!(mirror.positions.servers, 6);
+    assert_eq!(mirror.positions, positions(6));
 }
 
 #[test]
@@ -100,6 +106,24 @@
     assert!(mirror.directory.get("s2").is_some());
 }
 
+// Guards against a server that is used again, since the store's copy is older than its removal.
+#[test]
+fn restored_store_does_not_bring_back_a_removed_server() {
+    let mut mirror = Mirror::default();
+    mirror.apply(NOW, Change::Server(ready("s1")));
+    mirror.apply(NOW, Change::ServerRemoved(Arc::from("s1")));
+
+    mirror.apply_restored(NOW, Change::Server(ready("s1")));
+    let after_restore = mirror.directory.get("s1").is_some();
+    mirror.apply_restored(NOW, Change::Server(support::listing("s1", 2, Phase::Ready)));
+    let after_restart = mirror.directory.get("s1").is_some();
+    mirror.apply(NOW, Change::ServerRemoved(Arc::from("s1")));
+    mirror.apply(NOW, Change::Server(support::listing("s1", 2, Phase::Ready)));
+
+    assert_eq!((after_restore, after_restart), (false, true));
+    assert!(mirror.directory.get("s1").is_some(), "it registered again");
+}
+
 #[test]
 fn generation_ignores_positions_and_repeated_records() {
     let mut mirror = Mirror::default();
@@ -112,7 +136,7 @@
     mirror.apply(NOW, version(3));
     mirror.apply(NOW, Change::Server(ready("s1")));
     mirror.apply(NOW, Change::ServerRemoved(Arc::from("s2")));
-    mirror.positions.servers += 1;
+    mirror.positions.servers.offset += 1;
     let repeated = mirror.generation();
     mirror.apply(NOW, Change::ServerRemoved(Arc::from("s1")));
 
