Keep the suspect that is reported when the list is full

With 4,096 suspects, the report of a known one's second crash removed the suspect that expires first, which may be the reported one: it started again with one crash and crashed one more engine. Room is made only for a new suspect now. full_list_keeps_the_suspect_that_is_reported failed before (4,089 of 4,096).

--- a/crates/fleet/src/suspect.rs
+++ b/crates/fleet/src/suspect.rs
@@ -57,7 +57,7 @@
 
     /// Records a crash. Returns whether it was new.
     pub fn record(&mut self, now: Moment, report: &Report) -> bool {
-        self.make_room(now);
+        self.make_room(now, &report.fingerprint);
         let expires_at = now + self.retention;
         let suspect = self
             .suspects
@@ -88,10 +88,11 @@
         Decision::Reject(suspect.expires_at - now)
     }
 
-    /// Removes expired suspects and, at the limit, the one that expires first.
-    fn make_room(&mut self, now: Moment) {
+    /// Removes expired suspects and, if `reported` would exceed the limit, the one that expires
+    /// first.
+    fn make_room(&mut self, now: Moment, reported: &Digest) {
         self.suspects.retain(|_, suspect| now < suspect.expires_at);
-        if self.suspects.len() < MAX_SUSPECTS {
+        if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(reported) {
             return;
         }
         let first = self.suspects.iter().min_by_key(|(_, suspect)| suspect.expires_at);
--- a/crates/fleet/tests/freshness_and_suspects.rs
+++ b/crates/fleet/tests/freshness_and_suspects.rs
@@ -80,3 +80,24 @@
 
     assert_eq!(list.decide(seconds(1), &fingerprint), Decision::Allow);
 }
+
+// Guards against a suspect that is forgotten by the report of its second crash, since the list is
+// full.
+#[test]
+fn full_list_keeps_the_suspect_that_is_reported() {
+    const LIMIT: u32 = 4096;
+    let mut list = List::new(seconds(60));
+    let fingerprint = |number: u32| Digest::of(number.to_string());
+    for number in 0..LIMIT {
+        list.record(seconds(0), &Report { fingerprint: fingerprint(number), crash: 1 });
+    }
+
+    for number in 0..LIMIT {
+        list.record(seconds(1), &Report { fingerprint: fingerprint(number), crash: 2 });
+    }
+
+    let is_rejected = |number: &u32| {
+        matches!(list.decide(seconds(2), &fingerprint(*number)), Decision::Reject(_))
+    };
+    assert_eq!((0..LIMIT).filter(is_rejected).count(), LIMIT as usize);
+}
