Measure how long a pooled connection was idle

Pool::take derived the idle time from the end of the connection's life, as if the peer had announced no idle timeout. With an announced 15 s, a connection that had been idle for 11 s passed for a recent one, where the gateway allows 2 s, since requests could be lost on an older one. The time of the release is kept now. takes_no_connection_that_was_idle_for_too_long failed before.

--- a/crates/services/src/pool.rs
+++ b/crates/services/src/pool.rs
@@ -55,6 +55,7 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
+    since: Instant,
     expires: Instant,
 }
 
@@ -88,8 +89,7 @@
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(&address)?;
         while let Some(candidate) = connections.pop() {
-            // The idle time follows from `expires`, assuming that the peer announced no timeout.
-            let is_recent = now + DEFAULT_IDLE_TIMEOUT.saturating_sub(max_idle) < candidate.expires;
+            let is_recent = now.saturating_duration_since(candidate.since) <= max_idle;
             if now < candidate.expires && is_recent && candidate.connection.sender.is_ready() {
                 return Some(candidate.connection);
             }
@@ -125,12 +125,13 @@
     pub fn release(&self, mut connection: Connection, keep_alive: Option<Duration>) {
         let timeout = keep_alive
             .map_or(DEFAULT_IDLE_TIMEOUT, |timeout| timeout.min(DEFAULT_IDLE_TIMEOUT * 4));
-        let expires = self.kernel.clock.now() + timeout.saturating_sub(IDLE_TIMEOUT_MARGIN);
+        let since = self.kernel.clock.now();
+        let expires = since + timeout.saturating_sub(IDLE_TIMEOUT_MARGIN);
         connection.is_reused = true;
         let mut idle = self.idle.lock();
         let connections = idle.entry(connection.address).or_default();
         if connections.len() < MAX_IDLE_PER_ADDRESS {
-            connections.push(Idle { connection, expires });
+            connections.push(Idle { connection, since, expires });
         }
     }
 
