Acknowledge each flush of the log queue

Of several flushes in one batch of lines, only the last was acknowledged; the others returned before their lines were written. A process that ends after such a flush lost its last lines, those on its stop among them. each_flush_waits_until_its_lines_are_written failed before (returned after 20 ms of 200).

--- a/crates/kernel/src/logs.rs
+++ b/crates/kernel/src/logs.rs
@@ -21,6 +21,7 @@
     layout::{JsonLayout, Layout as _},
     record::{LevelFilter, Record},
 };
+use smallvec::SmallVec;
 
 use crate::event::Event;
 
@@ -108,11 +109,11 @@
     let mut batch = Vec::with_capacity(BATCH_BYTES);
     while let Ok(command) = receiver.recv() {
         let mut next = Some(command);
-        let mut flush = None;
+        let mut flushes: SmallVec<[SyncSender<()>; 2]> = SmallVec::new();
         while let Some(command) = next {
             match command {
                 Command::Write(line) => batch.extend_from_slice(&line),
-                Command::Flush(done) => flush = Some(done),
+                Command::Flush(done) => flushes.push(done),
             }
             next = if batch.len() < BATCH_BYTES { receiver.try_recv().ok() } else { None };
         }
@@ -126,7 +127,7 @@
         }
         let _output_closed = output.write_all(&batch).and_then(|()| output.flush());
         batch.clear();
-        if let Some(done) = flush {
+        for done in flushes {
             let _timed_out = done.try_send(());
         }
     }
--- a/crates/kernel/tests/logs.rs
+++ b/crates/kernel/tests/logs.rs
@@ -11,29 +11,40 @@
 };
 
 use kernel::{event::Event, logs::Queue};
+use logforth::append::Append as _;
 use parking_lot::{Condvar, Mutex};
 
+/// Time for which a flush waits for a stalled reader.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Output that blocks writes until it is resumed, as a pipe does whose reader has stalled.
 #[derive(Clone, Default)]
 struct Stalled {
-    is_resumed: Arc<(Mutex<bool>, Condvar)>,
+    /// Number of writes that are let through.
+    permits: Arc<(Mutex<usize>, Condvar)>,
     lines: Arc<AtomicUsize>,
     text: Arc<Mutex<Vec<u8>>>,
 }
 
 impl Stalled {
     fn resume(&self) {
-        *self.is_resumed.0.lock() = true;
-        self.is_resumed.1.notify_all();
+        *self.permits.0.lock() = usize::MAX;
+        self.permits.1.notify_all();
+    }
+
+    fn resume_once(&self) {
+        *self.permits.0.lock() = 1;
+        self.permits.1.notify_all();
     }
 }
 
 impl io::Write for Stalled {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let mut is_resumed = self.is_resumed.0.lock();
-        while !*is_resumed {
-            self.is_resumed.1.wait(&mut is_resumed);
+        let mut permits = self.permits.0.lock();
+        while *permits == 0 {
+            self.permits.1.wait(&mut permits);
         }
+        *permits -= 1;
         let lines = bytes.iter().filter(|byte| **byte == b'\n').count();
         self.lines.fetch_add(lines, Ordering::Relaxed);
         self.text.lock().extend_from_slice(bytes);
@@ -87,6 +98,39 @@
     assert_eq!(written + dropped, LINES);
 }
 
+// Guards against a process that ends before its last lines are written, as another thread has
+// flushed at the same time.
+#[test]
+fn each_flush_waits_until_its_lines_are_written() {
+    let output = Stalled::default();
+    let queue = Arc::new(Queue::start(output.clone()));
+    queue.push(b"first\n".to_vec());
+    // The writer is blocked by the first line when the others are queued.
+    std::thread::sleep(Duration::from_millis(20));
+    queue.push(b"last\n".to_vec());
+    let flushes: Vec<_> = (0..3)
+        .map(|_| {
+            let (queue, output) = (Arc::clone(&queue), output.clone());
+            std::thread::spawn(move || {
+                let start = Instant::now();
+                queue.flush().unwrap();
+                (start.elapsed(), output.text.lock().ends_with(b"last\n"))
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(20));
+
+    // One write of the first line, then the writer is blocked by the others.
+    output.resume_once();
+    std::thread::sleep(Duration::from_millis(50));
+    output.resume();
+
+    for flush in flushes {
+        let (elapsed, is_written) = flush.join().unwrap();
+        assert!(is_written || FLUSH_TIMEOUT <= elapsed, "returned after {elapsed:?}");
+    }
+}
+
 #[test]
 fn operations_page_lists_exactly_the_log_events() {
     let page = include_str!("../../../docs/OPERATIONS.md");
