Compare the times of a trace across midnight

Times are parsed as RFC 3339 now. Its context has the restores of the store, leaving servers and pauses, too. trace_shows_the_context_across_midnight failed before.

--- a/crates/operator/src/logs.rs
+++ b/crates/operator/src/logs.rs
@@ -5,6 +5,7 @@
 
 use std::{collections::BTreeMap, fmt::Write as _};
 
+use jiff::Timestamp;
 use serde_json::{Map, Value};
 
 use kernel::event::Event;
@@ -12,7 +13,7 @@
 /// Time before the first and after the last line of a request in which context events are shown.
 const CONTEXT_SECONDS: f64 = 2.0;
 /// Events that show what a process knew about the fleet, printed as context of a request.
-const CONTEXT_EVENTS: [Event; 9] = [
+const CONTEXT_EVENTS: [Event; 12] = [
     Event::Start,
     Event::Stop,
     Event::Reload,
@@ -22,6 +23,9 @@
     Event::DependencyLost,
     Event::DependencyRegained,
     Event::PeerCopy,
+    Event::StoreRestored,
+    Event::Leaving,
+    Event::Pause,
 ];
 /// Events that count as a failed request, unless their outcome is [`COMPLETE`].
 const FAILURE_EVENTS: [Event; 3] = [Event::Refused, Event::Broken, Event::Ended];
@@ -131,11 +135,10 @@
         self.is_one_of(&FAILURE_EVENTS) && self.field("outcome") != COMPLETE
     }
 
-    /// Returns the seconds since midnight; only times of the same day are comparable.
+    /// Returns the seconds since the Unix epoch, or 0 if the time cannot be parsed.
     fn seconds(&self) -> f64 {
-        let time = self.timestamp.split('T').nth(1).unwrap_or_default();
-        let parts = time.split([':', '+', '-', 'Z']).take(3);
-        parts.fold(0.0, |sum, part| sum * 60.0 + part.parse::<f64>().unwrap_or(0.0))
+        let time = self.timestamp.parse::<Timestamp>();
+        time.map_or(0.0, |time| time.as_duration().as_secs_f64())
     }
 
     /// Formats the line without the request id.
--- a/crates/operator/tests/logs.rs
+++ b/crates/operator/tests/logs.rs
@@ -39,3 +39,21 @@
     assert!(output.contains("502 the server gave no answer  (as r7)"), "{output}");
     assert!(!output.contains("r8"), "{output}");
 }
+
+// Guards against a trace that lacks its context, or has that of another day, around midnight.
+#[test]
+fn trace_shows_the_context_across_midnight() {
+    const MIDNIGHT: &str = r#"
+edge-1 {"timestamp":"2026-05-30T08:52:39.1+00:00","message":"day before","kvs":{"event":"reload"}}
+edge-1 {"timestamp":"2026-05-30T23:59:59.5+00:00","message":"just before","kvs":{"event":"reload"}}
+edge-1 {"timestamp":"2026-05-31T00:00:00.5+00:00","message":"sent","kvs":{"event":"sent","request":"r1"}}
+edge-1 {"timestamp":"2026-05-31T00:00:01.5+00:00","message":"just after","kvs":{"event":"reload"}}
+edge-1 {"timestamp":"2026-06-01T00:00:00.5+00:00","message":"day after","kvs":{"event":"reload"}}
+"#;
+
+    let text = logs::trace(&logs::parse(MIDNIGHT), "r1");
+
+    let shown = |message: &str| text.contains(message);
+    assert!(shown("just before") && shown("just after"), "{text}");
+    assert!(!shown("day before") && !shown("day after"), "{text}");
+}
