Bound the retry delay of load permits from below

While all permits were in flight, the delay was the time until the oldest one expires, down to nothing: accounts then asked again without a pause. retry_delay_has_a_lower_bound_while_all_permits_are_in_flight failed before (1 ms).

--- a/crates/quota/src/permit.rs
+++ b/crates/quota/src/permit.rs
@@ -64,7 +64,7 @@
 const WAITING_TIMEOUT: Duration = Duration::from_millis(200);
 /// Weight of one permit for an account with a rate of one token per second.
 const PERMIT_WEIGHT: u64 = 1 << 32;
-/// Shortest retry delay for an account that has to wait for the rate or for other accounts.
+/// Shortest retry delay for an account.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 impl Limiter {
@@ -89,9 +89,8 @@
         if self.budget.in_flight <= self.in_flight.len() {
             let oldest = self.in_flight.values().min().copied().unwrap_or(now);
             // Permits may be released before they expire, so retries come earlier.
-            return Decision::RetryAfter(
-                (oldest + lifetime).saturating_sub(now).min(MIN_RETRY_DELAY * 10),
-            );
+            let expiry = (oldest + lifetime).saturating_sub(now);
+            return Decision::RetryAfter(expiry.clamp(MIN_RETRY_DELAY, MIN_RETRY_DELAY * 10));
         }
         if !self.is_least_served(account) {
             return Decision::RetryAfter(MIN_RETRY_DELAY);
--- a/crates/quota/tests/permits.rs
+++ b/crates/quota/tests/permits.rs
@@ -57,6 +57,20 @@
     assert!(decisions.into_iter().all(|decision| matches!(decision, Decision::Granted(_))));
 }
 
+// Guards against accounts that ask again without a pause, just before a permit expires.
+#[test]
+fn retry_delay_has_a_lower_bound_while_all_permits_are_in_flight() {
+    let budget = Budget { in_flight: 1, ..BUDGET };
+    let mut limiter = Limiter::new(Duration::ZERO, budget, budget.burst);
+    limiter.acquire(Duration::ZERO, &account("first"), 1);
+    let almost_expired = BUDGET.permit_lifetime - Duration::from_millis(1);
+
+    let decision = limiter.acquire(almost_expired, &account("second"), 1);
+
+    let Decision::RetryAfter(delay) = decision else { panic!("granted beyond the budget") };
+    assert!(Duration::from_millis(20) <= delay, "{delay:?}");
+}
+
 #[test]
 fn limits_loads_in_flight_and_expires_lost_permits() {
     let budget = Budget { rate: 1000, burst: 1000, ..BUDGET };
