Remove no server for a malformed record of the operators

A record of the operators' topic that could not be decoded removed the server with the same key, as one of the servers' topic does.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -208,7 +208,7 @@
     if let Change::Invalid { reason, .. } = &record.change {
         log::warn!(
             event = Event::RecordSkipped, key, position;
-            "invalid record; removing the server with this key, if there is one: {reason}"
+            "invalid record; a server that it is about is removed: {reason}"
         );
     }
     let is_server = matches!(record.change, Change::Server(_) | Change::ServerRemoved(_));
--- a/crates/serving/src/mirror.rs
+++ b/crates/serving/src/mirror.rs
@@ -31,9 +31,10 @@
     },
     Server(Listing),
     ServerRemoved(Name),
-    /// A record that cannot be decoded. It removes the server registered under this key.
+    /// A record that cannot be decoded.
     Invalid {
-        key: Name,
+        /// Server whose record this is, which is removed.
+        server: Option<Name>,
         reason: String,
     },
     /// A record that serving does not use.
@@ -108,7 +109,10 @@
             }
             Change::Server(listing) => Outcome::Server(self.directory.upsert(listing)),
             Change::ServerRemoved(id) => Outcome::Server(self.directory.remove(now, &id)),
-            Change::Invalid { key, .. } => Outcome::Server(self.directory.remove(now, &key)),
+            Change::Invalid { server: Some(id), .. } => {
+                Outcome::Server(self.directory.remove(now, &id))
+            }
+            Change::Invalid { server: None, .. } => Outcome::Unchanged,
             Change::Ignored => Outcome::Unchanged,
         }
     }
--- a/crates/serving/tests/mirror.rs
+++ b/crates/serving/tests/mirror.rs
@@ -99,7 +99,7 @@
     mirror.apply(NOW, Change::Server(ready("s1")));
     mirror.apply(NOW, Change::Server(ready("s2")));
 
-    let change = Change::Invalid { key: Arc::from("s1"), reason: "no address".to_owned() };
+    let change = Change::Invalid { server: Some(Arc::from("s1")), reason: "no address".to_owned() };
     mirror.apply(NOW, change);
 
     assert!(mirror.directory.get("s1").is_none());
