Keep the exchange of positions with eras apart from that of earlier builds

Gossip and peer copies carry the era of each position. Their encoding does not describe itself, so an instance of an earlier build, beside one of this build during a rollout, could read one field as another: an offset as a revision or a usage.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -19,6 +19,7 @@
     suspect::{Decision, Report},
 };
 use schedule::retry;
+use services::body::EVENT_STREAM;
 use wire::{
     frame::{Call, Head, Isolation},
     identity,
@@ -44,8 +45,6 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Size limit of an answer that is not streamed.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024 * 1024;
-/// Content type of answers that are streamed to the caller.
-const EVENT_STREAM: &str = "text/event-stream";
 
 /// Answer of a server that has started.
 pub(crate) enum ServerAnswer {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -309,6 +309,9 @@
 async fn fetch_peer_copy(entry: &Entry, address: SocketAddr) -> Result<PeerCopy, Error> {
     let request: Request<_> = http::get(PEER_COPY_PATH);
     let response = entry.pool.fetch(address, request, COPY_TIMEOUT).await?;
+    if !response.status().is_success() {
+        return Err(Error::from_response(&response));
+    }
     postcard::from_bytes(response.body())
         .map_err(|error| Error::Unreadable { reason: error.to_string() })
 }
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -153,7 +153,7 @@
                     entry.record_leaving(&server.server, server.born_ms);
                 }
             }
-            Some((_, Message::Demand(_))) | None => {}
+            Some((_, Message::Demand(_) | Message::EarlierGossip)) | None => {}
         }
     }
 }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -27,11 +27,13 @@
         slot_usage: SlotUsage,
         work: Work,
     },
-    /// Between entry instances.
-    Gossip(Gossip),
+    /// Gossip of earlier builds, whose positions have no era; ignored.
+    EarlierGossip,
     /// From any process to the entry instances: servers that announced in a response that they
     /// leave.
     Leaving(Vec<LeavingServer>),
+    /// Between entry instances.
+    Gossip(Gossip),
 }
 
 /// The process of a server that leaves.
