Log the limit that a server names for all instances together

A response's limit is parsed now, and logged and measured when it differs from what the server stated last; nothing acts on it.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -24,6 +24,7 @@
 use serving::{
     Moment, Name,
     directory::Listing,
+    limit,
     manifest::Manifest,
     mirror::{Mirror, Topic},
     rate_limit::Limiter,
@@ -324,6 +325,7 @@
         if let Some(asked) = meta.pause {
             self.record_pause(server, asked);
         }
+        self.log_limit(server, meta.limit);
         if meta.is_leaving {
             // A response may come from another server that was started at the address.
             let is_other = meta.server.as_ref().is_some_and(|id| *id != server.id);
@@ -347,6 +349,25 @@
         is_new
     }
 
+    /// Logs and measures a limit that differs from the one that the server stated last.
+    fn log_limit(&self, server: &Listing, stated: limit::Statement) {
+        let is_new = self.with_server(&server.id, |state| {
+            std::mem::replace(&mut state.stated_limit, stated) != stated
+        });
+        if !is_new {
+            return;
+        }
+        let rate = match stated {
+            limit::Statement::Named(rate) => rate.per_second(),
+            limit::Statement::Absent | limit::Statement::Unusable => f64::NAN,
+        };
+        metrics::gauge!("chivelatch_server_limit", "server" => server.id.to_string()).set(rate);
+        log::info!(
+            event = Event::Limit, server = &*server.id, stated:? = stated;
+            "the server states another limit for the requests of all instances"
+        );
+    }
+
     fn record_pause(&self, server: &Listing, asked: Duration) {
         let now = self.now();
         let is_longer = self
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -19,6 +19,7 @@
 use serving::{
     Name,
     cursor::Position,
+    limit,
     mirror::{Change, Topic},
     residency::{EngineState, Order},
     retry,
@@ -119,6 +120,8 @@
     pub closes_connection: bool,
     /// Time for which the server wants no further request, if it asks for a pause.
     pub pause: Option<Duration>,
+    /// Limit that the server names for the requests of all instances together.
+    pub limit: limit::Statement,
     /// Whether the server announces that it leaves.
     pub is_leaving: bool,
     /// Time for which the server keeps an idle connection open, if stated.
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -10,6 +10,7 @@
     Moment, Name,
     backlog::Backlog,
     directory::{Directory, Listing, Phase},
+    limit,
     pause::Pause,
 };
 
@@ -106,6 +107,8 @@
     /// Time until which the server is avoided because it failed.
     pub suspect_until: Moment,
     pub pause: Pause,
+    /// What the server's latest response said about its limit.
+    pub stated_limit: limit::Statement,
 }
 
 impl StatusReport {
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -77,6 +77,8 @@
     Leaving = "leaving",
     /// A server asked for a pause.
     Pause = "pause",
+    /// A server named a limit for the requests of all instances together, or ended it.
+    Limit = "limit",
     /// A server answered a request with an error; it is retried on another server.
     ServerError = "server_error",
     /// A stream resumes on another server.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod backlog;
 pub mod cursor;
 pub mod directory;
+pub mod limit;
 pub mod manifest;
 pub mod mirror;
 pub mod pause;
