Keep the limit that a server names over all instances together

What servers saw: requests at the rate of any other server, several times the limit that they had named. Cause: the limit was not read. The class: a promise that only the sum over instances keeps, so reading it at each instance would not have been enough.

A limited server has one issuer of permits, chosen by rendezvous hashing among the instances that hear each other; a request is sent there only with a permit. Every instance reports limits and the time of the next free permit, so a new issuer continues there. exchange::send takes a Pass that only the gate hands out, so no path goes around it. Homes of adapters and loads move to servers without a limit. Rejected callers are asked to return one after the other.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -21,6 +21,7 @@
 use crate::{
     answer::Rejection,
     entry::Entry,
+    gate::{HeldPermit, Pass},
     in_flight::LoadRequest,
     job::Job,
     ports::Model,
@@ -40,6 +41,10 @@
 const DEFAULT_MODEL_LOAD_TIME: Duration = Duration::from_millis(1500);
 /// Longest time until a waiting request is evaluated again.
 const MAX_RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time by which a permit may start later than expected.
+const PERMIT_TOLERANCE: Duration = Duration::from_millis(50);
+/// Time between two requests for a permit.
+const PERMIT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Result of one evaluation of the servers for a request.
 enum Selection {
@@ -50,9 +55,12 @@
     AwaitAdapter {
         server: Listing,
     },
-    /// To wait for a base model, or for the end of a pause in `next_check`.
-    Await {
-        next_check: Duration,
+    /// To wait for a base model.
+    AwaitModel,
+    /// To wait until a server takes the next request.
+    AwaitServer {
+        server: Listing,
+        wait: Duration,
     },
     Reject {
         retry_after: Duration,
@@ -70,37 +78,58 @@
     now: Moment,
     /// Time that the request has waited in this selection.
     waited: Duration,
+    /// Permit that the request holds.
+    held: Option<&'a HeldPermit>,
 }
 
 impl Job {
     /// Waits until a server can run the request. Returns it with the prompt tokens outstanding
-    /// there.
+    /// there and the proof that it was admitted.
     ///
     /// # Errors
     ///
     /// Returns the rejection if no server is expected to respond in time.
-    pub async fn select(&mut self, entry: &Arc<Entry>) -> Result<(Listing, u64), Rejection> {
+    pub async fn select(&mut self, entry: &Arc<Entry>) -> Result<(Listing, u64, Pass), Rejection> {
         let mut load_request: Option<LoadRequest> = None;
+        let mut held: Option<HeldPermit> = None;
+        let mut next_ask_at = Moment::ZERO;
         let started_at = entry.now();
         loop {
             self.authorize_again(entry)?;
             let changed = entry.state_changed.listen();
             let awaited_server = load_request.as_ref().map(|request| request.server.clone());
             let mut limit = MAX_RECHECK_INTERVAL;
-            match self.evaluate(entry, awaited_server.as_ref(), started_at) {
+            let selection =
+                self.evaluate(entry, awaited_server.as_ref(), started_at, held.as_ref());
+            let chosen = match &selection {
+                Selection::Send { server, .. } => Some((server, Duration::ZERO)),
+                Selection::AwaitServer { server, wait } => Some((server, *wait)),
+                _ => None,
+            };
+            if let Some((server, wait)) = chosen
+                && next_ask_at <= entry.now()
+                && entry.needs_permit(server, held.as_ref())
+            {
+                held = entry.obtain_permit(server, wait + PERMIT_TOLERANCE).await;
+                next_ask_at = entry.now() + PERMIT_RETRY_DELAY;
+                // The expected wait there is another one now.
+                continue;
+            }
+            match selection {
                 Selection::Send { server, tokens_ahead } => {
-                    if entry.admit(&server) {
-                        return Ok((server, tokens_ahead));
+                    if let Some(pass) = entry.admit(&server, &mut held) {
+                        return Ok((server, tokens_ahead, pass));
                     }
-                    // Another request was admitted since the evaluation.
-                    continue;
+                    // Another request was admitted since the evaluation, or no permit was free.
+                    limit = limit.min(PERMIT_RETRY_DELAY);
                 }
                 Selection::Reject { retry_after, reason } => {
                     return Err(self.final_rejection(reason, retry_after));
                 }
-                Selection::Await { next_check } => {
+                Selection::AwaitModel => load_request = None,
+                Selection::AwaitServer { wait, .. } => {
                     load_request = None;
-                    limit = limit.min(next_check);
+                    limit = limit.min(wait);
                 }
                 Selection::AwaitAdapter { server } => {
                     if awaited_server.as_ref() != Some(&server.id) {
@@ -133,6 +162,7 @@
         entry: &Entry,
         awaited_server: Option<&Name>,
         started_at: Moment,
+        held: Option<&HeldPermit>,
     ) -> Selection {
         let now = entry.now();
         if self.deadline <= now {
@@ -165,6 +195,7 @@
             servers: eligible,
             now,
             waited: now.saturating_sub(started_at),
+            held,
         };
         match self.meta.model.as_ref().filter(|_| context.has_engines()) {
             Some(model) => self.select_engine(&context, model, awaited_server),
@@ -194,13 +225,18 @@
         if limit < expected {
             self.log_busy(context, &choice, &candidates[choice.index], limit);
             let chosen = &candidates[choice.index];
-            let retry_after = rejection::retry_after(expected, limit).max(chosen.pause);
+            let server = &context.servers[choice.index].id;
+            let retry_after = rejection::retry_after(expected, limit)
+                .max(chosen.pause)
+                .max(context.entry.return_after(server));
             return Selection::Reject { retry_after, reason: "the servers are busy for too long" };
         }
         let server = context.servers[choice.index].clone();
         let chosen = &candidates[choice.index];
-        if !chosen.pause.is_zero() {
-            return Selection::Await { next_check: chosen.pause };
+        // A permit would expire while its request waits for an adapter.
+        let loads_first = chosen.adapter != AdapterState::Present && context.is_limited(&server);
+        if !chosen.pause.is_zero() && !loads_first {
+            return Selection::AwaitServer { server, wait: chosen.pause };
         }
         match chosen.adapter {
             AdapterState::Present => {
@@ -222,14 +258,15 @@
             };
         };
         let pause = candidates[index].pause;
+        let server = context.servers[index].clone();
         if pause.is_zero() {
-            let server = context.servers[index].clone();
             return Selection::Send { server, tokens_ahead: 0 };
         }
         if self.remaining(context.entry) <= pause + self.typical_latency(0) {
-            return Selection::Reject { retry_after: pause, reason: "the servers want a pause" };
+            let retry_after = pause.max(context.entry.return_after(&server.id));
+            return Selection::Reject { retry_after, reason: "the servers want a pause" };
         }
-        Selection::Await { next_check: pause }
+        Selection::AwaitServer { server, wait: pause }
     }
 
     fn log_busy(&self, context: &Context<'_>, best: &Choice, engine: &Candidate, limit: Duration) {
@@ -255,7 +292,7 @@
             self.remaining(context.entry) + context.waited,
         );
         if context.waited + expected <= time_budget {
-            return Selection::Await { next_check: MAX_RECHECK_INTERVAL };
+            return Selection::AwaitModel;
         }
         Selection::Reject { retry_after: expected, reason: "no server has the model" }
     }
@@ -267,9 +304,17 @@
     fn engine_candidates(&self, model: &Model, awaited_server: Option<&Name>) -> Vec<Candidate> {
         let min_version = self.entry.min_version(model);
         let preferred = self.preferred_servers(model);
+        let has_unlimited = self.servers.iter().any(|listing| !self.is_limited(listing));
         let candidates = self.servers.iter().map(|listing| {
             let report = self.entry.status_report(listing);
             let state = adapter_state(listing, report.as_ref(), model, min_version, self.now);
+            // Orders to load count against the limit, too, so loads go to other servers.
+            let needs_load = !matches!(state, AdapterState::Present | AdapterState::Pending);
+            let state = if needs_load && has_unlimited && self.is_limited(listing) {
+                AdapterState::Unreachable
+            } else {
+                state
+            };
             self.entry.with_server(&listing.id, |server| {
                 let slot_usage = slot_usage(server, report.as_ref());
                 let (adapter, queue) = match state {
@@ -297,11 +342,12 @@
         let is_popular =
             ZONE_PREFERENCE_RATE <= self.entry.popularity.lock().rate(self.now, adapter);
         let zone = &self.entry.settings.zone;
-        let preferred_in_zone =
-            is_popular.then(|| roster.preferred_in_zone(self.service, adapter, zone)).flatten();
-        let preferred = [roster.preferred_server(self.service, adapter), preferred_in_zone]
-            .into_iter()
+        let takes_loads = |listing: &Listing| !self.is_limited(listing);
+        let preferred_in_zone = is_popular
+            .then(|| roster.preferred_in_zone(self.service, adapter, zone, takes_loads))
             .flatten();
+        let preferred_server = roster.preferred_server(self.service, adapter, takes_loads);
+        let preferred = [preferred_server, preferred_in_zone].into_iter().flatten();
         preferred.map(|index| servers[index].id.clone()).collect()
     }
 
@@ -327,6 +373,17 @@
         manifest.services.get(self.service)?.engine.as_ref().map(read)
     }
 
+    /// Returns the time until the limit of a server, if it named one, allows this request.
+    fn limit_wait(&self, listing: &Listing) -> Duration {
+        let starts_at = self.held.and_then(|held| held.starts_at(&listing.id));
+        let expected = || self.entry.gate.limits.lock().wait(self.now, &listing.id);
+        starts_at.map_or_else(expected, |starts_at| starts_at.saturating_sub(self.now))
+    }
+
+    fn is_limited(&self, listing: &Listing) -> bool {
+        self.entry.gate.limits.lock().rate(&listing.id).is_some()
+    }
+
     /// Returns a server as a candidate for a request without an adapter.
     fn candidate(&self, listing: &Listing, server: &Server) -> Candidate {
         Candidate {
@@ -339,7 +396,7 @@
             failure_rate: server.backlog.failure_rate(self.now),
             is_same_zone: listing.zone == self.entry.settings.zone,
             is_suspect: self.now < server.suspect_until,
-            pause: server.pause.wait(self.now),
+            pause: server.pause.wait(self.now).max(self.limit_wait(listing)),
         }
     }
 }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -4,12 +4,13 @@
     net::{IpAddr, SocketAddr},
     process::ExitCode,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
 };
 
+use async_net::UdpSocket;
 use hyper::http::response;
 use parking_lot::{Mutex, RwLock};
 
@@ -24,7 +25,7 @@
 use serving::{
     Moment, Name,
     directory::Listing,
-    limit,
+    limit::Statement,
     manifest::Manifest,
     mirror::{Mirror, Topic},
     rate_limit::Limiter,
@@ -32,7 +33,9 @@
 };
 
 use crate::{
-    follow, listen, mesh,
+    follow,
+    gate::Gate,
+    listen, mesh,
     mesh::Peers,
     message::LeavingServer,
     ports::{Dialect, Model, Reloader, ResponseMeta, Settings, Store, Tunable},
@@ -68,8 +71,11 @@
     pub store_restored: event_listener::Event,
     /// Servers that announced to this instance that they leave, with the time, for its peers.
     pub leaving_servers: Mutex<Vec<(Moment, LeavingServer)>>,
-    /// Notified when a server announces that it leaves.
-    pub leaving_announced: event_listener::Event,
+    /// Notified when a server announces that it leaves, or states another limit.
+    pub announced: event_listener::Event,
+    pub gate: Gate,
+    /// Socket for datagrams, once it is open.
+    pub mesh_socket: OnceLock<Arc<UdpSocket>>,
     /// Notified when a request starts to wait for an adapter.
     pub load_requested: event_listener::Event,
     pub servers: shard::Map<Name, Server>,
@@ -164,7 +170,9 @@
             state_changed: event_listener::Event::new(),
             store_restored: event_listener::Event::new(),
             leaving_servers: Mutex::default(),
-            leaving_announced: event_listener::Event::new(),
+            announced: event_listener::Event::new(),
+            gate: Gate::default(),
+            mesh_socket: OnceLock::new(),
             load_requested: event_listener::Event::new(),
             servers: shard::Map::default(),
             status_reports: shard::Map::default(),
@@ -313,27 +321,30 @@
         });
     }
 
-    /// Returns whether a request may be sent to a server now, and counts it if so.
-    pub fn admit(&self, server: &Listing) -> bool {
-        let now = self.now();
-        self.with_server(&server.id, |state| state.pause.admit(now))
-    }
-
-    /// Returns the metadata of a response, and records what the server says about itself there.
-    pub fn read_head(&self, server: &Listing, head: &response::Parts) -> ResponseMeta {
+    /// Returns the metadata of the response to a request with the id `request_id`, sent at `sent_at`,
+    /// and records what the server says about itself there.
+    pub fn read_head(
+        &self,
+        server: &Listing,
+        request_id: &Name,
+        sent_at: Moment,
+        head: &response::Parts,
+    ) -> ResponseMeta {
         let meta = (self.dialect.parse_response)(head);
+        // A response may come from another server that was started at the address.
+        let is_other = meta.server.as_ref().is_some_and(|id| *id != server.id);
         if let Some(asked) = meta.pause {
             self.record_pause(server, asked);
         }
-        self.log_limit(server, meta.limit);
-        if meta.is_leaving {
-            // A response may come from another server that was started at the address.
-            let is_other = meta.server.as_ref().is_some_and(|id| *id != server.id);
-            if !is_other && self.record_leaving(&server.id, server.born_ms) {
-                let leaving = LeavingServer { server: server.id.clone(), born_ms: server.born_ms };
-                self.leaving_servers.lock().push((self.now(), leaving));
-                self.leaving_announced.notify(usize::MAX);
-            }
+        // An extra or corrupt response does not tell that the limit has ended.
+        let is_certain = meta.is_signed && meta.request_id.as_ref() == Some(request_id);
+        if !is_other && (is_certain || meta.limit != Statement::Absent) {
+            self.record_limit(server, sent_at, meta.limit);
+        }
+        if meta.is_leaving && !is_other && self.record_leaving(&server.id, server.born_ms) {
+            let leaving = LeavingServer { server: server.id.clone(), born_ms: server.born_ms };
+            self.leaving_servers.lock().push((self.now(), leaving));
+            self.announced.notify(usize::MAX);
         }
         meta
     }
@@ -349,25 +360,6 @@
         is_new
     }
 
-    /// Logs and measures a limit that differs from the one that the server stated last.
-    fn log_limit(&self, server: &Listing, stated: limit::Statement) {
-        let is_new = self.with_server(&server.id, |state| {
-            std::mem::replace(&mut state.stated_limit, stated) != stated
-        });
-        if !is_new {
-            return;
-        }
-        let rate = match stated {
-            limit::Statement::Named(rate) => rate.per_second(),
-            limit::Statement::Absent | limit::Statement::Unusable => f64::NAN,
-        };
-        metrics::gauge!("chivelatch_server_limit", "server" => server.id.to_string()).set(rate);
-        log::info!(
-            event = Event::Limit, server = &*server.id, stated:? = stated;
-            "the server states another limit for the requests of all instances"
-        );
-    }
-
     fn record_pause(&self, server: &Listing, asked: Duration) {
         let now = self.now();
         let is_longer = self
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,7 +16,7 @@
 };
 use serving::directory::Listing;
 
-use crate::ports::ResponseMeta;
+use crate::{gate::Pass, ports::ResponseMeta};
 
 /// Time that a backend server may take to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -69,7 +69,7 @@
     }
 }
 
-/// Sends a request and waits for the head of the response, at most for `limit`. `read_head`
+/// Sends an admitted request and waits for the head of the response, at most for `limit`. `read_head`
 /// is called with each head that arrives, whether or not the response can be used.
 ///
 /// # Errors
@@ -78,12 +78,13 @@
 pub async fn send(
     kernel: &Kernel,
     pool: &Pool,
-    server: &Listing,
+    pass: Pass,
     request_id: &str,
     request: Request<Full<Bytes>>,
     limit: Duration,
     read_head: impl FnOnce(&response::Parts) -> ResponseMeta,
 ) -> Result<Reply, Failure> {
+    let server = pass.server();
     let mut is_sent = false;
     let response = send_request(pool, server, request, limit, &mut is_sent);
     let outcome = kernel.clock.timeout(limit, response).await;
--- /dev/null
+++ b/crates/gateway/src/gate.rs
@@ -0,0 +1,273 @@
+//! The gate before the backend servers: whether a request may be sent to a server now.
+//!
+//! It knows the pauses that servers ask for and the limits that they name. For a server with a
+//! limit, each request needs a permit of the instance that issues them (`serving::limit`).
+//!
+//! Architecture Invariant: a request is sent only with a [`Pass`], and only the gate hands them
+//! out.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+
+use kernel::event::Event;
+use placement::rendezvous;
+use serving::{
+    Moment, Name,
+    directory::Listing,
+    limit::{self, Limits, Permit, Statement},
+};
+
+use crate::{
+    entry::Entry,
+    mesh,
+    message::{Message, PermitReply, PermitRequest},
+};
+
+/// Time after which a request for a permit counts as lost.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
+/// Time until the next request for a permit if none was granted for another reason than the limit.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time after its start from which an instance issues permits. It hears its peers before.
+const ISSUER_MIN_AGE: Duration = Duration::from_secs(1);
+
+/// Proof that the gate has admitted one request to a server.
+pub struct Pass {
+    server: Listing,
+}
+
+/// Permit that a request holds. It is left to other requests if it is not used.
+pub struct HeldPermit {
+    entry: Arc<Entry>,
+    pub server: Name,
+    permit: Option<Permit>,
+}
+
+/// Limits of servers, and the requests for permits that are under way.
+#[derive(Default)]
+pub struct Gate {
+    pub limits: Mutex<Limits>,
+    /// Replies by the id of the request for the permit; `None` while it is awaited.
+    replies: Mutex<HashMap<u64, Option<PermitReply>>>,
+    replied: event_listener::Event,
+}
+
+/// Instance that issues a server's permits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Issuer {
+    Local,
+    Peer(SocketAddr),
+}
+
+impl Entry {
+    /// Admits a request to a server, if the server takes one now. Uses the permit that the request
+    /// holds if the server has a limit.
+    pub fn admit(&self, server: &Listing, held: &mut Option<HeldPermit>) -> Option<Pass> {
+        let now = self.now();
+        let is_limited = self.gate.limits.lock().rate(&server.id).is_some();
+        if is_limited && !held.as_ref().is_some_and(|held| held.is_valid(&server.id, now)) {
+            return None;
+        }
+        if !self.with_server(&server.id, |state| state.pause.admit(now)) {
+            return None;
+        }
+        if let Some(held) = held.as_mut().filter(|_| is_limited) {
+            held.permit = None;
+            metrics::counter!("chivelatch_permits_used_total", "server" => server.id.to_string())
+                .increment(1);
+        }
+        Some(Pass { server: server.clone() })
+    }
+
+    /// Returns whether a request needs a permit of a server, and holds none.
+    pub fn needs_permit(&self, server: &Listing, held: Option<&HeldPermit>) -> bool {
+        let is_limited = self.gate.limits.lock().rate(&server.id).is_some();
+        is_limited && !held.is_some_and(|held| held.is_for(&server.id, self.now()))
+    }
+
+    /// Obtains a permit of a server that starts within `max_wait`. If none is free, the time until
+    /// the next one is known afterwards.
+    pub async fn obtain_permit(
+        self: &Arc<Entry>,
+        server: &Listing,
+        max_wait: Duration,
+    ) -> Option<HeldPermit> {
+        let asked_at = self.now();
+        let unused = self.gate.limits.lock().take_unused(asked_at, &server.id, max_wait);
+        if let Some(permit) = unused {
+            return Some(HeldPermit::new(self, server, permit));
+        }
+        let outcome = match self.issuer(&server.id) {
+            Some(Issuer::Local) => self.issue(&server.id, max_wait),
+            Some(Issuer::Peer(peer)) => self.request_permit(peer, server, max_wait).await,
+            None => Err(RETRY_DELAY),
+        };
+        let now = self.now();
+        match outcome {
+            Ok(wait) => Some(HeldPermit::new(self, server, Permit::new(asked_at, now, wait))),
+            Err(wait) => {
+                self.gate.limits.lock().record_wait(now, &server.id, wait);
+                None
+            }
+        }
+    }
+
+    /// Returns the time after which one more caller that is rejected because of a server's limit
+    /// should return.
+    pub fn return_after(&self, server: &Name) -> Duration {
+        let now = self.now();
+        let instances = self.limiter.lock().instance_count(now);
+        self.gate.limits.lock().return_after(now, server, instances)
+    }
+
+    /// Records what a response says about its server's limit. Its request was sent at `sent_at`.
+    pub fn record_limit(&self, server: &Listing, sent_at: Moment, statement: Statement) {
+        let is_changed = self.gate.limits.lock().record_statement(
+            self.now(),
+            sent_at,
+            (&server.id, server.born_ms),
+            statement,
+        );
+        if is_changed {
+            self.log_limit(&server.id, "response");
+            self.announced.notify(usize::MAX);
+        }
+    }
+
+    /// Returns the reports for peers, and reviews which instance issues the permits.
+    pub fn limit_reports(&self) -> Vec<limit::Report> {
+        let reports = self.gate.limits.lock().reports(self.now());
+        for report in &reports {
+            self.issuer(&report.server);
+        }
+        reports
+    }
+
+    /// Records the limits that a peer reports.
+    pub fn record_limit_reports(&self, reports: &[limit::Report]) {
+        for report in reports {
+            let is_changed = self.gate.limits.lock().record_report(self.now(), report);
+            if is_changed {
+                self.log_limit(&report.server, "peer");
+            }
+        }
+    }
+
+    /// Returns the response to a peer's request for a permit.
+    pub fn answer_permit_request(&self, request: &PermitRequest) -> PermitReply {
+        self.record_limit_reports(std::slice::from_ref(&request.limit));
+        let server = &request.limit.server;
+        let outcome = match self.issuer(server) {
+            Some(Issuer::Local) => self.issue(server, request.max_wait),
+            _ => Err(RETRY_DELAY),
+        };
+        PermitReply { id: request.id, outcome }
+    }
+
+    /// Records the response to a request for a permit, if it is still awaited.
+    pub fn record_permit_reply(&self, reply: PermitReply) {
+        if let Some(slot) = self.gate.replies.lock().get_mut(&reply.id) {
+            *slot = Some(reply);
+        }
+        self.gate.replied.notify(usize::MAX);
+    }
+
+    fn issue(&self, server: &Name, max_wait: Duration) -> Result<Duration, Duration> {
+        let now = self.now();
+        let members = self.limiter.lock().members(now);
+        let heard_share = (1 + members.heard.len()) as f64 / members.known.max(1) as f64;
+        self.gate.limits.lock().issue(now, server, heard_share.min(1.0), max_wait)
+    }
+
+    /// Returns the instance that issues a server's permits, as far as this one knows.
+    fn issuer(&self, server: &Name) -> Option<Issuer> {
+        let now = self.now();
+        let members = self.limiter.lock().members(now);
+        let own = (!self.is_stopping()).then_some((self.settings.mesh, now));
+        let candidates = members.heard.into_iter().chain(own);
+        let candidates = candidates.filter(|(_, age)| ISSUER_MIN_AGE <= *age);
+        let hash = |address| rendezvous::hash(&format!("{server} {address}"));
+        let address = limit::issuer(candidates.map(|(address, _)| address), hash);
+        let is_local = address == Some(self.settings.mesh);
+        self.gate.limits.lock().record_issuer(now, server, is_local);
+        Some(if is_local { Issuer::Local } else { Issuer::Peer(address?) })
+    }
+
+    async fn request_permit(
+        &self,
+        issuer: SocketAddr,
+        server: &Listing,
+        max_wait: Duration,
+    ) -> Result<Duration, Duration> {
+        let reports = self.gate.limits.lock().reports(self.now());
+        let limit = reports.into_iter().find(|report| report.server == server.id);
+        let (Some(limit), Some(socket)) = (limit, self.mesh_socket.get()) else {
+            return Err(RETRY_DELAY);
+        };
+        let request = PermitRequest { id: rand::random(), limit, max_wait };
+        let id = request.id;
+        self.gate.replies.lock().insert(id, None);
+        mesh::send(socket, issuer, &Message::PermitRequest(request)).await;
+        let reply = self.kernel.clock.timeout(REPLY_TIMEOUT, self.gate.reply(id)).await;
+        self.gate.replies.lock().remove(&id);
+        reply.map_or(Err(RETRY_DELAY), |reply| reply.outcome)
+    }
+
+    fn log_limit(&self, server: &Name, source: &'static str) {
+        let rate = self.gate.limits.lock().rate(server).map(limit::Rate::per_second);
+        metrics::gauge!("chivelatch_server_limit", "server" => server.to_string())
+            .set(rate.unwrap_or(f64::NAN));
+        log::info!(
+            event = Event::Limit, server = &**server, limit:? = rate, source,
+            issuer:? = self.issuer(server);
+            "the server states another limit for the requests of all instances"
+        );
+    }
+}
+
+impl Pass {
+    pub fn server(&self) -> &Listing {
+        &self.server
+    }
+}
+
+impl Gate {
+    /// Waits for the reply to a request for a permit.
+    async fn reply(&self, id: u64) -> PermitReply {
+        loop {
+            let replied = self.replied.listen();
+            if let Some(reply) = self.replies.lock().get(&id).cloned().flatten() {
+                return reply;
+            }
+            replied.await;
+        }
+    }
+}
+
+impl HeldPermit {
+    fn new(entry: &Arc<Entry>, server: &Listing, permit: Permit) -> HeldPermit {
+        HeldPermit { entry: Arc::clone(entry), server: server.id.clone(), permit: Some(permit) }
+    }
+
+    /// Returns the time at which the permit starts, if it is for this server and not used.
+    pub fn starts_at(&self, server: &Name) -> Option<Moment> {
+        self.permit.filter(|_| self.server == *server).map(|permit| permit.starts_at)
+    }
+
+    fn is_for(&self, server: &Name, now: Moment) -> bool {
+        self.server == *server && self.permit.is_some_and(|permit| now < permit.ends_at)
+    }
+
+    fn is_valid(&self, server: &Name, now: Moment) -> bool {
+        self.server == *server && self.permit.is_some_and(|permit| permit.is_valid(now))
+    }
+}
+
+impl Drop for HeldPermit {
+    fn drop(&mut self) {
+        let now = self.entry.now();
+        if let Some(permit) = self.permit.take() {
+            self.entry.gate.limits.lock().release(now, &self.server, permit);
+        }
+    }
+}
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -28,6 +28,7 @@
     end::End,
     entry::Entry,
     exchange::{self, Failure, NotRunReason, Reply},
+    gate::Pass,
     in_flight::InFlight,
     ports::{Attempt, RequestMeta, ResponseMeta, ServerNames},
     serve::DEFAULT_RETRY_AFTER,
@@ -181,13 +182,13 @@
     /// Sends the request until a server accepts it. Returns the head of the response.
     async fn send_until_accepted(&mut self, entry: &Arc<Entry>) -> Result<Upstream, Rejection> {
         loop {
-            let (server, tokens_ahead) = self.select(entry).await?;
+            let (server, tokens_ahead, pass) = self.select(entry).await?;
             if 0 < self.attempts && !self.try_spend_retry(entry, &server) {
                 return Err(
                     self.final_rejection("the budget of repeats is used up", DEFAULT_RETRY_AFTER)
                 );
             }
-            match self.send(entry, &server, tokens_ahead).await {
+            match self.send(entry, &server, tokens_ahead, pass).await {
                 Ok(upstream) => {
                     self.runs += 1;
                     return Ok(upstream);
@@ -203,7 +204,9 @@
         entry: &Arc<Entry>,
         server: &Listing,
         tokens_ahead: u64,
+        pass: Pass,
     ) -> Result<Upstream, Failure> {
+        let sent_at = entry.now();
         let remaining = self.remaining(entry);
         let in_flight = InFlight::new(entry, server, self, tokens_ahead);
         let request = self.build_request(entry, server, remaining);
@@ -218,11 +221,11 @@
         let Reply { head, meta, mut body, connection } = exchange::send(
             &entry.kernel,
             &entry.pool,
-            server,
+            pass,
             &self.meta.id,
             request,
             self.attempt_timeout(entry, self.runs + 1),
-            |head| entry.read_head(server, head),
+            |head| entry.read_head(server, &self.meta.id, sent_at, head),
         )
         .await
         .map_err(|failure| match failure {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod entry;
 pub mod exchange;
 pub mod follow;
+pub mod gate;
 pub mod in_flight;
 pub mod job;
 pub mod listen;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -38,6 +38,8 @@
 const PEER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Number of leaving servers in a message, so that it fits into a datagram.
 const MAX_LEAVING_SERVERS: usize = 100;
+/// Number of limits in a message, so that it fits into a datagram.
+const MAX_LIMIT_REPORTS: usize = 50;
 /// Time for which a server that leaves is named in each round, since datagrams may be lost.
 const LEAVING_REPEAT_PERIOD: Duration = Duration::from_secs(1);
 /// Gossip to a silent peer is sent once in this many intervals.
@@ -105,6 +107,7 @@
 /// Returns [`ListenError`] if the port cannot be opened.
 pub async fn start_entry(entry: &Arc<Entry>) -> Result<(), ListenError> {
     let socket = Arc::new(open(entry.settings.mesh).await?);
+    let _first_time = entry.mesh_socket.set(Arc::clone(&socket));
     entry.kernel.spawn_detached(receive(Arc::clone(entry), Arc::clone(&socket)));
     entry.kernel.spawn_detached(send_demands(Arc::clone(entry), Arc::clone(&socket)));
     entry.kernel.spawn_detached(gossip(Arc::clone(entry), socket));
@@ -153,6 +156,12 @@
                     entry.record_leaving(&server.server, server.born_ms);
                 }
             }
+            Some((_, Message::Limits(reports))) => entry.record_limit_reports(&reports),
+            Some((from, Message::PermitRequest(request))) => {
+                let reply = entry.answer_permit_request(&request);
+                send(&socket, from, &Message::PermitReply(reply)).await;
+            }
+            Some((_, Message::PermitReply(reply))) => entry.record_permit_reply(reply),
             Some((_, Message::Demand(_) | Message::EarlierGossip)) | None => {}
         }
     }
@@ -298,13 +307,15 @@
     }
 }
 
-/// Sends the rate limit usage, the positions in the store and the servers that leave to peers.
+/// Sends the rate limit usage, the positions in the store, the servers that leave and the limits of
+/// servers to peers.
 async fn gossip(entry: Arc<Entry>, socket: Arc<UdpSocket>) {
     let mut round = 0;
     loop {
-        let announced = entry.leaving_announced.listen();
+        let announced = entry.announced.listen();
         let is_announced = entry.kernel.clock.timeout(GOSSIP_INTERVAL, announced).await.is_ok();
         send_leaving(&entry, &socket, round).await;
+        send_limits(&entry, &socket, round).await;
         if is_announced {
             continue;
         }
@@ -343,3 +354,24 @@
         send(socket, peer, &message).await;
     }
 }
+
+/// Sends the limits of servers to peers and to the side processes of these servers, if there are
+/// any.
+async fn send_limits(entry: &Entry, socket: &UdpSocket, round: u64) {
+    let now = entry.now();
+    entry.with_mirror(|mirror| {
+        entry.gate.limits.lock().retain(|id| mirror.directory.get(id).is_some());
+    });
+    for reports in entry.limit_reports().chunks(MAX_LIMIT_REPORTS) {
+        let message = Message::Limits(reports.to_vec());
+        let due = entry.peers.lock().due(now, round);
+        let listings = entry.with_mirror(|mirror| {
+            let listings = reports.iter().filter_map(|report| mirror.directory.get(&report.server));
+            listings.cloned().collect::<Vec<Listing>>()
+        });
+        let sides = listings.iter().map(|listing| entry.side_address(listing));
+        for address in due.into_iter().chain(sides) {
+            send(socket, address, &message).await;
+        }
+    }
+}
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -3,11 +3,11 @@
 //! Each datagram carries the full state of its kind, so that a lost one is made
 //! up for by the next.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-use serving::{Name, mirror::Positions, rate_limit::UsageReport, residency::SlotUsage};
+use serving::{Name, limit, mirror::Positions, rate_limit::UsageReport, residency::SlotUsage};
 
 /// Maximum size of a datagram, in bytes.
 pub const MAX_BYTES: usize = 8 * 1024;
@@ -34,6 +34,32 @@
     Leaving(Vec<LeavingServer>),
     /// Between entry instances.
     Gossip(Gossip),
+    /// From an entry instance to the others and to the side processes of the servers: limits that
+    /// servers have named.
+    Limits(Vec<limit::Report>),
+    /// From an entry instance to the one that issues a server's permits.
+    PermitRequest(PermitRequest),
+    /// The response to it.
+    PermitReply(PermitReply),
+}
+
+/// Request for a permit to send one request to a server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    pub id: u64,
+    /// What the sender knows of the server's limit.
+    pub limit: limit::Report,
+    /// Longest time until the start of the permit.
+    pub max_wait: Duration,
+}
+
+/// Response to a request for a permit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PermitReply {
+    /// Id of the request for the permit.
+    pub id: u64,
+    /// Time until the permit starts, or if none was granted, until the next one is free.
+    pub outcome: Result<Duration, Duration>,
 }
 
 /// The process of a server that leaves.
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -10,7 +10,6 @@
     Moment, Name,
     backlog::Backlog,
     directory::{Directory, Listing, Phase},
-    limit,
     pause::Pause,
 };
 
@@ -63,15 +62,31 @@
         self.services.get(service).map(|service| Arc::clone(&service.listings)).unwrap_or_default()
     }
 
-    /// Returns the position of the server that all instances prefer for an adapter.
-    pub fn preferred_server(&self, service: &str, adapter: &str) -> Option<usize> {
-        preferred(adapter, &self.services.get(service)?.nodes)
+    /// Returns the position of the server that all instances prefer for an adapter, among those
+    /// for which `takes_loads` is true.
+    pub fn preferred_server(
+        &self,
+        service: &str,
+        adapter: &str,
+        takes_loads: impl Fn(&Listing) -> bool,
+    ) -> Option<usize> {
+        let service = self.services.get(service)?;
+        preferred(adapter, &service.nodes, |index| takes_loads(&service.listings[index]))
     }
 
-    /// Returns the position of the server that one availability zone prefers for an adapter.
-    pub fn preferred_in_zone(&self, service: &str, adapter: &str, zone: &str) -> Option<usize> {
-        let zone = self.services.get(service)?.zones.get(zone)?;
-        preferred(adapter, &zone.nodes).map(|index| zone.positions[index])
+    /// Returns the position of the server that one availability zone prefers for an adapter, among
+    /// those for which `takes_loads` is true.
+    pub fn preferred_in_zone(
+        &self,
+        service: &str,
+        adapter: &str,
+        zone: &str,
+        takes_loads: impl Fn(&Listing) -> bool,
+    ) -> Option<usize> {
+        let service = self.services.get(service)?;
+        let zone = service.zones.get(zone)?;
+        let is_eligible = |index: usize| takes_loads(&service.listings[zone.positions[index]]);
+        preferred(adapter, &zone.nodes, is_eligible).map(|index| zone.positions[index])
     }
 }
 
@@ -89,8 +104,17 @@
     service
 }
 
-fn preferred(adapter: &str, nodes: &[rendezvous::Server]) -> Option<usize> {
-    rendezvous::preferred(rendezvous::hash(adapter), nodes, 1).first().copied()
+fn preferred(
+    adapter: &str,
+    nodes: &[rendezvous::Server],
+    is_eligible: impl Fn(usize) -> bool,
+) -> Option<usize> {
+    let hash = rendezvous::hash(adapter);
+    let first = rendezvous::preferred(hash, nodes, 1).first().copied()?;
+    if is_eligible(first) {
+        return Some(first);
+    }
+    rendezvous::preferred(hash, nodes, nodes.len()).into_iter().find(|index| is_eligible(*index))
 }
 
 /// State of a server at this instance, in addition to its listing.
@@ -107,8 +131,6 @@
     /// Time until which the server is avoided because it failed.
     pub suspect_until: Moment,
     pub pause: Pause,
-    /// What the server's latest response said about its limit.
-    pub stated_limit: limit::Statement,
 }
 
 impl StatusReport {
--- a/crates/gateway/tests/status_report.rs
+++ b/crates/gateway/tests/status_report.rs
@@ -60,7 +60,7 @@
 
     assert_eq!(roster.servers("models").len(), 1);
     assert!(roster.servers("other").is_empty());
-    assert_eq!(roster.preferred_server("models", "a1"), Some(0));
+    assert_eq!(roster.preferred_server("models", "a1", |_| true), Some(0));
 }
 
 #[test]
@@ -74,10 +74,27 @@
 
     let servers = roster.servers("models");
     for zone in ["a", "b"] {
-        let index = roster.preferred_in_zone("models", "a1", zone).unwrap();
+        let index = roster.preferred_in_zone("models", "a1", zone, |_| true).unwrap();
         assert_eq!(&*servers[index].zone, zone);
     }
-    assert_eq!(roster.preferred_in_zone("models", "a1", "c"), None);
+    assert_eq!(roster.preferred_in_zone("models", "a1", "c", |_| true), None);
+}
+
+// Guards against adapters whose home stays on a server that takes few requests and no loads.
+#[test]
+fn moves_the_home_of_an_adapter_off_a_server_that_takes_no_loads() {
+    let mut directory = Directory::default();
+    for id in ["i-1", "i-2", "i-3"] {
+        directory.upsert(listing(id, 1, Phase::Ready));
+    }
+    let roster = Roster::new(&directory);
+    let home = roster.preferred_server("models", "a1", |_| true).unwrap();
+    let servers = roster.servers("models");
+
+    let moved = roster.preferred_server("models", "a1", |listing| listing.id != servers[home].id);
+
+    assert!(moved.is_some_and(|moved| moved != home));
+    assert_eq!(roster.preferred_server("models", "a1", |_| false), None);
 }
 
 #[test]
--- a/crates/serving/src/rate_limit.rs
+++ b/crates/serving/src/rate_limit.rs
@@ -74,9 +74,20 @@
     due: Vec<(Moment, u64)>,
 }
 
+/// The other instances, as this one hears them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Members {
+    /// Number of instances that are heard or were heard lately, this one included.
+    pub known: usize,
+    /// Peers that are heard, with the time since they started.
+    pub heard: Vec<(SocketAddr, Duration)>,
+}
+
 #[derive(Debug, Default)]
 struct Peer {
     incarnation: u64,
+    /// Time since the peer's start, as of its last report.
+    age: Duration,
     /// Time of the last report; `None` before the first one.
     last_report_at: Option<Moment>,
     /// Units admitted by the peer since its start, by account.
@@ -147,6 +158,7 @@
             peer.totals.clear();
         }
         peer.last_report_at = Some(now);
+        peer.age = report.age;
         // The level that an older peer reports already includes what it admitted before this
         // instance started. All usage of a younger peer has to be charged.
         let is_older = now < report.age;
@@ -168,6 +180,18 @@
         1 + self.peers.values().filter(|peer| peer.is_live(now)).count()
     }
 
+    /// Returns the peers that are heard, and the number of instances.
+    pub fn members(&self, now: Moment) -> Members {
+        let heard = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.is_live(now) && !peer.is_silent(now, RATE_SILENCE_TIMEOUT));
+        Members {
+            known: self.instance_count(now),
+            heard: heard.map(|(address, peer)| (*address, peer.age_at(now))).collect(),
+        }
+    }
+
     /// Creates the buckets of new accounts, so that they fill before the first request.
     pub fn create_buckets<'a>(
         &mut self,
@@ -209,6 +233,10 @@
             .map_or(now < UNREPORTED_PEER_EXPIRY, |reported_at| now < reported_at + PEER_EXPIRY)
     }
 
+    fn age_at(&self, now: Moment) -> Duration {
+        self.age + now.saturating_sub(self.last_report_at.unwrap_or(now))
+    }
+
     fn is_silent(&self, now: Moment, timeout: Duration) -> bool {
         self.last_report_at.is_none_or(|reported_at| reported_at + timeout < now)
     }
