Count orders of a side process against its engine's limit

An engine that names a limit, in a status report or to an entry instance, gets a tenth of it in orders, two at once.

--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -17,7 +17,7 @@
 
 use kernel::{Kernel, drain, event::Event};
 use serving::{
-    Moment, Name,
+    Moment, Name, limit,
     residency::{AdapterVersion, EngineState, Order, Planner, Report, SlotUsage},
 };
 
@@ -120,11 +120,13 @@
     }
 }
 
-/// Receives the demand reports of entry instances.
+/// Receives the demand reports of entry instances, and the limits that they know.
 async fn receive_demands(side: Arc<Side>) {
     loop {
-        if let Some((from, Message::Demand(demand))) = mesh::next(&side.socket).await {
-            record_demand(&side, from, demand);
+        match mesh::next(&side.socket).await {
+            Some((from, Message::Demand(demand))) => record_demand(&side, from, demand),
+            Some((_, Message::Limits(reports))) => record_limits(&side, &reports),
+            _ => {}
         }
     }
 }
@@ -160,6 +162,15 @@
     }
 }
 
+/// Records the limit of this process's engine, if entry instances report one.
+fn record_limits(side: &Side, reports: &[limit::Report]) {
+    let (now, mut state) = (side.now(), side.state.lock());
+    let own = reports.iter().filter(|report| report.born_ms == state.born_ms);
+    for rate in own.filter_map(|report| report.rate).collect::<Vec<_>>() {
+        state.planner.record_limit(now, rate);
+    }
+}
+
 /// Polls the engine's state, reports it to the subscribers and sends orders to the engine.
 async fn manage_engine(side: Arc<Side>) {
     let mut is_unreachable = false;
--- a/crates/serving/src/residency.rs
+++ b/crates/serving/src/residency.rs
@@ -16,7 +16,10 @@
 
 use fleet::decay;
 
-use crate::{Moment, Name};
+use crate::{
+    Moment, Name,
+    limit::{OrderPace, Rate},
+};
 
 /// Age from which the report of an entry instance is dropped.
 const REPORT_LIFETIME: Duration = Duration::from_secs(3);
@@ -36,11 +39,13 @@
 /// Adapters, resident ones included, that an engine is assumed to load quickly since they were
 /// resident before.
 const MAX_RECENT_ADAPTERS: usize = 30;
+/// Time after which a limit that entry instances do not report again has ended.
+const REPORTED_LIMIT_LIFETIME: Duration = Duration::from_secs(1);
 /// Time without further orders after an order that got no response.
 const UNANSWERED_ORDER_PAUSE: Duration = Duration::from_millis(300);
 
 /// State that the engine reports.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineState {
     /// Start of the engine's process, in milliseconds since the Unix epoch.
     pub born_ms: u64,
@@ -58,6 +63,8 @@
     pub adapters: Vec<AdapterVersion>,
     /// Adapters that are being loaded.
     pub pending: Vec<AdapterVersion>,
+    /// Limit that the engine names for the requests of all instances together.
+    pub limit: Option<Rate>,
 }
 
 /// One version of an adapter.
@@ -126,6 +133,9 @@
     /// Start of the engine process that `recent` belongs to.
     born_ms: u64,
     paused_until: Moment,
+    order_pace: OrderPace,
+    /// Limit of the engine that an entry instance reported, with the time.
+    reported_limit: Option<(Moment, Rate)>,
 }
 
 /// Times of the first and the latest report that requested an adapter.
@@ -173,6 +183,24 @@
         if engine.is_busy || engine.is_leaving || now < self.paused_until {
             return None;
         }
+        self.order_pace.set(now, self.limit(now, engine));
+        let order = self.wanted_order(now, engine)?;
+        self.order_pace.admit(now).then_some(order)
+    }
+
+    /// Records a limit of the engine that an entry instance reports.
+    pub fn record_limit(&mut self, now: Moment, rate: Rate) {
+        self.reported_limit = Some((now, rate));
+    }
+
+    /// Returns the strictest limit that is known of the engine.
+    fn limit(&self, now: Moment, engine: &EngineState) -> Option<Rate> {
+        let reported = self.reported_limit.filter(|(at, _)| now < *at + REPORTED_LIMIT_LIFETIME);
+        let rates = [reported.map(|(_, rate)| rate), engine.limit].into_iter().flatten();
+        rates.min_by(|a, b| a.per_second().total_cmp(&b.per_second()))
+    }
+
+    fn wanted_order(&self, now: Moment, engine: &EngineState) -> Option<Order> {
         if let Some(model) = self.missing_model(engine) {
             return Some(Order::LoadModel { model });
         }
--- a/crates/serving/tests/residency.rs
+++ b/crates/serving/tests/residency.rs
@@ -11,6 +11,7 @@
 
 use serving::{
     Name,
+    limit::Rate,
     residency::{AdapterVersion, EngineState, Order, Planner, Report},
 };
 
@@ -225,6 +226,27 @@
     assert_eq!((before, planner.recent_adapters()), (3, &[adapter_version("a4", 1)][..]));
 }
 
+// Guards against orders that go around the limit that an engine names for all requests.
+#[test]
+fn sends_few_orders_to_an_engine_that_names_a_limit() {
+    let named = EngineState { limit: Rate::new(1.0), ..engine_with(&[]) };
+    for (engine, reported) in [(named, None), (engine_with(&[]), Rate::new(1.0))] {
+        let mut planner = Planner::default();
+        let mut orders = 0;
+        for step in 0..1000 {
+            let now = millis(step * 10);
+            planner.record_report(now, entry(1), report(&["a1"], &[]));
+            if let Some(rate) = reported {
+                planner.record_limit(now, rate);
+            }
+            orders += usize::from(planner.next_order(now, &engine).is_some());
+        }
+
+        // A burst of two, and 0.1 a second for 10 s.
+        assert!((2..=3).contains(&orders), "{orders}");
+    }
+}
+
 // Guards against adapters that are loaded on an engine that gets no more requests for them.
 #[test]
 fn sends_no_order_to_an_engine_that_leaves() {
