Fail a connection that sends interim responses without end

What operators would have seen: an instance that stops answering anyone. The HTTP library skips interim responses in a loop that never yields, so a server that sends them without end kept both executor threads; even the timeout of the test did not fire. A head of one endless line, of endless lines or of no protocol, and the body of a rejection, were bounded before.

--- a/crates/services/src/http.rs
+++ b/crates/services/src/http.rs
@@ -14,7 +14,10 @@
 
 use kernel::{Kernel, clock::Timeout};
 
-use crate::body::Body;
+use crate::{
+    body::Body,
+    head_limit::{self, Budget},
+};
 
 /// Largest response body that is buffered.
 pub const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
@@ -77,6 +80,8 @@
     let stream = TcpStream::connect(address).await.context(ConnectSnafu { address })?;
     // Without TCP_NODELAY the exchange is merely slower.
     let _result = stream.set_nodelay(true);
+    let head_budget = Budget::default();
+    let stream = head_limit::Stream::new(stream, head_budget.clone());
     let (mut sender, connection) =
         http1::handshake(FuturesIo::new(stream)).await.context(ExchangeSnafu)?;
     kernel.spawn_detached(async move {
@@ -84,7 +89,9 @@
         let _result = connection.await;
     });
     set_host(&mut request, address);
-    sender.send_request(request).await.map(Body::of).context(ExchangeSnafu)
+    let response = sender.send_request(request).await.context(ExchangeSnafu)?;
+    head_budget.end();
+    Ok(Body::of(response))
 }
 
 /// Sends a request and returns the complete response, within `timeout`.
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod event_stream;
 pub mod framing;
+mod head_limit;
 pub mod http;
 pub mod list;
 pub mod log;
--- a/crates/services/src/pool.rs
+++ b/crates/services/src/pool.rs
@@ -30,6 +30,7 @@
 
 use crate::{
     body::Body,
+    head_limit::{self, Budget},
     http::{self, ConnectSnafu, Error, ExchangeSnafu, TimeoutSnafu},
 };
 
@@ -66,6 +67,8 @@
     /// Whether it carried a request before and was taken from the pool.
     pub is_reused: bool,
     sender: SendRequest<Full<Bytes>>,
+    /// Bytes that may arrive before the head of the next response.
+    head_budget: Budget,
     _driver: Task<()>,
 }
 
@@ -110,6 +113,8 @@
         let stream = self.kernel.clock.timeout(timeout, TcpStream::connect(address)).await;
         let stream = stream.context(TimeoutSnafu)?.context(ConnectSnafu { address })?;
         configure(&stream).context(ConnectSnafu { address })?;
+        let head_budget = Budget::default();
+        let stream = head_limit::Stream::new(stream, head_budget.clone());
         let (sender, connection) =
             http1::handshake(FuturesIo::new(stream)).await.context(ExchangeSnafu)?;
         let driver = self.kernel.spawn(async move {
@@ -117,7 +122,7 @@
             let _result = connection.await;
         });
         metrics::counter!("chivelatch_connections_opened_total").increment(1);
-        Ok(Connection { address, is_reused: false, sender, _driver: driver })
+        Ok(Connection { address, is_reused: false, sender, head_budget, _driver: driver })
     }
 
     /// Returns a connection to the pool after its response was read to the end. `keep_alive` is
@@ -192,7 +197,9 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Body>, SendError> {
+        self.head_budget.start();
         let sent = self.sender.try_send_request(request).await;
+        self.head_budget.end();
         sent.map(Body::of).map_err(|mut error| match error.take_message() {
             Some(request) => SendError::NotSent(Box::new(request)),
             None => SendError::Broken(error.into_error()),
