Bound the event of a resumable stream that is kept until it is whole

A server that sends an event without end filled the memory of an entry instance until the deadline; the caller then got a broken-off response.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -29,6 +29,8 @@
 /// Silence after which a stream is resumed on another server, as a multiple of the expected gap
 /// between events.
 const SILENCE_FACTOR: u32 = 3;
+/// Largest event of a resumable stream, in bytes; it is kept until it is whole.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Stream to a caller.
 pub struct Relay {
@@ -142,6 +144,9 @@
             if let Some(chunk) = self.complete_events(chunk) {
                 return Step::Chunk(chunk);
             }
+            if self.events.as_ref().is_some_and(|it| MAX_EVENT_BYTES < it.splitter.rest_len()) {
+                return Step::Broken("event_too_large");
+            }
         }
     }
 
