Bound the plain response that is kept until it is whole

A plain response without end was kept up to 64 MiB, of the 160 to 512 MB of an entry instance; now up to 8 MiB. gives_up_on_a_body_without_end failed before: 72,176,400 bytes were read.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -18,7 +18,6 @@
 use kernel::event::Event;
 use services::{
     body::{self, Tail},
-    http::MAX_RESPONSE_BYTES,
     pool::Connection,
 };
 use serving::{Moment, Name, directory::Listing, manifest::Grant, selection};
@@ -36,6 +35,8 @@
 
 /// Assumed number of prompt tokens if the request does not state it.
 const DEFAULT_PROMPT_TOKENS: u64 = 500;
+/// Largest plain response, in bytes; it is kept until it is whole.
+const MAX_PLAIN_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 /// Multiple of the route's objective after which an attempt times out, if another one is allowed.
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
 /// Number of urgency levels of routes. The account's urgency takes precedence over them.
@@ -268,7 +269,7 @@
     ) -> Result<Response<Body>, Failure> {
         let Upstream { head, meta, body, connection, mut in_flight, server } = upstream;
         let framing = body.framing();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let body = Limited::new(body, MAX_PLAIN_RESPONSE_BYTES).collect();
         let body = entry.kernel.clock.timeout(self.attempt_timeout(entry, self.runs), body).await;
         let body = body.map_err(|_| self.timeout_failure(entry))?;
         let body = body.map_err(|error| Failure::Broken { reason: error.to_string() })?;
