Log permits, and the limit that a request was rejected for

From the id of a request to the limit that delayed or rejected it: each granted permit names request, server, limit and wait; a rejection of busy engines names limit and time of the next permit; a plain one has a reason of its own.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -112,6 +112,9 @@
             {
                 held = entry.obtain_permit(server, wait + PERMIT_TOLERANCE).await;
                 next_ask_at = entry.now() + PERMIT_RETRY_DELAY;
+                if let Some(permit) = &held {
+                    permit.log_grant(&self.meta.id);
+                }
                 // The expected wait there is another one now.
                 continue;
             }
@@ -264,7 +267,12 @@
         }
         if self.remaining(context.entry) <= pause + self.typical_latency(0) {
             let retry_after = pause.max(context.entry.return_after(&server.id));
-            return Selection::Reject { retry_after, reason: "the servers want a pause" };
+            let reason = if context.is_limited(&server) {
+                "the limits of the servers are used up"
+            } else {
+                "the servers want a pause"
+            };
+            return Selection::Reject { retry_after, reason };
         }
         Selection::AwaitServer { server, wait: pause }
     }
@@ -278,7 +286,9 @@
             tokens_ahead = engine.outstanding_tokens,
             seen_ms_ago = context.now.saturating_sub(seen.unwrap_or_default()).as_millis() as u64,
             expected_ms = best.expected.as_millis() as u64,
-            held_ms = context.waited.as_millis() as u64, limit_ms = limit.as_millis() as u64;
+            held_ms = context.waited.as_millis() as u64, limit_ms = limit.as_millis() as u64,
+            rate:? = context.entry.server_rate(&listing.id),
+            next_ms = engine.pause.as_millis() as u64;
             "rejecting the request; even the best engine is not expected to respond in time"
         );
     }
@@ -381,7 +391,7 @@
     }
 
     fn is_limited(&self, listing: &Listing) -> bool {
-        self.entry.gate.limits.lock().rate(&listing.id).is_some()
+        self.entry.server_rate(&listing.id).is_some()
     }
 
     /// Returns a server as a candidate for a request without an adapter.
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -64,7 +64,7 @@
     /// holds if the server has a limit.
     pub fn admit(&self, server: &Listing, held: &mut Option<HeldPermit>) -> Option<Pass> {
         let now = self.now();
-        let is_limited = self.gate.limits.lock().rate(&server.id).is_some();
+        let is_limited = self.server_rate(&server.id).is_some();
         if is_limited && !held.as_ref().is_some_and(|held| held.is_valid(&server.id, now)) {
             return None;
         }
@@ -79,9 +79,14 @@
         Some(Pass { server: server.clone() })
     }
 
+    /// Returns the limit that a server has named, in requests per second.
+    pub fn server_rate(&self, server: &Name) -> Option<f64> {
+        self.gate.limits.lock().rate(server).map(limit::Rate::per_second)
+    }
+
     /// Returns whether a request needs a permit of a server, and holds none.
     pub fn needs_permit(&self, server: &Listing, held: Option<&HeldPermit>) -> bool {
-        let is_limited = self.gate.limits.lock().rate(&server.id).is_some();
+        let is_limited = self.server_rate(&server.id).is_some();
         is_limited && !held.is_some_and(|held| held.is_for(&server.id, self.now()))
     }
 
@@ -176,7 +181,12 @@
         let now = self.now();
         let members = self.limiter.lock().members(now);
         let heard_share = (1 + members.heard.len()) as f64 / members.known.max(1) as f64;
-        self.gate.limits.lock().issue(now, server, heard_share.min(1.0), max_wait)
+        let outcome = self.gate.limits.lock().issue(now, server, heard_share.min(1.0), max_wait);
+        if outcome.is_ok() {
+            metrics::counter!("chivelatch_permits_issued_total", "server" => server.to_string())
+                .increment(1);
+        }
+        outcome
     }
 
     /// Returns the instance that issues a server's permits, as far as this one knows.
@@ -214,11 +224,11 @@
     }
 
     fn log_limit(&self, server: &Name, source: &'static str) {
-        let rate = self.gate.limits.lock().rate(server).map(limit::Rate::per_second);
+        let rate = self.server_rate(server);
         metrics::gauge!("chivelatch_server_limit", "server" => server.to_string())
             .set(rate.unwrap_or(f64::NAN));
         log::info!(
-            event = Event::Limit, server = &**server, limit:? = rate, source,
+            event = Event::Limit, server = &**server, rate:? = rate, source,
             issuer:? = self.issuer(server);
             "the server states another limit for the requests of all instances"
         );
@@ -254,6 +264,18 @@
         self.permit.filter(|_| self.server == *server).map(|permit| permit.starts_at)
     }
 
+    /// Logs which request the permit was granted for.
+    pub fn log_grant(&self, request: &str) {
+        let Some(permit) = self.permit else { return };
+        let (now, rate) = (self.entry.now(), self.entry.server_rate(&self.server));
+        let wait = permit.starts_at.saturating_sub(now);
+        log::info!(
+            event = Event::Permit, request, server = &*self.server, rate:? = rate,
+            next_ms = wait.as_millis() as u64;
+            "a permit was granted for a request to a server with a limit"
+        );
+    }
+
     fn is_for(&self, server: &Name, now: Moment) -> bool {
         self.server == *server && self.permit.is_some_and(|permit| now < permit.ends_at)
     }
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -79,6 +79,8 @@
     Pause = "pause",
     /// A server named a limit for the requests of all instances together, or ended it.
     Limit = "limit",
+    /// A request got the permit that a server with a limit requires.
+    Permit = "permit",
     /// A server answered a request with an error; it is retried on another server.
     ServerError = "server_error",
     /// A stream resumes on another server.
