Forget accounts that are not configured any more, and peers that are gone

Noticed by reading: the limiter never dropped either, so usage reports grew with each account that was ever configured, up to the size at which a datagram is not sent, and then no instance would have charged its peers' usage. Accounts go with the configuration, peers after ten minutes of silence. A total that starts again from 0 is charged in full. Both tests failed before: 100 reported accounts in place of 1, 0 units charged in place of 30.

--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -326,7 +326,9 @@
             let peers: Vec<SocketAddr> = entry.peers.lock().addresses().collect();
             let mut limiter = entry.limiter.lock();
             peers.into_iter().for_each(|peer| limiter.add_peer(peer));
-            limiter.create_buckets(now, manifest.iter().flat_map(|manifest| &manifest.accounts));
+            if let Some(manifest) = &manifest {
+                limiter.set_accounts(now, &manifest.accounts);
+            }
             limiter.usage_report(now, entry.incarnation)
         };
         let gossip = Gossip { positions, usage };
--- a/crates/serving/src/rate_limit.rs
+++ b/crates/serving/src/rate_limit.rs
@@ -8,7 +8,12 @@
 //! instance does not know the usage before its start: it assumes a low bucket
 //! level and adopts the lowest level that its peers report.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +27,8 @@
 const BURST_SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Silence after which a peer is assumed to have stopped.
 const PEER_EXPIRY: Duration = Duration::from_secs(20);
+/// Silence after which a peer is forgotten.
+const PEER_MEMORY: Duration = Duration::from_secs(600);
 /// Share of the burst that a new bucket starts with.
 const INITIAL_LEVEL_SHARE: f64 = 0.1;
 /// Time after the start for which a peer that has not reported yet counts as an instance.
@@ -162,6 +169,8 @@
         // The level that an older peer reports already includes what it admitted before this
         // instance started. All usage of a younger peer has to be charged.
         let is_older = now < report.age;
+        // A report names all accounts of the peer; one that is configured again starts from 0.
+        peer.totals.retain(|name, _| report.usage.iter().any(|usage| usage.account == *name));
         for usage in &report.usage {
             let known = peer.totals.insert(usage.account.clone(), usage.admitted);
             let charged = if is_first && is_older { usage.admitted } else { 0 };
@@ -192,13 +201,18 @@
         }
     }
 
-    /// Creates the buckets of new accounts, so that they fill before the first request.
-    pub fn create_buckets<'a>(
-        &mut self,
-        now: Moment,
-        accounts: impl IntoIterator<Item = &'a Arc<Account>>,
-    ) {
-        for account in accounts.into_iter().filter(|account| account.rate != 0) {
+    /// Creates the buckets of new accounts, so that they fill before the first request, and forgets
+    /// the accounts that are not configured any more, and peers that have stopped.
+    pub fn set_accounts(&mut self, now: Moment, accounts: &[Arc<Account>]) {
+        let limited = accounts.iter().filter(|account| account.rate != 0);
+        let names: HashSet<&Name> = limited.clone().map(|account| &account.name).collect();
+        self.buckets.retain(|name, _| names.contains(name));
+        self.admitted.retain(|name, _| names.contains(name));
+        self.retries.retain(|name, _| names.contains(name));
+        self.peers.retain(|_, peer| {
+            peer.last_report_at.is_none_or(|reported_at| now < reported_at + PEER_MEMORY)
+        });
+        for account in limited {
             self.bucket(now, account);
         }
     }
--- a/crates/serving/tests/rate_limit.rs
+++ b/crates/serving/tests/rate_limit.rs
@@ -12,7 +12,7 @@
 use serving::{
     Moment,
     manifest::Account,
-    rate_limit::{Limiter, UsageReport},
+    rate_limit::{Limiter, Usage, UsageReport},
 };
 
 /// Time between the usage reports of an instance.
@@ -124,7 +124,7 @@
             for peer in (0..count).filter(|peer| *peer != index) {
                 instance.limiter.add_peer(address(peer));
             }
-            instance.limiter.create_buckets(age, [&self.account]);
+            instance.limiter.set_accounts(age, std::slice::from_ref(&self.account));
             if is_due && instance.is_connected(self.now) {
                 let report = instance.limiter.usage_report(age, instance.incarnation);
                 self.in_transit.push_back((self.now + Duration::from_millis(3), index, report));
@@ -292,7 +292,7 @@
     let account = account(1000);
     let mut limiter = Limiter::default();
     let now = Duration::from_secs(10);
-    limiter.create_buckets(now, [&account]);
+    limiter.set_accounts(now, &[account.clone()]);
     limiter.acquire(now, &account, 1000).unwrap();
 
     let waits: Vec<Duration> =
@@ -301,3 +301,36 @@
     assert!(waits.is_sorted());
     assert!(waits[0] + Duration::from_millis(900) <= waits[2]);
 }
+
+// Guards against reports that grow with each account that was ever configured, until they fit into
+// no datagram.
+#[test]
+fn forgets_accounts_that_are_not_configured_any_more() {
+    let mut limiter = Limiter::default();
+    for number in 0..100 {
+        let account =
+            Account { name: format!("a{number}").into(), ..Account::clone(&account(100)) };
+        limiter.set_accounts(Duration::from_secs(number), &[Arc::new(account)]);
+    }
+
+    let report = limiter.usage_report(Duration::from_secs(100), 1);
+
+    assert_eq!(report.usage.len(), 1);
+}
+
+// Guards against usage that is not charged because an account's total starts from 0 again.
+#[test]
+fn charges_usage_of_an_account_that_is_configured_again() {
+    let (mut limiter, account) = (Limiter::default(), account(1000));
+    let now = Duration::from_secs(10);
+    limiter.set_accounts(now, &[Arc::clone(&account)]);
+    let usage = |admitted| Usage { account: account.name.clone(), admitted, level: 100 };
+    let report = |usage| UsageReport { incarnation: 7, age: Duration::from_secs(5), usage };
+    limiter.record_report(now, address(2), &report(vec![usage(50)]));
+    limiter.record_report(now, address(2), &report(Vec::new()));
+    let before = limiter.usage_report(now, 1).usage[0].level;
+
+    limiter.record_report(now, address(2), &report(vec![usage(30)]));
+
+    assert_eq!(before - limiter.usage_report(now, 1).usage[0].level, 30);
+}
