--- a/crates/serving/tests/rate_limit.rs
+++ b/crates/serving/tests/rate_limit.rs
@@ -292,7 +292,7 @@
     let account = account(1000);
     let mut limiter = Limiter::default();
     let now = Duration::from_secs(10);
-    limiter.set_accounts(now, &[account.clone()]);
+    limiter.set_accounts(now, std::slice::from_ref(&account));
     limiter.acquire(now, &account, 1000).unwrap();
 
     let waits: Vec<Duration> =
