Reject list items of a settings file that are no mappings

Noticed by reading: such an item was taken for one without keys, so a list of optional keys accepted it. The test failed before: no problem was reported.

--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -196,9 +196,16 @@
         };
         let items = items.iter().enumerate();
         let path = |index: usize| format!("{}[{index}]", self.path_of(key));
-        items
-            .map(|(index, item)| Section::new(path(index), item.as_object(), self.problems))
-            .collect()
+        items.map(|(index, item)| self.item(path(index), item)).collect()
+    }
+
+    fn item(&self, path: String, item: &'a Value) -> Section<'a> {
+        let mut section = Section::new(path, item.as_object(), self.problems);
+        if !item.is_object() {
+            section.reject_value("", item, "a mapping", "write `key: value` lines under the `- `");
+            section.is_malformed = true;
+        }
+        section
     }
 
     /// Returns whether the key is present. Does not count as a read of the key.
--- a/crates/settings/tests/document.rs
+++ b/crates/settings/tests/document.rs
@@ -35,3 +35,17 @@
 
     assert!(error.to_string().contains("correct the syntax"));
 }
+
+// Guards against a list item without keys that is taken for one with all defaults.
+#[test]
+fn rejects_list_items_that_are_no_mappings() {
+    let document = Document::parse("items:\n  - 7\n").expect("the text is YAML");
+
+    let error = document
+        .read(|section| {
+            section.sections("items").iter().for_each(|item| drop(item.optional_text("name")));
+        })
+        .expect_err("an item is no mapping");
+
+    assert!(error.to_string().contains("items[0]"), "{error}");
+}
