Count the silence of a stream from its last whole event

Operators told of streams that stall and send a byte now and then: here each byte started the silence of a resumable stream anew, so it was cut at its deadline and not resumed. The test failed before: no resumption within 2 s at a silence limit of 1.2 s.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -129,9 +129,11 @@
 
     /// Reads until there is something to forward or the source ends.
     async fn read_step(&mut self) -> Step {
+        // Bytes of an event that does not get whole are no sign of life.
+        let silent_at = self.silence_limit().map(|silence| self.entry.now() + silence);
         loop {
             let remaining = self.job.remaining(&self.entry);
-            let silence = self.silence_limit();
+            let silence = silent_at.map(|at| at.saturating_sub(self.entry.now()));
             let limit = silence.map_or(remaining, |silence| silence.min(remaining));
             let frame = self.entry.kernel.clock.timeout(limit, self.source.body.frame()).await;
             let chunk = match frame {
