Make up for a permit that starts late

Each permit that was asked for late moved all later ones. A delay of up to half of the time between two permits is made up for now.

--- a/crates/serving/src/limit.rs
+++ b/crates/serving/src/limit.rs
@@ -26,6 +26,8 @@
 const REQUEST_SHARE: f64 = 0.9;
 /// Share of a limit for orders of the server's side process.
 const ORDER_SHARE: f64 = 0.1;
+/// Delay of a permit's start that the next one makes up for, as a share of the time between two.
+const LATE_START_SHARE: f64 = 0.5;
 /// Orders that may follow each other at once: an eviction and the load that needs it.
 const ORDER_BURST: f64 = 2.0;
 /// Longest time from the grant of a permit to its start.
@@ -239,7 +241,9 @@
         if max_wait.min(MAX_RESERVATION) < wait {
             return Err(wait);
         }
-        limit.next_free = now + wait + rate.interval(REQUEST_SHARE * heard_share);
+        let interval = rate.interval(REQUEST_SHARE * heard_share);
+        let earliest = now.saturating_sub(interval.mul_f64(LATE_START_SHARE));
+        limit.next_free = limit.next_free.max(earliest) + interval;
         Ok(wait)
     }
 
