Log the fingerprint of a request with its attempts

Change: each request has a fingerprint of account, host, method, path and body. The events sent and broken carry its first 16 digits.

--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -26,6 +26,14 @@
         Digest(*hasher.finalize().as_bytes())
     }
 
+    /// Returns the start of the text form, for log lines.
+    pub fn short(&self) -> String {
+        const LENGTH: usize = 16;
+        let mut text = self.to_string();
+        text.truncate(LENGTH);
+        text
+    }
+
     /// Returns the first eight bytes as a number, for use as a seed or a short key.
     pub fn prefix(&self) -> u64 {
         let [a, b, c, d, e, f, g, h, ..] = self.0;
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -15,6 +15,7 @@
     http::{request, response},
 };
 
+use fleet::digest::Digest;
 use kernel::event::Event;
 use services::{
     body::{self, Tail},
@@ -30,6 +31,7 @@
     gate::Pass,
     in_flight::InFlight,
     ports::{Attempt, RequestMeta, ResponseMeta, ServerNames},
+    quarantine,
     serve::DEFAULT_RETRY_AFTER,
 };
 
@@ -51,6 +53,8 @@
     pub last_event_id: Option<Bytes>,
     pub parts: request::Parts,
     pub body: Bytes,
+    /// Identity of the request across its repeats.
+    pub fingerprint: Digest,
     pub grant: Grant,
     pub arrived: Moment,
     pub deadline: Moment,
@@ -88,7 +92,9 @@
         arrived: Moment,
         deadline: Moment,
     ) -> Job {
+        let fingerprint = quarantine::fingerprint(&grant, &meta.host, &parts, &body);
         Job {
+            fingerprint,
             meta,
             last_event_id: None,
             parts,
@@ -213,6 +219,7 @@
         let request = self.build_request(entry, server, remaining);
         log::info!(
             event = Event::Sent, request = &*self.meta.id, server = &*server.id,
+            fingerprint:% = self.fingerprint.short(),
             left_ms = remaining.as_millis() as u64, tokens_ahead, sends = self.attempts,
             account = self.account_name(), units = self.charge.map_or(0, |(units, _)| units);
             "sending the request to a server"
@@ -381,7 +388,7 @@
         metrics::counter!("chivelatch_broken_total").increment(1);
         log::warn!(
             event = Event::Broken, request = &*self.meta.id, server = &**server,
-            runs = self.runs;
+            fingerprint:% = self.fingerprint.short(), runs = self.runs;
             "{failure}"
         );
         self.has_timed_out |= matches!(failure, Failure::TimedOut);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod mesh;
 pub mod message;
 pub mod ports;
+mod quarantine;
 pub mod relay;
 pub mod reload;
 pub mod roster;
