--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -12,12 +12,7 @@
 use async_channel::Receiver;
 use smallvec::SmallVec;
 
-use fleet::{
-    Name,
-    change::Repeat,
-    member::Role,
-    suspect::{Decision, Report},
-};
+use fleet::{Name, change::Repeat};
 use schedule::retry;
 use services::body::EVENT_STREAM;
 use wire::{
@@ -28,6 +23,7 @@
 use crate::{
     Entry, caller,
     job::Job,
+    quarantine,
     rejection::{Kind, Rejection},
     routing::{self, Choice},
 };
@@ -41,8 +37,6 @@
 /// Longest wait of a request, from its arrival, for a server to get a new side process.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(3);
 const HANDOVER_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Timeout for reporting a crash to the peers.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Size limit of an answer that is not streamed.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024 * 1024;
 
@@ -70,6 +64,8 @@
     pub(crate) first: Vec<u8>,
     /// Frames that follow the first chunk.
     pub(crate) frames: Receiver<Frame>,
+    /// Whether the server runs the request alone.
+    pub(crate) isolation: Isolation,
 }
 
 /// Sends attempts of a request until its answer has started.
@@ -86,8 +82,10 @@
         if !await_next_attempt(entry, job, &failures).await {
             break;
         }
-        let permission =
-            caller::recheck_key(entry, job.key.as_ref()).and_then(|()| isolation(entry, job));
+        let permission = match caller::recheck_key(entry, job.key.as_ref()) {
+            Ok(()) => quarantine::isolation(entry, job).await,
+            Err(rejection) => Err(rejection),
+        };
         let isolation = match permission {
             Ok(isolation) => isolation,
             Err(rejection) => return Err(adjust_outcome(rejection, &failures)),
@@ -101,13 +99,13 @@
         };
         match send_attempt(entry, job, attempt, &choice, isolation).await {
             Ok(answer) => {
-                if isolation == Isolation::Alone {
-                    entry.node.with_suspects(|list| list.remove(&job.fingerprint));
+                if let ServerAnswer::Buffered(_) = &answer {
+                    quarantine::record_completion(entry, job).await;
                 }
                 return Ok(answer);
             }
             Err(failure) => {
-                handle_failure(entry, job, &choice, &failure).await;
+                handle_failure(entry, job, &choice, isolation, &failure).await;
                 attempted.push(choice.server);
                 failures.push(failure);
             }
@@ -155,21 +153,6 @@
     true
 }
 
-/// Decides whether the request may share a server with others. A suspect, which was running
-/// when an engine crashed, has to run alone; a poison request is rejected.
-fn isolation(entry: &Entry, job: &Job) -> Result<Isolation, Rejection> {
-    let now = entry.node.now();
-    match entry.node.with_suspects(|list| list.decide(now, &job.fingerprint)) {
-        Decision::Allow => Ok(Isolation::Shared),
-        Decision::Isolate => Ok(Isolation::Alone),
-        Decision::Reject(wait) => {
-            let message = "this request crashed the backend servers that ran it; \
-                           change it, or come back later";
-            Err(Rejection::not_run(Kind::Quarantined, message).retry_after(wait))
-        }
-    }
-}
-
 /// Sends one attempt and waits until its answer has started. A background task reads the
 /// frames of the answer.
 async fn send_attempt(
@@ -193,12 +176,15 @@
     let reader =
         frames::read(Arc::clone(entry), job.clone(), choice.server.clone(), id, exchange, sender);
     entry.node.kernel.spawn_detached(reader);
-    receive_start(frames).await
+    receive_start(frames, isolation).await
 }
 
 /// Waits until the answer has started: for the first chunk of a stream, or for the end of
 /// any other answer.
-async fn receive_start(frames: Receiver<Frame>) -> Result<ServerAnswer, Failure> {
+async fn receive_start(
+    frames: Receiver<Frame>,
+    isolation: Isolation,
+) -> Result<ServerAnswer, Failure> {
     let mut head: Option<Head> = None;
     let mut body = Vec::new();
     loop {
@@ -208,7 +194,7 @@
                 let Some(head) = &head else { return Err(Failure::Lost) };
                 if head.content_type.starts_with(EVENT_STREAM) {
                     let (status, content_type) = (head.status, Arc::clone(&head.content_type));
-                    let stream = Stream { status, content_type, first: bytes, frames };
+                    let stream = Stream { status, content_type, first: bytes, frames, isolation };
                     return Ok(ServerAnswer::Stream(stream));
                 }
                 body.extend_from_slice(&bytes);
@@ -228,44 +214,22 @@
 }
 
 /// Records a failed attempt. A server that is handed over is not avoided afterwards.
-async fn handle_failure(entry: &Arc<Entry>, job: &Job, choice: &Choice, failure: &Failure) {
+async fn handle_failure(
+    entry: &Arc<Entry>,
+    job: &Job,
+    choice: &Choice,
+    isolation: Isolation,
+    failure: &Failure,
+) {
     entry.node.note(&job.request_id, format!("{} failed: {failure:?}", choice.server));
     if !failure.is_handover() {
         routing::record_failure(entry, &choice.server);
     }
     if let Failure::Crashed { crash } = failure {
-        report_crash(entry, job, *crash).await;
+        quarantine::report_crash(entry, job, *crash, isolation).await;
     }
 }
 
-/// Reports a crash to the other entry instances, so that they know of the suspect before
-/// this instance retries the request. Peers that take longer than [`REPORT_TIMEOUT`] may
-/// learn of it later.
-pub(crate) async fn report_crash(entry: &Arc<Entry>, job: &Job, crash: u64) {
-    let report = Report { fingerprint: job.fingerprint, crash };
-    let now = entry.node.now();
-    if !entry.node.with_suspects(|list| list.record(now, &report)) {
-        return;
-    }
-    log::warn!(request = &*job.request_id; "the request was running when an engine crashed");
-    let tasks: Vec<_> = entry
-        .node
-        .peers(Role::Entry)
-        .into_iter()
-        .map(|peer| {
-            let node = Arc::clone(&entry.node);
-            let call = Call::Suspects(vec![report.clone()]);
-            entry.node.kernel.spawn(async move { node.call(&peer, &call).await.is_ok() })
-        })
-        .collect();
-    let all = async {
-        for task in tasks {
-            task.await;
-        }
-    };
-    let _timed_out = entry.node.kernel.clock.timeout(REPORT_TIMEOUT, all).await;
-}
-
 /// Returns the rejection of a request after its last attempt.
 fn final_rejection(job: &Job, failures: &[Failure]) -> Rejection {
     if failures.iter().any(Failure::may_have_begun) {
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -35,6 +35,14 @@
 }
 
 impl Job {
+    /// Returns the service whose servers run the request: a route, or the model engines.
+    pub(crate) fn service(&self) -> Name {
+        match &self.target {
+            Target::Adapter { .. } => Arc::from("engines"),
+            Target::Route { route } => Arc::clone(route),
+        }
+    }
+
     /// Builds the frame that sends an attempt to a side process. Its time budget is what
     /// remains at `now` until the deadline.
     pub(crate) fn to_attempt(&self, now: Moment, attempt: u32, isolation: Isolation) -> Attempt {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod idempotency;
 mod issuer;
 mod job;
+mod quarantine;
 mod rejection;
 mod relay;
 mod routing;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -10,12 +10,13 @@
 use hyper::{Response, StatusCode};
 
 use front::body::{self, Body, Disconnected, Sender};
+use wire::frame::Isolation;
 
 use crate::{
     Entry,
     answer::{self, AdmittedJob},
-    attempt::{self, Failure, Frame, Stream},
-    caller,
+    attempt::{Failure, Frame, Stream},
+    caller, quarantine,
     rejection::{Kind, Outcome, Rejection, add_standard_headers},
 };
 
@@ -58,6 +59,7 @@
     match relay(entry, &admitted, stream, &sender).await {
         End::Complete { tokens } => {
             let used = tokens.unwrap_or(admitted.job.cost);
+            quarantine::record_completion(entry, &admitted.job).await;
             answer::settle(entry, &admitted, used).await;
             sender.finish().await;
             answer::count(&admitted.job, Outcome::Completed);
@@ -78,7 +80,7 @@
 
 /// Relays frames to the caller until the stream ends.
 async fn relay(entry: &Arc<Entry>, admitted: &AdmittedJob, stream: Stream, sender: &Sender) -> End {
-    let Stream { first, frames, .. } = stream;
+    let Stream { first, frames, isolation, .. } = stream;
     if send_chunk(entry, sender, Bytes::from(first)).await.is_err() {
         return End::ClientDisconnect;
     }
@@ -98,10 +100,10 @@
             Event::Frame(Some(Frame::Chunk(bytes))) => Bytes::from(bytes),
             Event::Frame(Some(Frame::End { tokens })) => return End::Complete { tokens },
             Event::Frame(Some(Frame::Failed(failure))) => {
-                return end_after_failure(entry, admitted, &failure).await;
+                return end_after_failure(entry, admitted, isolation, &failure).await;
             }
             Event::Frame(Some(Frame::Head(_)) | None) => {
-                return end_after_failure(entry, admitted, &Failure::Lost).await;
+                return end_after_failure(entry, admitted, isolation, &Failure::Lost).await;
             }
         };
         let now = entry.node.now();
@@ -115,9 +117,14 @@
 }
 
 /// Reports a crash to the peers, and returns the end of the stream for the caller.
-async fn end_after_failure(entry: &Arc<Entry>, admitted: &AdmittedJob, failure: &Failure) -> End {
+async fn end_after_failure(
+    entry: &Arc<Entry>,
+    admitted: &AdmittedJob,
+    isolation: Isolation,
+    failure: &Failure,
+) -> End {
     if let Failure::Crashed { crash } = failure {
-        attempt::report_crash(entry, &admitted.job, *crash).await;
+        quarantine::report_crash(entry, &admitted.job, *crash, isolation).await;
     }
     let message = "the backend server failed before the answer was whole; send the request again";
     End::Failed(Rejection::unknown(Kind::BackendFailed, message))
--- a/crates/fleet/src/suspect.rs
+++ b/crates/fleet/src/suspect.rs
@@ -1,28 +1,69 @@
-//! Requests suspected of crashing the engines that run them.
+//! Requests suspected of crashing the servers that run them.
 //!
-//! Every request in flight when an engine crashed is a suspect. A suspect is
-//! retried once, alone on a server; after a second crash it is assumed to be a
-//! poison request and rejected until its entry expires. Each crash has an id, so
-//! that a report relayed between instances is counted once.
+//! Every request that was running when a server crashed is a suspect, and most are innocent. A
+//! suspect runs as a trial: once at a time over all instances, see [`trial`]. One that completes
+//! is cleared of all crashes so far. One whose trial ends in a crash is quarantined, unless
+//! something else may have caused its crashes: another suspect that was running at each of them,
+//! or further crashes at about that time. Each such doubt takes one more crash. A suspect whose
+//! crashes all have a quarantined request in common runs like any other request.
+//!
+//! Each crash has an id, so that it counts once, whoever reports it. What is known of a suspect is
+//! exchanged as a [`Record`], which can be merged in any order and any number of times.
+
+mod list;
+pub mod trial;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use smallvec::SmallVec;
 
-use crate::{digest::Digest, lease::Moment};
+use crate::{Name, digest::Digest};
 
-/// Number of crashes after which a request is rejected.
-const REJECT_AFTER_CRASHES: usize = 2;
-/// Limit on the number of suspects; beyond it, the one that expires first is removed.
-const MAX_SUSPECTS: usize = 4096;
+pub use list::List;
 
-/// A crash during which a request was in flight, as reported between instances.
+/// A request that was running when a server crashed, as one instance saw it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     pub fingerprint: Digest,
-    /// Id of one crash of one engine.
+    /// Client account of the request.
+    pub account: Name,
+    pub service: Name,
+    /// Id of the crash, which names one process of one server.
     pub crash: u64,
+    /// Whether the request ran as a trial.
+    pub is_trial: bool,
+}
+
+/// What one instance tells the others about a suspect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    pub fingerprint: Digest,
+    /// Client account of the request.
+    pub account: Name,
+    pub service: Name,
+    pub runs: Vec<Run>,
+    /// The latest quarantine, if there was any.
+    pub quarantine: Option<Quarantine>,
+}
+
+/// A run of a suspect that ended with a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    pub crash: u64,
+    /// Time since the crash.
+    pub age: Duration,
+    pub is_trial: bool,
+    /// Whether the suspect has completed since, or the server turned out not to have crashed.
+    pub is_cleared: bool,
+}
+
+/// Quarantine of a suspect, in which it is rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quarantine {
+    /// Number of quarantines so far, this one included. Each lasts twice as long as the last.
+    pub count: u32,
+    /// Time until its end; zero after it.
+    pub remaining: Duration,
 }
 
 /// The decision on how to run a request.
@@ -30,74 +71,13 @@
 pub enum Decision {
     /// Run it beside other requests.
     Allow,
-    /// Run it alone on a server.
-    Isolate,
+    /// Run it as a trial.
+    Try {
+        /// Whether no other trial may run on the same server.
+        is_exclusive: bool,
+    },
+    /// Keep it for this time: reports of its last crash may be under way.
+    Hold(Duration),
     /// Reject it; the client may retry after this time.
     Reject(Duration),
 }
-
-/// The suspects known to one process.
-#[derive(Clone, Debug)]
-pub struct List {
-    retention: Duration,
-    suspects: BTreeMap<Digest, Suspect>,
-}
-
-#[derive(Clone, Debug)]
-struct Suspect {
-    crashes: SmallVec<[u64; REJECT_AFTER_CRASHES]>,
-    expires_at: Moment,
-}
-
-impl List {
-    /// Creates an empty list that keeps a suspect for `retention` after its last crash.
-    pub fn new(retention: Duration) -> List {
-        List { retention, suspects: BTreeMap::new() }
-    }
-
-    /// Records a crash. Returns whether it was new.
-    pub fn record(&mut self, now: Moment, report: &Report) -> bool {
-        self.make_room(now, &report.fingerprint);
-        let expires_at = now + self.retention;
-        let suspect = self
-            .suspects
-            .entry(report.fingerprint)
-            .or_insert_with(|| Suspect { crashes: SmallVec::new(), expires_at });
-        if suspect.crashes.contains(&report.crash) {
-            return false;
-        }
-        suspect.crashes.push(report.crash);
-        suspect.expires_at = expires_at;
-        true
-    }
-
-    /// Removes a suspect that completed when run alone.
-    pub fn remove(&mut self, fingerprint: &Digest) {
-        self.suspects.remove(fingerprint);
-    }
-
-    /// Returns how to run a request.
-    pub fn decide(&self, now: Moment, fingerprint: &Digest) -> Decision {
-        let known = self.suspects.get(fingerprint);
-        let Some(suspect) = known.filter(|suspect| now < suspect.expires_at) else {
-            return Decision::Allow;
-        };
-        if suspect.crashes.len() < REJECT_AFTER_CRASHES {
-            return Decision::Isolate;
-        }
-        Decision::Reject(suspect.expires_at - now)
-    }
-
-    /// Removes expired suspects and, if `reported` would exceed the limit, the one that expires
-    /// first.
-    fn make_room(&mut self, now: Moment, reported: &Digest) {
-        self.suspects.retain(|_, suspect| now < suspect.expires_at);
-        if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(reported) {
-            return;
-        }
-        let first = self.suspects.iter().min_by_key(|(_, suspect)| suspect.expires_at);
-        if let Some(fingerprint) = first.map(|(fingerprint, _)| *fingerprint) {
-            self.suspects.remove(&fingerprint);
-        }
-    }
-}
--- /dev/null
+++ b/crates/fleet/tests/suspect.rs
@@ -0,0 +1,324 @@
+//! Decisions on requests that were running when a server crashed, at one instance.
+
+use std::{sync::Arc, time::Duration};
+
+use fleet::{
+    Name,
+    digest::Digest,
+    lease::Moment,
+    suspect::{
+        Decision, List, Record, Report,
+        trial::{Trial, Trials},
+    },
+};
+
+/// Time for which a suspect is kept, and length of the first quarantine.
+const RETENTION: Duration = Duration::from_secs(60);
+/// Time after which all reports of a crash have arrived.
+const SETTLED: f64 = 0.3;
+/// Limit on the number of suspects.
+const MAX_SUSPECTS: usize = 4096;
+
+fn seconds(seconds: f64) -> Moment {
+    Duration::from_secs_f64(seconds)
+}
+
+fn name(text: &str) -> Name {
+    Arc::from(text)
+}
+
+fn poison() -> Digest {
+    Digest::of("poison")
+}
+
+fn innocent() -> Digest {
+    Digest::of("innocent")
+}
+
+fn report(fingerprint: Digest, crash: u64) -> Report {
+    let (account, service) = (name("council"), name("desk"));
+    Report { fingerprint, account, service, crash, is_trial: false }
+}
+
+fn trial(fingerprint: Digest, crash: u64) -> Report {
+    Report { is_trial: true, ..report(fingerprint, crash) }
+}
+
+fn is_rejected(list: &mut List, at: f64, fingerprint: Digest) -> bool {
+    matches!(list.decide(seconds(at), &fingerprint), Decision::Reject(_))
+}
+
+fn is_tried(list: &mut List, at: f64, fingerprint: Digest) -> bool {
+    matches!(list.decide(seconds(at), &fingerprint), Decision::Try { .. })
+}
+
+/// Returns a list in which a request has crashed two servers, the second one on trial at 1 s.
+fn list_with_poison() -> List {
+    let mut list = List::new(RETENTION);
+    list.record(seconds(0.0), &report(poison(), 1));
+    list.record(seconds(1.0), &trial(poison(), 2));
+    list
+}
+
+#[test]
+fn tries_suspect_and_rejects_it_after_a_crash_on_trial() {
+    let mut list = List::new(RETENTION);
+    let request = poison();
+
+    let before = list.decide(seconds(0.0), &request);
+    let is_new = list.record(seconds(0.0), &report(request, 1));
+    let is_repeat_new = list.record(seconds(0.5), &report(request, 1));
+    let after_first = list.decide(seconds(0.5), &request);
+    list.record(seconds(2.0), &trial(request, 2));
+    let while_reports_arrive = list.decide(seconds(2.1), &request);
+    let after_second = list.decide(seconds(3.0), &request);
+
+    assert_eq!(before, Decision::Allow);
+    assert_eq!((is_new, is_repeat_new), (true, false), "a crash counts once");
+    assert_eq!(after_first, Decision::Try { is_exclusive: false });
+    assert_eq!(while_reports_arrive, Decision::Hold(seconds(0.2)));
+    assert_eq!(after_second, Decision::Reject(RETENTION));
+    assert!(is_rejected(&mut list, 62.9, request));
+}
+
+#[test]
+fn allows_suspect_that_completed() {
+    let mut list = List::new(RETENTION);
+    list.record(seconds(0.0), &report(innocent(), 1));
+
+    let is_cleared = list.clear(seconds(0.5), &innocent());
+
+    assert!(is_cleared);
+    assert_eq!(list.decide(seconds(1.0), &innocent()), Decision::Allow);
+}
+
+// Guards against a suspect that was cleared and comes back with a report that was under way.
+#[test]
+fn late_report_does_not_bring_a_cleared_suspect_back() {
+    let mut list = List::new(RETENTION);
+    list.record(seconds(0.0), &report(innocent(), 1));
+    let late = list.get(seconds(0.1), &innocent()).unwrap();
+    list.clear(seconds(0.2), &innocent());
+
+    list.merge(seconds(0.3), &late);
+    list.record(seconds(0.4), &report(innocent(), 1));
+
+    assert_eq!(list.decide(seconds(1.0), &innocent()), Decision::Allow);
+}
+
+// Guards against an innocent request that is rejected for two crashes of a request beside it.
+#[test]
+fn does_not_reject_a_suspect_while_another_one_explains_its_crashes() {
+    let mut list = list_with_poison();
+    list.record(seconds(0.0), &report(innocent(), 1));
+    list.record(seconds(1.0), &trial(innocent(), 2));
+
+    let settled = 1.0 + SETTLED;
+    let ambiguous = [poison(), innocent()].map(|it| list.decide(seconds(settled), &it));
+    list.clear(seconds(2.0), &innocent());
+    let resolved = [poison(), innocent()].map(|it| is_rejected(&mut list, 2.1, it));
+
+    assert_eq!(ambiguous, [Decision::Try { is_exclusive: true }; 2]);
+    assert_eq!(resolved, [true, false]);
+}
+
+#[test]
+fn allows_suspects_whose_crashes_a_rejected_request_explains() {
+    let mut list = list_with_poison();
+    list.record(seconds(0.0), &report(innocent(), 1));
+
+    let before = is_tried(&mut list, 0.5, innocent());
+    let is_poison_rejected = is_rejected(&mut list, 2.0, poison());
+
+    assert!(before && is_poison_rejected);
+    assert_eq!(list.decide(seconds(2.1), &innocent()), Decision::Allow);
+}
+
+// Guards against a request that is rejected because servers crash for another reason.
+#[test]
+fn takes_one_more_crash_while_other_servers_crash() {
+    let mut list = list_with_poison();
+    list.record(seconds(1.5), &report(innocent(), 3));
+
+    let after_two = is_tried(&mut list, 2.0, poison());
+    list.record(seconds(2.5), &trial(poison(), 4));
+    let after_three = is_rejected(&mut list, 3.0, poison());
+
+    assert!(after_two && after_three);
+}
+
+#[test]
+fn rejects_after_three_crashes_beside_a_suspect_that_is_never_seen_again() {
+    let mut list = list_with_poison();
+    list.record(seconds(0.0), &report(innocent(), 1));
+    list.record(seconds(1.0), &report(innocent(), 2));
+
+    let after_two = is_tried(&mut list, 2.0, poison());
+    list.record(seconds(2.5), &trial(poison(), 4));
+
+    assert!(after_two);
+    assert!(is_rejected(&mut list, 3.0, poison()));
+}
+
+#[test]
+fn clears_suspects_of_a_crash_that_did_not_happen() {
+    let mut list = list_with_poison();
+
+    let is_new = list.refute(seconds(1.1), 2);
+    let later = list.record(seconds(1.2), &report(innocent(), 2));
+
+    assert!(is_new && later);
+    assert_eq!(list.crashed_at(2), None);
+    assert_eq!(list.decide(seconds(2.0), &poison()), Decision::Try { is_exclusive: false });
+    assert_eq!(list.decide(seconds(2.0), &innocent()), Decision::Allow);
+}
+
+// Guards against a row of crashes at the end of each quarantine, and against a request that is
+// rejected for ever though a new version of its service runs it.
+#[test]
+fn tries_again_after_the_quarantine_and_doubles_it_after_one_more_crash() {
+    let mut list = list_with_poison();
+    let first = list.decide(seconds(2.0), &poison());
+    let mut mended = list.clone();
+
+    let after_first = list.decide(seconds(63.0), &poison());
+    list.record(seconds(64.0), &trial(poison(), 3));
+    let second = list.decide(seconds(65.0), &poison());
+    mended.clear(seconds(64.0), &poison());
+
+    assert_eq!(first, Decision::Reject(RETENTION));
+    assert_eq!(after_first, Decision::Try { is_exclusive: true });
+    assert_eq!(second, Decision::Reject(RETENTION * 2));
+    assert_eq!(mended.decide(seconds(65.0), &poison()), Decision::Allow);
+}
+
+#[test]
+fn forgets_a_suspect_that_does_not_come_back() {
+    let mut list = List::new(RETENTION);
+    list.record(seconds(0.0), &report(innocent(), 1));
+
+    let before = is_tried(&mut list, 59.9, innocent());
+    list.expire(seconds(60.0));
+
+    assert!(before && list.is_empty());
+}
+
+#[test]
+fn adopts_the_quarantine_of_a_peer_in_any_order_of_its_reports() {
+    let mut peer = list_with_poison();
+    let early = peer.get(seconds(1.1), &poison()).unwrap();
+    assert!(is_rejected(&mut peer, 2.0, poison()));
+    let late = peer.get(seconds(2.0), &poison()).unwrap();
+
+    for records in [[&early, &late], [&late, &early], [&late, &late]] {
+        let mut list = List::new(RETENTION);
+        for record in records {
+            list.merge(seconds(10.0), record);
+        }
+
+        assert!(is_rejected(&mut list, 10.0, poison()), "{records:?}");
+    }
+}
+
+// Guards against a report from the network that makes an instance reject a request for ever.
+#[test]
+fn bounds_what_a_peer_reports() {
+    let mut record: Record = list_with_poison().get(seconds(1.0), &poison()).unwrap();
+    record.quarantine =
+        Some(fleet::suspect::Quarantine { count: u32::MAX, remaining: Duration::MAX });
+    record.runs[0].age = Duration::MAX;
+    let mut list = List::new(RETENTION);
+
+    list.merge(seconds(10.0), &record);
+
+    let Decision::Reject(wait) = list.decide(seconds(10.0), &poison()) else {
+        panic!("the request is in quarantine");
+    };
+    assert!(wait <= Duration::from_secs(24 * 3600));
+}
+
+#[test]
+fn tells_changes_for_a_while_and_quarantines_on_demand() {
+    let mut list = list_with_poison();
+    list.record(seconds(1.0), &report(innocent(), 1));
+
+    let early = list.changes(seconds(1.2)).len();
+    let late = list.changes(seconds(2.0)).len();
+    let is_rejected = is_rejected(&mut list, 2.0, poison());
+
+    assert_eq!((early, late, is_rejected), (2, 0, true));
+    assert_eq!(list.changes(seconds(2.1)).len(), 1);
+    assert_eq!(list.quarantined(seconds(30.0)).len(), 1);
+}
+
+// Guards against a suspect that is forgotten by the report of its next crash, since the list is
+// full.
+#[test]
+fn full_list_keeps_the_suspect_that_is_reported() {
+    let mut list = List::new(RETENTION);
+    let fingerprint = |number: usize| Digest::of(number.to_string());
+    for number in 0..MAX_SUSPECTS {
+        list.record(seconds(0.0), &report(fingerprint(number), number as u64));
+    }
+
+    for round in 1..=2 {
+        for number in 0..MAX_SUSPECTS {
+            let crash = (round * MAX_SUSPECTS + number) as u64;
+            list.record(seconds(1.0), &trial(fingerprint(number), crash));
+        }
+    }
+
+    let rejected =
+        (0..MAX_SUSPECTS).filter(|number| is_rejected(&mut list, 2.0, fingerprint(*number)));
+    assert_eq!(rejected.count(), MAX_SUSPECTS);
+}
+
+// Guards against an account that displaces the suspects of another one.
+#[test]
+fn flood_of_one_account_does_not_displace_the_suspects_of_another() {
+    let mut list = list_with_poison();
+    assert!(is_rejected(&mut list, 2.0, poison()));
+
+    for number in 0..2 * MAX_SUSPECTS {
+        let fingerprint = Digest::of(number.to_string());
+        let flood = Report { account: name("flood"), ..report(fingerprint, number as u64) };
+        list.record(seconds(3.0), &flood);
+    }
+
+    assert!(is_rejected(&mut list, 4.0, poison()));
+    assert!(list.open_count() <= MAX_SUSPECTS);
+}
+
+fn started(id: u64, fingerprint: Digest, server: &str, is_exclusive: bool) -> Trial {
+    Trial { id, fingerprint, server: name(server), is_exclusive, ends_at: seconds(1.0) }
+}
+
+#[test]
+fn runs_one_trial_of_a_suspect_at_a_time() {
+    let mut trials = Trials::default();
+    let now = seconds(0.0);
+
+    let first = trials.start(now, started(1, poison(), "s1", false));
+    let repeated = trials.start(now, started(1, poison(), "s1", false));
+    let second = trials.start(now, started(2, poison(), "s2", false));
+    let other = trials.start(now, started(3, innocent(), "s1", false));
+    trials.end(1);
+    let after_end = trials.start(now, started(4, poison(), "s2", false));
+    let after_expiry = trials.start(seconds(1.0), started(5, poison(), "s2", false));
+
+    assert_eq!((first, repeated, second, other), (true, true, false, true));
+    assert!(after_end && after_expiry);
+}
+
+#[test]
+fn runs_an_exclusive_trial_without_others_on_the_server() {
+    let mut trials = Trials::default();
+    let now = seconds(0.0);
+    trials.start(now, started(1, innocent(), "s1", false));
+
+    let beside = trials.start(now, started(2, poison(), "s1", true));
+    let elsewhere = trials.start(now, started(3, poison(), "s2", true));
+    let joining = trials.start(now, started(4, Digest::of("third"), "s2", false));
+
+    assert_eq!((beside, elsewhere, joining), (false, true, false));
+}
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -8,6 +8,7 @@
 
 use smallvec::SmallVec;
 
+use fleet::suspect::Decision;
 use kernel::event::Event;
 use serving::{
     Moment, Name,
@@ -25,6 +26,7 @@
     in_flight::LoadRequest,
     job::Job,
     ports::Model,
+    quarantine,
     roster::{Roster, Server, StatusReport},
     serve::{DEFAULT_RETRY_AFTER, authorize},
 };
@@ -97,6 +99,10 @@
         loop {
             self.authorize_again(entry)?;
             let changed = entry.state_changed.listen();
+            let decision = entry.decide(&self.fingerprint);
+            if let Decision::Reject(retry_after) = decision {
+                return Err(self.quarantine_rejection(retry_after));
+            }
             let awaited_server = load_request.as_ref().map(|request| request.server.clone());
             let mut limit = MAX_RECHECK_INTERVAL;
             let selection =
@@ -120,11 +126,19 @@
             }
             match selection {
                 Selection::Send { server, tokens_ahead } => {
-                    if let Some(pass) = entry.admit(&server, &mut held) {
+                    self.obtain_trial(entry, &server, decision).await;
+                    let trial = self.trial.as_ref();
+                    let clearance = entry.clear_to_run(&self.fingerprint, &server, trial);
+                    let pass = clearance.and_then(|it| entry.admit(&server, it, &mut held));
+                    if let Some(pass) = pass {
                         return Ok((server, tokens_ahead, pass));
                     }
-                    // Another request was admitted since the evaluation, or no permit was free.
-                    limit = limit.min(PERMIT_RETRY_DELAY);
+                    // Another request was admitted since the evaluation, or no permit or trial was
+                    // free.
+                    limit = limit.min(match decision {
+                        Decision::Hold(wait) => wait,
+                        _ => PERMIT_RETRY_DELAY,
+                    });
                 }
                 Selection::Reject { retry_after, reason } => {
                     return Err(self.final_rejection(reason, retry_after));
@@ -145,6 +159,28 @@
         }
     }
 
+    /// Obtains a trial on a server if the request is a suspect and has none there.
+    async fn obtain_trial(&mut self, entry: &Arc<Entry>, server: &Listing, decision: Decision) {
+        let Decision::Try { is_exclusive } = decision else { return };
+        if self.trial.as_ref().is_some_and(|trial| trial.is_for(server, entry.now())) {
+            return;
+        }
+        self.trial = None;
+        self.trial = entry.obtain_trial(self, server, is_exclusive).await;
+    }
+
+    /// Returns the rejection of a request that crashed the servers that ran it.
+    fn quarantine_rejection(&self, retry_after: Duration) -> Rejection {
+        log::info!(
+            event = Event::Quarantine, request = &*self.meta.id,
+            fingerprint:% = self.fingerprint.short(),
+            retry_after_ms = retry_after.as_millis() as u64;
+            "rejecting a request that crashed the servers that ran it"
+        );
+        metrics::counter!("chivelatch_quarantine_rejections_total").increment(1);
+        self.final_rejection(quarantine::REASON, retry_after)
+    }
+
     /// Authorizes the request again, since the configuration may have changed.
     fn authorize_again(&mut self, entry: &Entry) -> Result<(), Rejection> {
         let Some(manifest) = entry.manifest() else { return Ok(()) };
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -39,6 +39,7 @@
     mesh::Peers,
     message::LeavingServer,
     ports::{Dialect, Model, Reloader, ResponseMeta, Settings, Store, Tunable},
+    quarantine::Quarantine,
     reload,
     roster::{Roster, Server, StatusReport},
 };
@@ -74,6 +75,7 @@
     /// Notified when a server announces that it leaves, or states another limit.
     pub announced: event_listener::Event,
     pub gate: Gate,
+    pub quarantine: Quarantine,
     /// Socket for datagrams, once it is open.
     pub mesh_socket: OnceLock<Arc<UdpSocket>>,
     /// Notified when a request starts to wait for an adapter.
@@ -172,6 +174,7 @@
             leaving_servers: Mutex::default(),
             announced: event_listener::Event::new(),
             gate: Gate::default(),
+            quarantine: Quarantine::default(),
             mesh_socket: OnceLock::new(),
             load_requested: event_listener::Event::new(),
             servers: shard::Map::default(),
@@ -193,7 +196,12 @@
 
     /// Returns the monotonic time since the process started.
     pub fn now(&self) -> Moment {
-        self.kernel.clock.now().saturating_duration_since(self.start)
+        self.moment(self.kernel.clock.now())
+    }
+
+    /// Returns a time of the clock as the monotonic time since the process started.
+    pub fn moment(&self, instant: Instant) -> Moment {
+        instant.saturating_duration_since(self.start)
     }
 
     pub fn manifest(&self) -> Option<Arc<Manifest>> {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -44,6 +44,9 @@
     /// The request may have run.
     #[snafu(display("no usable response, and the request may have run: {reason}"))]
     Broken { reason: String },
+    /// The connection broke before the response was complete; the request may have run.
+    #[snafu(display("the connection broke, and the request may have run: {reason}"))]
+    Disconnected { reason: String },
     /// The timeout passed; the request may have run.
     #[snafu(display("no complete response before the timeout; the request may have run"))]
     TimedOut,
@@ -153,7 +156,7 @@
         match connection.send(request).await {
             Ok(response) => return Ok((response, connection)),
             Err(SendError::Broken(error)) => {
-                return Err(Failure::Broken { reason: error.to_string() });
+                return Err(Failure::Disconnected { reason: error.to_string() });
             }
             Err(SendError::NotSent(_)) if !connection.is_reused => {
                 return Err(Failure::Unreachable {
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -22,6 +22,7 @@
     entry::Entry,
     mesh,
     message::{Message, PermitReply, PermitRequest},
+    quarantine::Clearance,
 };
 
 /// Time after which a request for a permit counts as lost.
@@ -52,9 +53,9 @@
     replied: event_listener::Event,
 }
 
-/// Instance that issues a server's permits.
+/// Instance that issues permits of a server, or grants the trials of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Issuer {
+pub enum Issuer {
     Local,
     Peer(SocketAddr),
 }
@@ -62,7 +63,12 @@
 impl Entry {
     /// Admits a request to a server, if the server takes one now. Uses the permit that the request
     /// holds if the server has a limit.
-    pub fn admit(&self, server: &Listing, held: &mut Option<HeldPermit>) -> Option<Pass> {
+    pub fn admit(
+        &self,
+        server: &Listing,
+        _clearance: Clearance,
+        held: &mut Option<HeldPermit>,
+    ) -> Option<Pass> {
         let now = self.now();
         let is_limited = self.server_rate(&server.id).is_some();
         if is_limited && !held.as_ref().is_some_and(|held| held.is_valid(&server.id, now)) {
@@ -191,15 +197,22 @@
 
     /// Returns the instance that issues a server's permits, as far as this one knows.
     fn issuer(&self, server: &Name) -> Option<Issuer> {
+        let issuer = self.elect(server);
+        let is_local = issuer == Some(Issuer::Local);
+        self.gate.limits.lock().record_issuer(self.now(), server, is_local);
+        issuer
+    }
+
+    /// Returns the instance that decides for all of them on a name, as far as this one knows.
+    pub fn elect(&self, name: &Name) -> Option<Issuer> {
         let now = self.now();
         let members = self.limiter.lock().members(now);
         let own = (!self.is_stopping()).then_some((self.settings.mesh, now));
         let candidates = members.heard.into_iter().chain(own);
         let candidates = candidates.filter(|(_, age)| ISSUER_MIN_AGE <= *age);
-        let hash = |address| rendezvous::hash(&format!("{server} {address}"));
+        let hash = |address| rendezvous::hash(&format!("{name} {address}"));
         let address = limit::issuer(candidates.map(|(address, _)| address), hash);
         let is_local = address == Some(self.settings.mesh);
-        self.gate.limits.lock().record_issuer(now, server, is_local);
         Some(if is_local { Issuer::Local } else { Issuer::Peer(address?) })
     }
 
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -21,7 +21,7 @@
     body::{self, Tail},
     pool::Connection,
 };
-use serving::{Moment, Name, directory::Listing, manifest::Grant, selection};
+use serving::{Moment, Name, breakage::Attempt, directory::Listing, manifest::Grant, selection};
 
 use crate::{
     answer::{self, Rejection, check_head, end_to_end},
@@ -30,8 +30,8 @@
     exchange::{self, Failure, NotRunReason, Reply},
     gate::Pass,
     in_flight::InFlight,
-    ports::{Attempt, RequestMeta, ResponseMeta, ServerNames},
-    quarantine,
+    ports::{self, RequestMeta, ResponseMeta, ServerNames},
+    quarantine::{self, HeldTrial},
     serve::DEFAULT_RETRY_AFTER,
 };
 
@@ -68,6 +68,8 @@
     pub attempts: u32,
     /// Whether an attempt was still running at the deadline.
     pub has_timed_out: bool,
+    /// Trial of the current attempt, if the request is a suspect.
+    pub trial: Option<HeldTrial>,
     /// Whether the caller got a whole response or a rejection.
     is_finished: bool,
 }
@@ -79,7 +81,7 @@
     pub body: body::Body,
     pub connection: Connection,
     pub in_flight: InFlight,
-    pub server: Name,
+    pub server: Listing,
 }
 
 impl Job {
@@ -107,6 +109,7 @@
             runs: 0,
             attempts: 0,
             has_timed_out: false,
+            trial: None,
             is_finished: false,
         }
     }
@@ -147,7 +150,9 @@
                     upstream.in_flight.record_first_event();
                     return Ok((upstream, chunk));
                 }
-                Err(failure) => self.handle_broken_response(entry, &upstream.server, &failure)?,
+                Err(failure) => {
+                    self.handle_broken_response(entry, &upstream.server, &failure).await?;
+                }
             }
         }
     }
@@ -169,16 +174,17 @@
             match self.read_response(entry, upstream).await {
                 Ok(response) if response.status().is_server_error() && self.can_retry() => {
                     log::info!(
-                        event = Event::ServerError, request = &*self.meta.id, server = &*server,
+                        event = Event::ServerError, request = &*self.meta.id, server = &*server.id,
                         status = response.status().as_u16();
                         "the server failed the request; retrying on another one"
                     );
-                    self.excluded.push(server);
+                    self.excluded.push(server.id);
                     last_error_response = Some(response);
                 }
                 Ok(response) => return Ok(response),
                 Err(failure) => {
-                    if let Err(rejection) = self.handle_broken_response(entry, &server, &failure) {
+                    let handled = self.handle_broken_response(entry, &server, &failure).await;
+                    if let Err(rejection) = handled {
                         return last_error_response.ok_or(rejection);
                     }
                 }
@@ -200,7 +206,7 @@
                     self.runs += 1;
                     return Ok(upstream);
                 }
-                Err(failure) => self.handle_send_failure(entry, &server, &failure)?,
+                Err(failure) => self.handle_send_failure(entry, &server, &failure).await?,
             }
         }
     }
@@ -240,7 +246,8 @@
             Failure::TimedOut => self.timeout_failure(entry),
             failure => failure,
         })?;
-        let server = server.id.clone();
+        entry.record_sign_of_life(server, entry.moment(connection.opened_at), sent_at);
+        let server = server.clone();
         if self.grant.route.retry_policy.is_stream() && head.status.is_success() {
             body.expect_events();
         }
@@ -253,7 +260,7 @@
         server: &Listing,
         remaining: Duration,
     ) -> Request<Full<Bytes>> {
-        let attempt = Attempt {
+        let attempt = ports::Attempt {
             server: server.id.clone(),
             remaining,
             account: self.grant.account.as_ref().map(|account| account.name.clone()),
@@ -279,18 +286,19 @@
         let body = Limited::new(body, MAX_PLAIN_RESPONSE_BYTES).collect();
         let body = entry.kernel.clock.timeout(self.attempt_timeout(entry, self.runs), body).await;
         let body = body.map_err(|_| self.timeout_failure(entry))?;
-        let body = body.map_err(|error| Failure::Broken { reason: error.to_string() })?;
+        let body = body.map_err(|error| Failure::Disconnected { reason: error.to_string() })?;
         check_head(&head, &meta)?;
         in_flight.record_first_event();
         in_flight.end();
         if !meta.closes_connection {
             entry.pool.release(connection, meta.keep_alive);
         }
-        entry.record_response(&server, head.status.is_server_error());
+        entry.record_response(&server.id, head.status.is_server_error());
+        self.record_completion(entry);
         let bytes = body.to_bytes();
         let outcome = answer::outcome(head.status);
         let end = End { outcome, framing, tail: Tail::NoEvents, bytes: bytes.len() as u64 };
-        self.log_end(entry, &server, &end);
+        self.log_end(entry, &server.id, &end);
         let mut headers = end_to_end(&head.headers);
         headers.remove(CONTENT_LENGTH);
         let body = Full::new(bytes).map_err(|never| match never {}).boxed_unsync();
@@ -311,7 +319,7 @@
         match frame {
             Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
             Ok(None) => Ok(Bytes::new()),
-            Ok(Some(Err(error))) => Err(Failure::Broken { reason: error.to_string() }),
+            Ok(Some(Err(error))) => Err(Failure::Disconnected { reason: error.to_string() }),
             Err(_) => Err(self.timeout_failure(entry)),
         }
     }
@@ -342,15 +350,15 @@
     /// # Errors
     ///
     /// Returns the rejection if no further attempt is possible.
-    fn handle_send_failure(
+    async fn handle_send_failure(
         &mut self,
-        entry: &Entry,
+        entry: &Arc<Entry>,
         server: &Listing,
         failure: &Failure,
     ) -> Result<(), Rejection> {
         if !failure.has_not_run() {
             self.runs += 1;
-            return self.handle_broken_response(entry, &server.id, failure);
+            return self.handle_broken_response(entry, server, failure).await;
         }
         metrics::counter!("chivelatch_not_run_total").increment(1);
         log::info!(
@@ -379,29 +387,60 @@
     /// # Errors
     ///
     /// Returns the rejection if no further attempt is possible.
-    fn handle_broken_response(
+    async fn handle_broken_response(
         &mut self,
-        entry: &Entry,
-        server: &Name,
+        entry: &Arc<Entry>,
+        server: &Listing,
         failure: &Failure,
     ) -> Result<(), Rejection> {
         metrics::counter!("chivelatch_broken_total").increment(1);
         log::warn!(
-            event = Event::Broken, request = &*self.meta.id, server = &**server,
+            event = Event::Broken, request = &*self.meta.id, server = &*server.id,
             fingerprint:% = self.fingerprint.short(), runs = self.runs;
             "{failure}"
         );
         self.has_timed_out |= matches!(failure, Failure::TimedOut);
         if !self.has_timed_out {
-            entry.record_failure(server);
+            entry.record_failure(&server.id);
+        }
+        self.excluded.push(server.id.clone());
+        if matches!(failure, Failure::Disconnected { .. }) {
+            self.examine_break(entry, server).await;
         }
-        self.excluded.push(server.clone());
         if self.has_timed_out || !self.can_retry() {
             return Err(self.final_rejection("the server gave no answer", DEFAULT_RETRY_AFTER));
         }
         Ok(())
     }
 
+    /// Finds out whether a server has crashed under this request, before it is sent to another one.
+    pub async fn examine_break(&mut self, entry: &Arc<Entry>, server: &Listing) {
+        let attempt = Attempt {
+            fingerprint: self.fingerprint,
+            account: self.grant.account.as_ref().map(|it| it.name.clone()).unwrap_or_default(),
+            is_trial: self.trial.is_some(),
+        };
+        let trial = self.trial.take();
+        let examination =
+            Arc::clone(entry).examine_break(self.meta.id.clone(), server.clone(), attempt);
+        let task = entry.kernel.spawn(async move {
+            examination.await;
+            // The trial ends once its result is known.
+            drop(trial);
+        });
+        if self.can_retry() {
+            task.await;
+        } else {
+            task.detach();
+        }
+    }
+
+    /// Records that a server completed a run of this request.
+    pub fn record_completion(&mut self, entry: &Entry) {
+        entry.record_completion(&self.fingerprint);
+        self.trial = None;
+    }
+
     /// Removes the adapter from the server's status report, since it is no longer resident there.
     fn forget_adapter(&self, entry: &Entry, server: &Listing) {
         let Some(adapter) = self.meta.model.as_ref().and_then(|model| model.adapter.as_ref())
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -12,6 +12,7 @@
 };
 
 use async_net::UdpSocket;
+use fleet::suspect::Record;
 use front::server::ListenError;
 
 use kernel::event::Event;
@@ -40,6 +41,10 @@
 const MAX_LEAVING_SERVERS: usize = 100;
 /// Number of limits in a message, so that it fits into a datagram.
 const MAX_LIMIT_REPORTS: usize = 50;
+/// Number of suspects in a message, so that it fits into a datagram.
+const MAX_SUSPECT_RECORDS: usize = 12;
+/// All suspects in quarantine are sent once in this many intervals.
+const QUARANTINE_ROUNDS: u64 = 20;
 /// Time for which a server that leaves is named in each round, since datagrams may be lost.
 const LEAVING_REPEAT_PERIOD: Duration = Duration::from_secs(1);
 /// Gossip to a silent peer is sent once in this many intervals.
@@ -58,6 +63,8 @@
     pub last_seen: Option<Moment>,
     /// Positions up to which the peer has read the store.
     pub positions: Positions,
+    /// Random number of the latest start of the peer's process; 0 before the first gossip.
+    pub incarnation: u64,
 }
 
 impl Peers {
@@ -71,9 +78,9 @@
         self.known.entry(address).or_default();
     }
 
-    /// Records the state of a peer.
-    pub fn update(&mut self, address: SocketAddr, peer: Peer) {
-        self.known.insert(address, peer);
+    /// Records the state of a peer. Returns the one before.
+    pub fn update(&mut self, address: SocketAddr, peer: Peer) -> Option<Peer> {
+        self.known.insert(address, peer)
     }
 
     /// Returns the peers by their positions in the store, the most advanced first.
@@ -150,7 +157,11 @@
             Some((from, Message::Work { born_ms, slot_usage, work })) => {
                 record_work_update(&entry, from, born_ms, slot_usage, &work);
             }
-            Some((from, Message::Gossip(gossip))) => record_gossip(&entry, from, &gossip),
+            Some((from, Message::Gossip(gossip))) => {
+                if record_gossip(&entry, from, &gossip) {
+                    send_quarantined(&entry, &socket, &[from]).await;
+                }
+            }
             Some((_, Message::Leaving(servers))) => {
                 for server in servers {
                     entry.record_leaving(&server.server, server.born_ms);
@@ -162,6 +173,13 @@
                 send(&socket, from, &Message::PermitReply(reply)).await;
             }
             Some((_, Message::PermitReply(reply))) => entry.record_permit_reply(reply),
+            Some((_, Message::Suspects(records))) => entry.record_suspects(&records),
+            Some((from, Message::TrialRequest(request))) => {
+                let reply = entry.answer_trial_request(&request);
+                send(&socket, from, &Message::TrialReply(reply)).await;
+            }
+            Some((_, Message::TrialReply(reply))) => entry.record_trial_reply(reply),
+            Some((_, Message::TrialEnd { id })) => entry.record_trial_end(id),
             Some((_, Message::Demand(_) | Message::EarlierGossip)) | None => {}
         }
     }
@@ -227,11 +245,14 @@
     }
 }
 
-fn record_gossip(entry: &Entry, from: SocketAddr, gossip: &Gossip) {
+/// Records the report of a peer. Returns whether it is the first one of this start of the peer.
+fn record_gossip(entry: &Entry, from: SocketAddr, gossip: &Gossip) -> bool {
     let now = entry.now();
-    let peer = Peer { last_seen: Some(now), positions: gossip.positions };
-    entry.peers.lock().update(from, peer);
+    let incarnation = gossip.usage.incarnation;
+    let peer = Peer { last_seen: Some(now), positions: gossip.positions, incarnation };
+    let previous = entry.peers.lock().update(from, peer);
     entry.limiter.lock().record_report(now, from, &gossip.usage);
+    previous.is_none_or(|previous| previous.incarnation != incarnation)
 }
 
 /// Sends demand reports to the side processes, at intervals and when a request starts to wait.
@@ -316,6 +337,8 @@
         let is_announced = entry.kernel.clock.timeout(GOSSIP_INTERVAL, announced).await.is_ok();
         send_leaving(&entry, &socket, round).await;
         send_limits(&entry, &socket, round).await;
+        entry.review_breakage();
+        send_suspects(&entry, &socket, round).await;
         if is_announced {
             continue;
         }
@@ -334,8 +357,11 @@
         let gossip = Gossip { positions, usage };
         let message = Message::Gossip(gossip);
         let due = entry.peers.lock().due(entry.now(), round);
-        for peer in due {
-            send(&socket, peer, &message).await;
+        for peer in &due {
+            send(&socket, *peer, &message).await;
+        }
+        if round.is_multiple_of(QUARANTINE_ROUNDS) {
+            send_quarantined(&entry, &socket, &due).await;
         }
     }
 }
@@ -357,6 +383,31 @@
     }
 }
 
+/// Sends what changed lately about suspects to peers.
+async fn send_suspects(entry: &Entry, socket: &UdpSocket, round: u64) {
+    let now = entry.now();
+    let changes = entry.quarantine.list.lock().changes(now);
+    if !changes.is_empty() {
+        let due = entry.peers.lock().due(now, round);
+        send_records(socket, &changes, &due).await;
+    }
+}
+
+/// Sends the suspects that are in quarantine.
+async fn send_quarantined(entry: &Entry, socket: &UdpSocket, peers: &[SocketAddr]) {
+    let records = entry.quarantine.list.lock().quarantined(entry.now());
+    send_records(socket, &records, peers).await;
+}
+
+async fn send_records(socket: &UdpSocket, records: &[Record], peers: &[SocketAddr]) {
+    for records in records.chunks(MAX_SUSPECT_RECORDS) {
+        let message = Message::Suspects(records.to_vec());
+        for peer in peers {
+            send(socket, *peer, &message).await;
+        }
+    }
+}
+
 /// Sends the limits of servers to peers and to the side processes of these servers, if there are
 /// any.
 async fn send_limits(entry: &Entry, socket: &UdpSocket, round: u64) {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -5,6 +5,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use fleet::suspect::Record;
 use serde::{Deserialize, Serialize};
 
 use serving::{Name, limit, mirror::Positions, rate_limit::UsageReport, residency::SlotUsage};
@@ -41,6 +42,38 @@
     PermitRequest(PermitRequest),
     /// The response to it.
     PermitReply(PermitReply),
+    /// Between entry instances: requests that are suspected of crashing servers.
+    Suspects(Vec<Record>),
+    /// From an entry instance to the one that grants a service's trials of suspects.
+    TrialRequest(TrialRequest),
+    /// The response to it.
+    TrialReply(TrialReply),
+    /// From the instance that requested a trial: the trial is over.
+    TrialEnd { id: u64 },
+}
+
+/// Request for a trial of a suspect on a server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialRequest {
+    /// Id of the trial.
+    pub id: u64,
+    /// What the sender knows of the suspect.
+    pub evidence: Record,
+    pub server: Name,
+    /// Whether no other trial may run on the server.
+    pub is_exclusive: bool,
+    /// Longest duration of the trial.
+    pub lifetime: Duration,
+}
+
+/// Response to a request for a trial.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialReply {
+    /// Id of the trial.
+    pub id: u64,
+    pub is_granted: bool,
+    /// What the sender knows of the suspect.
+    pub evidence: Record,
 }
 
 /// Request for a permit to send one request to a server.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,7 +16,7 @@
     event_stream::{self, Splitter},
     pool::Connection,
 };
-use serving::Name;
+use serving::directory::Listing;
 
 use crate::{
     end::End,
@@ -50,7 +50,7 @@
     meta: ResponseMeta,
     connection: Connection,
     in_flight: InFlight,
-    server: Name,
+    server: Listing,
 }
 
 /// Buffer that splits a stream into whole events.
@@ -65,6 +65,8 @@
     Chunk(Bytes),
     End,
     Broken(&'static str),
+    /// The connection ended before the response was whole.
+    Disconnected(&'static str),
     TimedOut,
 }
 
@@ -117,7 +119,10 @@
                     self.log_end("timed_out");
                     return Some(Err(Truncated));
                 }
-                Step::Broken(reason) => {
+                Step::Broken(reason) | Step::Disconnected(reason) => {
+                    if matches!(step, Step::Disconnected(_)) {
+                        self.job.examine_break(&self.entry, &self.source.server).await;
+                    }
                     if !self.resume(reason).await {
                         self.log_end(reason);
                         return Some(Err(Truncated));
@@ -138,7 +143,7 @@
             let frame = self.entry.kernel.clock.timeout(limit, self.source.body.frame()).await;
             let chunk = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(Some(Err(incomplete))) => return Step::Broken(incomplete.name()),
+                Ok(Some(Err(incomplete))) => return Step::Disconnected(incomplete.name()),
                 Ok(None) => return self.end_of_source(),
                 Err(_) if limit < remaining => return Step::Broken("silent"),
                 Err(_) => return Step::TimedOut,
@@ -189,10 +194,10 @@
         self.job.last_event_id = events.last_id.clone().or(self.job.last_event_id.take());
         log::info!(
             event = Event::Resume, request = &*self.job.meta.id,
-            server = &*self.source.server, reason;
+            server = &*self.source.server.id, reason;
             "resuming the stream on another server"
         );
-        self.entry.record_failure(&self.source.server);
+        self.entry.record_failure(&self.source.server.id);
         self.source.in_flight.end();
         let Ok((upstream, first)) = self.job.open_stream(&self.entry).await else { return false };
         if !upstream.head.status.is_success() {
@@ -206,7 +211,8 @@
     /// Records the complete response and returns the connection to the pool.
     fn finish(mut self) {
         self.log_end("complete");
-        self.entry.record_response(&self.source.server, false);
+        self.job.record_completion(&self.entry);
+        self.entry.record_response(&self.source.server.id, false);
         let Source { meta, connection, .. } = self.source;
         if !meta.closes_connection {
             self.entry.pool.release(connection, meta.keep_alive);
@@ -220,7 +226,7 @@
             tail: self.source.body.tail(),
             bytes: self.forwarded_bytes,
         };
-        self.job.log_end(&self.entry, &self.source.server, &end);
+        self.job.log_end(&self.entry, &self.source.server.id, &end);
     }
 }
 
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -81,6 +81,16 @@
     Limit = "limit",
     /// A request got the permit that a server with a limit requires.
     Permit = "permit",
+    /// The connection of an attempt broke; its request is a suspect if the server has crashed.
+    Suspect = "suspect",
+    /// A server crashed while requests ran there, or turned out not to have crashed.
+    Crash = "crash",
+    /// A request that was running at a crash runs on trial.
+    Trial = "trial",
+    /// A request that was running at a crash has completed since.
+    Cleared = "cleared",
+    /// A request was rejected since it crashed the servers that ran it.
+    Quarantine = "quarantine",
     /// A server answered a request with an error; it is retried on another server.
     ServerError = "server_error",
     /// A stream resumes on another server.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -217,15 +217,17 @@
             Call::Leases => Some(Reply::Leases(
                 self.with_participant(|participant| participant.table().clone()),
             )),
-            Call::Suspects(reports) => {
+            Call::Suspects(records) => {
                 let now = self.now();
                 self.with_suspects(|list| {
-                    for report in reports {
-                        list.record(now, report);
+                    for record in records {
+                        list.merge(now, record);
                     }
                 });
                 Some(Reply::Done)
             }
+            // Not enough to tell which requests may have caused the crash.
+            Call::EarlierSuspects(_) => Some(Reply::Done),
             Call::Explain { request } => Some(Reply::Explanation(self.trace.steps(request))),
             _ => None,
         }
--- a/crates/services/src/pool.rs
+++ b/crates/services/src/pool.rs
@@ -66,6 +66,7 @@
     pub address: SocketAddr,
     /// Whether it carried a request before and was taken from the pool.
     pub is_reused: bool,
+    pub opened_at: Instant,
     sender: SendRequest<Full<Bytes>>,
     /// Bytes that may arrive before the head of the next response.
     head_budget: Budget,
@@ -122,7 +123,9 @@
             let _result = connection.await;
         });
         metrics::counter!("chivelatch_connections_opened_total").increment(1);
-        Ok(Connection { address, is_reused: false, sender, head_budget, _driver: driver })
+        let opened_at = self.kernel.clock.now();
+        let is_reused = false;
+        Ok(Connection { address, is_reused, opened_at, sender, head_budget, _driver: driver })
     }
 
     /// Returns a connection to the pool after its response was read to the end. `keep_alive` is
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,6 +7,7 @@
 //! as the processes.
 
 pub mod backlog;
+pub mod breakage;
 pub mod cursor;
 pub mod directory;
 pub mod limit;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -14,7 +14,7 @@
     digest::Digest,
     lease::{Lease, Table},
     replica::Update,
-    suspect::Report,
+    suspect::Record,
 };
 use quota::pool::Part;
 
@@ -38,12 +38,15 @@
     Sync { next: u64 },
     /// Requests the lease table.
     Leases,
-    /// Reports requests that were in flight when an engine crashed.
-    Suspects(Vec<Report>),
+    /// Report of earlier builds on requests that were running when an engine crashed, by
+    /// fingerprint and crash; ignored.
+    EarlierSuspects(Vec<(Digest, u64)>),
     /// Requests the status of the process.
     Status,
     /// Requests the recorded decisions about a request.
     Explain { request: Name },
+    /// Tells what is known of requests that were running when an engine crashed.
+    Suspects(Vec<Record>),
 }
 
 /// Frames of the reply to a call.
