Doubt the evidence against a request that completes, and learn of quarantines before serving

An instance that had just started knew of no quarantine, and lost servers again.

Cause: a crash under two suspects on trial counted against both, crashes at which some quarantined request ran counted against others unless a single one explained them all, and completions before the crash counted for nothing.

Change: crashes at which a quarantined request ran do not count, a trial counts only if no other suspect was on trial at that crash, and a completion within 10 s before the first crash takes two more crashes; instances tell each other of it. Copies that were sent before the first crash was known suffice without a trial if nothing else may be the cause. Short runs take turns on a server. An instance lets requests wait, 0.3 s after its start at most, until a peer has told which requests are in quarantine.

--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -62,7 +62,7 @@
 /// suspect.
 pub(crate) async fn record_completion(entry: &Arc<Entry>, job: &Job) {
     let now = entry.node.now();
-    if entry.node.with_suspects(|list| list.clear(now, &job.fingerprint)) {
+    if entry.node.with_suspects(|list| list.complete(now, &job.fingerprint)) {
         tell_peers(entry, job).await;
     }
 }
--- a/crates/fleet/src/suspect.rs
+++ b/crates/fleet/src/suspect.rs
@@ -4,8 +4,9 @@
 //! suspect runs as a trial: once at a time over all instances, see [`trial`]. One that completes
 //! is cleared of all crashes so far. One whose trial ends in a crash is quarantined, unless
 //! something else may have caused its crashes: another suspect that was running at each of them,
-//! or further crashes at about that time. Each such doubt takes one more crash. A suspect whose
-//! crashes all have a quarantined request in common runs like any other request.
+//! or further crashes at about that time. Each such doubt takes one more crash, and a completion
+//! shortly before the first one takes two. Crashes at which a quarantined request ran do not count
+//! against others.
 //!
 //! Each crash has an id, so that it counts once, whoever reports it. What is known of a suspect is
 //! exchanged as a [`Record`], which can be merged in any order and any number of times.
@@ -42,6 +43,8 @@
     pub account: Name,
     pub service: Name,
     pub runs: Vec<Run>,
+    /// Time since its last completion before it became a suspect, if any is known.
+    pub completed_age: Option<Duration>,
     /// The latest quarantine, if there was any.
     pub quarantine: Option<Quarantine>,
 }
--- a/crates/fleet/src/suspect/list.rs
+++ b/crates/fleet/src/suspect/list.rs
@@ -14,8 +14,18 @@
     suspect::{self, Decision, Quarantine, Record, Report},
 };
 
-/// Number of crashes after which a request is quarantined if nothing else may have caused them.
+/// Number of crashes, all but one on trial, after which a request is quarantined if nothing else may
+/// have caused them.
 const MIN_CRASHES: usize = 2;
+/// Number of crashes that suffice without a trial, if nothing else may have caused them: copies of
+/// the request were sent before the first crash was known.
+const MIN_CRASHES_WITHOUT_TRIAL: usize = 3;
+/// Further crashes that it takes if the request completed shortly before the first one.
+const COMPLETED_EXTRA_CRASHES: usize = 2;
+/// Time before a crash in which a completion speaks for a request.
+const COMPLETION_PERIOD: Duration = Duration::from_secs(10);
+/// Limit on the completions that are kept.
+const MAX_COMPLETIONS: usize = 65_536;
 /// Time after a crash in which the reports of other instances arrive.
 const REPORT_PERIOD: Duration = Duration::from_millis(300);
 /// Time between two crashes that may have a common cause other than a request.
@@ -40,6 +50,8 @@
     retention: Duration,
     suspects: BTreeMap<Digest, Suspect>,
     crashes: HashMap<u64, Crash>,
+    /// Time at which a request last completed at this instance.
+    completions: HashMap<Digest, Moment>,
 }
 
 /// A crash of a server while suspects ran there.
@@ -56,6 +68,8 @@
     account: Name,
     service: Name,
     runs: SmallVec<[Run; 2]>,
+    /// Time of its last completion before it became a suspect, if any is known.
+    completed_at: Option<Moment>,
     /// Number of quarantines so far.
     quarantines: u32,
     /// End of the latest quarantine.
@@ -64,6 +78,15 @@
     changed_at: Moment,
 }
 
+/// What speaks against a suspect.
+#[derive(Clone, Copy, Debug)]
+struct Evidence {
+    /// Crashes at which no request that was quarantined ran.
+    crashes: usize,
+    /// Those of them at which it was the only suspect on trial.
+    trials: usize,
+}
+
 /// A run that ended with a crash.
 #[derive(Clone, Copy, Debug)]
 struct Run {
@@ -77,7 +100,8 @@
     /// Creates an empty list that keeps a suspect for `retention` after its last crash. The first
     /// quarantine lasts as long.
     pub fn new(retention: Duration) -> List {
-        List { retention, suspects: BTreeMap::new(), crashes: HashMap::new() }
+        let (suspects, crashes, completions) = Default::default();
+        List { retention, suspects, crashes, completions }
     }
 
     /// Records a run that ended with a crash. Returns whether it was new.
@@ -102,6 +126,8 @@
             is_new |= self.add_run(now, record.fingerprint, names, run);
         }
         let Some(suspect) = self.suspects.get_mut(&record.fingerprint) else { return is_new };
+        let completed_at = record.completed_age.map(|age| now.saturating_sub(age));
+        suspect.completed_at = suspect.completed_at.max(completed_at);
         if let Some(Quarantine { count, remaining }) = record.quarantine
             && suspect.quarantines < count
         {
@@ -112,8 +138,12 @@
         is_new
     }
 
-    /// Clears a suspect that completed of all its crashes so far. Returns whether it had any.
-    pub fn clear(&mut self, now: Moment, fingerprint: &Digest) -> bool {
+    /// Records that a request has completed, which clears it of all its crashes so far. Returns
+    /// whether it was a suspect.
+    pub fn complete(&mut self, now: Moment, fingerprint: &Digest) -> bool {
+        if self.completions.len() < MAX_COMPLETIONS || self.completions.contains_key(fingerprint) {
+            self.completions.insert(*fingerprint, now);
+        }
         let Some(suspect) = self.suspects.get_mut(fingerprint) else { return false };
         let is_open = suspect.open_runs().next().is_some();
         if is_open {
@@ -155,21 +185,16 @@
         if now < suspect.quarantined_until {
             return Decision::Reject(suspect.quarantined_until - now);
         }
-        if self.is_explained(fingerprint, suspect) {
-            return Decision::Allow;
-        }
-        let is_exclusive = 1 < suspect.open_runs().count();
-        if suspect.unjudged_trials() == 0 {
-            return Decision::Try { is_exclusive };
-        }
+        let evidence = self.evidence(fingerprint, suspect);
+        let is_sufficient = self.is_sufficient(fingerprint, suspect, evidence);
         let reported_at = last_crash_at + REPORT_PERIOD;
-        if now < reported_at {
+        if now < reported_at && (is_sufficient || 0 < suspect.fresh_trials()) {
             return Decision::Hold(reported_at - now);
         }
-        if !self.is_sufficient(fingerprint, suspect) {
-            return Decision::Try { is_exclusive };
+        if is_sufficient {
+            return Decision::Reject(self.quarantine(now, fingerprint));
         }
-        Decision::Reject(self.quarantine(now, fingerprint))
+        Decision::Try { is_exclusive: 1 < suspect.open_runs().count() }
     }
 
     /// Returns what changed lately at this instance, for its peers.
@@ -207,6 +232,7 @@
         let retention = self.retention;
         self.suspects.retain(|_, suspect| now < suspect.expires_at(retention));
         self.crashes.retain(|_, crash| now < crash.at + retention);
+        self.completions.retain(|_, completed_at| now < *completed_at + COMPLETION_PERIOD);
     }
 
     /// Adds a run, or what is new of a known one. Returns whether anything was new.
@@ -221,14 +247,21 @@
         if !self.suspects.contains_key(&fingerprint) {
             self.make_room(now);
         }
+        let completed_at = self.completions.get(&fingerprint).copied();
         let suspect = self.suspects.entry(fingerprint).or_insert_with(|| Suspect {
             account: account.clone(),
             service: service.clone(),
             runs: SmallVec::new(),
+            completed_at: None,
             quarantines: 0,
             quarantined_until: Moment::ZERO,
             changed_at: Moment::ZERO,
         });
+        if suspect.completed_at < completed_at {
+            // Peers have to know of it.
+            suspect.completed_at = completed_at;
+            suspect.changed_at = now;
+        }
         let Some(known) = suspect.runs.iter_mut().find(|known| known.crash == run.crash) else {
             suspect.add(run);
             return true;
@@ -282,38 +315,60 @@
         }
     }
 
-    /// Returns whether the crashes of a suspect have a request in common that is or was quarantined.
-    fn is_explained(&self, fingerprint: &Digest, suspect: &Suspect) -> bool {
-        self.others(fingerprint).any(|other| 0 < other.quarantines && other.covers(suspect))
+    /// Returns what speaks against a suspect.
+    fn evidence(&self, fingerprint: &Digest, suspect: &Suspect) -> Evidence {
+        let runs = suspect.open_runs();
+        let unexplained = runs.filter(|run| !self.is_explained(fingerprint, run.crash));
+        let unexplained: SmallVec<[&Run; 4]> = unexplained.collect();
+        let is_alone = |run: &Run| {
+            let mut others = self.others(fingerprint);
+            !others.any(|other| {
+                other.open_runs().any(|theirs| theirs.crash == run.crash && theirs.is_trial)
+            })
+        };
+        let trials = unexplained.iter().filter(|run| run.is_trial && is_alone(run));
+        Evidence { crashes: unexplained.len(), trials: trials.count() }
+    }
+
+    /// Returns whether another request that is or was quarantined ran at a crash.
+    fn is_explained(&self, fingerprint: &Digest, crash: u64) -> bool {
+        let mut quarantined = self.others(fingerprint).filter(|other| 0 < other.quarantines);
+        quarantined.any(|other| other.open_runs().any(|run| run.crash == crash))
     }
 
     /// Returns whether the evidence against a suspect suffices for a quarantine.
-    fn is_sufficient(&self, fingerprint: &Digest, suspect: &Suspect) -> bool {
+    fn is_sufficient(&self, fingerprint: &Digest, suspect: &Suspect, evidence: Evidence) -> bool {
         if 0 < suspect.quarantines {
-            return true;
+            return 0 < suspect.fresh_trials();
         }
-        let is_covered = self.others(fingerprint).any(|other| other.covers(suspect));
-        let is_crowded = self.has_crashes_around(suspect);
-        let required = MIN_CRASHES + usize::from(is_covered) + usize::from(is_crowded);
-        required <= suspect.open_runs().count() && required <= suspect.unjudged_trials() + 1
+        let mut others = self.others(fingerprint);
+        let is_covered = others.any(|other| !other.completed_before() && other.covers(suspect));
+        let is_crowded = self.has_crashes_around(fingerprint, suspect);
+        let has_completed = suspect.completed_before();
+        let required = MIN_CRASHES
+            + usize::from(is_covered)
+            + usize::from(is_crowded)
+            + if has_completed { COMPLETED_EXTRA_CRASHES } else { 0 };
+        let has_no_doubt = required == MIN_CRASHES;
+        let is_sufficient_without_trial =
+            has_no_doubt && MIN_CRASHES_WITHOUT_TRIAL <= evidence.crashes;
+        let is_sufficient_on_trial =
+            required <= evidence.crashes && required <= evidence.trials + 1;
+        is_sufficient_on_trial || is_sufficient_without_trial
     }
 
-    /// Returns whether servers of the service crashed at about the time of the suspect's last trial
+    /// Returns whether servers of the service crashed at about the time of the suspect's last crash
     /// without it, and without a request that was quarantined.
-    fn has_crashes_around(&self, suspect: &Suspect) -> bool {
-        let trials = suspect.open_runs().filter(|run| run.is_trial);
-        let Some(last) = trials.map(|run| run.at).max() else { return false };
-        let crashes = self.crashes.iter().filter(|(_, crash)| {
+    fn has_crashes_around(&self, fingerprint: &Digest, suspect: &Suspect) -> bool {
+        let Some(last) = suspect.last_crash_at() else { return false };
+        let mut crashes = self.crashes.iter().filter(|(_, crash)| {
             !crash.is_refuted
                 && crash.service == suspect.service
                 && crash.at.abs_diff(last) < CROWD_PERIOD
         });
-        let others = crashes.filter(|(id, _)| suspect.open_runs().all(|run| run.crash != **id));
-        let is_explained = |id: u64| {
-            let mut quarantined = self.suspects.values().filter(|other| 0 < other.quarantines);
-            quarantined.any(|other| other.open_runs().any(|run| run.crash == id))
-        };
-        others.map(|(id, _)| *id).any(|id| !is_explained(id))
+        crashes.any(|(id, _)| {
+            suspect.open_runs().all(|run| run.crash != *id) && !self.is_explained(fingerprint, *id)
+        })
     }
 
     fn others(&self, fingerprint: &Digest) -> impl Iterator<Item = &Suspect> {
@@ -344,8 +399,17 @@
         self.open_runs().map(|run| run.at).max()
     }
 
+    /// Returns whether the suspect completed shortly before the first of its crashes.
+    fn completed_before(&self) -> bool {
+        let first_crash_at = self.open_runs().map(|run| run.at).min();
+        let (Some(first), Some(completed_at)) = (first_crash_at, self.completed_at) else {
+            return false;
+        };
+        first < completed_at + COMPLETION_PERIOD
+    }
+
     /// Returns the number of trials that ended in a crash since the latest quarantine.
-    fn unjudged_trials(&self) -> usize {
+    fn fresh_trials(&self) -> usize {
         let trials = self.open_runs().filter(|run| run.is_trial);
         trials.filter(|run| self.quarantined_until <= run.at).count()
     }
@@ -396,6 +460,7 @@
             account: self.account.clone(),
             service: self.service.clone(),
             runs: runs.collect(),
+            completed_age: self.completed_at.map(|at| now.saturating_sub(at)),
             quarantine,
         }
     }
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -166,6 +166,8 @@
             return;
         }
         self.trial = None;
+        // Short runs can take turns, so that a crash has one cause.
+        let is_exclusive = is_exclusive || !self.grant.route.retry_policy.is_stream();
         self.trial = entry.obtain_trial(self, server, is_exclusive).await;
     }
 
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -39,7 +39,7 @@
     mesh::Peers,
     message::LeavingServer,
     ports::{Dialect, Model, Reloader, ResponseMeta, Settings, Store, Tunable},
-    quarantine::Quarantine,
+    quarantine::{self, Quarantine},
     reload,
     roster::{Roster, Server, StatusReport},
 };
@@ -226,14 +226,18 @@
         !self.is_stopping() && self.is_synced()
     }
 
-    /// Waits until the instance has its configuration and the servers, at most until `deadline`.
+    /// Waits until the instance has its configuration and the servers, and knows which requests are
+    /// in quarantine, at most until `deadline`.
     pub async fn wait_until_synced(&self, deadline: Moment) {
         loop {
             let changed = self.state_changed.listen();
-            let remaining = deadline.saturating_sub(self.now());
-            if self.is_synced() || remaining.is_zero() {
+            let mut remaining = deadline.saturating_sub(self.now());
+            if remaining.is_zero() || self.is_synced() && self.is_informed() {
                 return;
             }
+            if !self.is_informed() {
+                remaining = remaining.min(quarantine::SETTLING_PERIOD.saturating_sub(self.now()));
+            }
             let _changed_or_timed_out = self.kernel.clock.timeout(remaining, changed).await;
         }
     }
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -35,6 +35,8 @@
 const MIN_DEMAND_INTERVAL: Duration = Duration::from_millis(4);
 /// Time between gossip messages to a peer.
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(150);
+/// Time between gossip messages to a peer until one has told what it knows.
+const STARTUP_GOSSIP_INTERVAL: Duration = Duration::from_millis(30);
 /// Silence after which a peer gets gossip less often.
 const PEER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Number of leaving servers in a message, so that it fits into a datagram.
@@ -159,6 +161,7 @@
             }
             Some((from, Message::Gossip(gossip))) => {
                 if record_gossip(&entry, from, &gossip) {
+                    send(&socket, from, &Message::Suspects(Vec::new())).await;
                     send_quarantined(&entry, &socket, &[from]).await;
                 }
             }
@@ -173,7 +176,10 @@
                 send(&socket, from, &Message::PermitReply(reply)).await;
             }
             Some((_, Message::PermitReply(reply))) => entry.record_permit_reply(reply),
-            Some((_, Message::Suspects(records))) => entry.record_suspects(&records),
+            Some((_, Message::Suspects(records))) => {
+                entry.record_suspects(&records);
+                entry.record_informed();
+            }
             Some((from, Message::TrialRequest(request))) => {
                 let reply = entry.answer_trial_request(&request);
                 send(&socket, from, &Message::TrialReply(reply)).await;
@@ -334,7 +340,8 @@
     let mut round = 0;
     loop {
         let announced = entry.announced.listen();
-        let is_announced = entry.kernel.clock.timeout(GOSSIP_INTERVAL, announced).await.is_ok();
+        let interval = if entry.is_informed() { GOSSIP_INTERVAL } else { STARTUP_GOSSIP_INTERVAL };
+        let is_announced = entry.kernel.clock.timeout(interval, announced).await.is_ok();
         send_leaving(&entry, &socket, round).await;
         send_limits(&entry, &socket, round).await;
         entry.review_breakage();
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -7,7 +7,15 @@
 //! Architecture Invariant: the gate admits a request only with a [`Clearance`], and only this
 //! module hands them out.
 
-use std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io::ErrorKind,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use fleet::{
     digest::Digest,
@@ -41,6 +49,9 @@
     "the request crashed the servers that ran it; do not send it again unchanged";
 /// Time for which a suspect is kept after its last crash, and length of the first quarantine.
 const RETENTION: Duration = Duration::from_secs(600);
+/// Time after its start for which an instance waits for a peer to tell which requests are in
+/// quarantine.
+pub const SETTLING_PERIOD: Duration = Duration::from_millis(300);
 /// Time in which a live server accepts a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time after which a request for a trial counts as lost.
@@ -58,6 +69,8 @@
     replies: Replies<TrialReply>,
     /// Notified when a broken attempt was examined.
     examined: event_listener::Event,
+    /// Whether a peer has told which requests are in quarantine.
+    is_informed: AtomicBool,
 }
 
 /// Proof that a request may run on a server, given what is known of it.
@@ -91,11 +104,24 @@
             trials: Mutex::default(),
             replies: Replies::default(),
             examined: event_listener::Event::new(),
+            is_informed: AtomicBool::new(false),
         }
     }
 }
 
 impl Entry {
+    /// Records that a peer has told which requests are in quarantine.
+    pub fn record_informed(&self) {
+        if !self.quarantine.is_informed.swap(true, Ordering::Relaxed) {
+            self.state_changed.notify(usize::MAX);
+        }
+    }
+
+    /// Returns whether the instance knows which requests are in quarantine, or no peer tells it.
+    pub fn is_informed(&self) -> bool {
+        SETTLING_PERIOD <= self.now() || self.quarantine.is_informed.load(Ordering::Relaxed)
+    }
+
     /// Returns how to run a request.
     pub fn decide(&self, fingerprint: &Digest) -> Decision {
         let mut list = self.quarantine.list.lock();
@@ -303,7 +329,7 @@
             breakage.forget(fingerprint);
         }
         drop(breakage);
-        if !self.quarantine.list.lock().clear(self.now(), fingerprint) {
+        if !self.quarantine.list.lock().complete(self.now(), fingerprint) {
             return;
         }
         log::info!(
