Trace a rejected repeat to the crashes that speak against it

Cause: trace showed the lines of one request id and events around it; the crashes under earlier repeats have other ids and may be minutes old.

Change: lines on suspects and crashes with the fingerprint of the request are shown whenever they happened. The new test failed before (1 line of 4).

--- a/crates/operator/src/logs.rs
+++ b/crates/operator/src/logs.rs
@@ -3,7 +3,10 @@
 //! A process writes each line as a JSON object. Text that a log collector puts before the object,
 //! such as the name of the process, is kept as the origin of the line.
 
-use std::{collections::BTreeMap, fmt::Write as _};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Write as _,
+};
 
 use jiff::Timestamp;
 use serde_json::{Map, Value};
@@ -27,6 +30,8 @@
     Event::Leaving,
     Event::Pause,
 ];
+/// Events that tell why a request is in quarantine, shown whenever they happened.
+const EVIDENCE_EVENTS: [Event; 4] = [Event::Suspect, Event::Crash, Event::Trial, Event::Cleared];
 /// Events that count as a failed request, unless their outcome is [`COMPLETE`].
 const FAILURE_EVENTS: [Event; 3] = [Event::Refused, Event::Broken, Event::Ended];
 /// Outcome of a successful request.
@@ -65,8 +70,8 @@
 }
 
 /// Returns the lines of a request from all processes, marked with `*`, in time order, together with
-/// the context events that concern its servers or no particular server. The text is empty if no
-/// line has the request.
+/// the context events that concern its servers or no particular server, and what speaks against all
+/// requests with the same fingerprint. The text is empty if no line has the request.
 pub fn trace(lines: &[Line], request: &str) -> String {
     let request_lines: Vec<&Line> =
         lines.iter().filter(|line| line.field("request") == request).collect();
@@ -88,13 +93,24 @@
         let is_related = server.is_empty() || servers.contains(&server);
         line.is_one_of(&CONTEXT_EVENTS) && is_related && is_near(line)
     };
-    let mut selected: Vec<&Line> =
-        lines.iter().filter(|line| line.field("request") == request || is_context(line)).collect();
+    let fingerprints: BTreeSet<&str> = request_lines
+        .iter()
+        .map(|line| line.field("fingerprint"))
+        .filter(|fingerprint| !fingerprint.is_empty())
+        .collect();
+    let is_evidence = |line: &Line| {
+        let mut named = line.field("fingerprints").split(' ').chain([line.field("fingerprint")]);
+        line.is_one_of(&EVIDENCE_EVENTS) && named.any(|name| fingerprints.contains(name))
+    };
+    let is_selected =
+        |line: &&Line| line.field("request") == request || is_context(line) || is_evidence(line);
+    let mut selected: Vec<&Line> = lines.iter().filter(is_selected).collect();
     selected.sort_by(|a, b| a.timestamp.cmp(&b.timestamp));
     let mut output = String::new();
     for line in selected {
-        let mark = if line.field("request") == request { "*" } else { " " };
-        let _infallible = writeln!(output, "{mark} {}", line.format());
+        let is_own = line.field("request") == request;
+        let mark = if is_own { "*" } else { " " };
+        let _infallible = writeln!(output, "{mark} {}", line.format(!is_own));
     }
     output
 }
@@ -141,11 +157,10 @@
         time.map_or(0.0, |time| time.as_duration().as_secs_f64())
     }
 
-    /// Formats the line without the request id.
-    fn format(&self) -> String {
+    fn format(&self, has_request: bool) -> String {
         let mut text = format!("{} {} {}", self.timestamp, self.origin, self.message);
         for (name, value) in &self.fields {
-            if name != "request" {
+            if name != "request" || has_request {
                 let _infallible = write!(text, " {name}={}", value_text(value));
             }
         }
--- a/crates/operator/tests/logs.rs
+++ b/crates/operator/tests/logs.rs
@@ -57,3 +57,24 @@
     assert!(shown("just before") && shown("just after"), "{text}");
     assert!(!shown("day before") && !shown("day after"), "{text}");
 }
+
+// Guards against a rejected repeat that cannot be traced to the crashes that speak against it.
+#[test]
+fn trace_of_a_request_in_quarantine_shows_the_crashes_under_its_repeats() {
+    const LOGS: &str = r#"
+entry-1 {"timestamp":"2026-12-04T12:00:00Z","message":"broke","kvs":{"event":"suspect","request":"r1","server":"s1","fingerprint":"ab"}}
+entry-1 {"timestamp":"2026-12-04T12:00:01Z","message":"crashed","kvs":{"event":"crash","server":"s1","evidence":"refused","fingerprints":"cd ab"}}
+entry-2 {"timestamp":"2026-12-04T12:05:00Z","message":"broke","kvs":{"event":"suspect","request":"r2","server":"s2","fingerprint":"ab"}}
+entry-2 {"timestamp":"2026-12-04T12:05:01Z","message":"crashed","kvs":{"event":"crash","server":"s3","evidence":"refused","fingerprints":"cd"}}
+entry-2 {"timestamp":"2026-12-04T12:09:00Z","message":"rejecting","kvs":{"event":"quarantine","request":"r3","fingerprint":"ab"}}
+"#;
+
+    let text = logs::trace(&logs::parse(LOGS), "r3");
+
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 4, "{text}");
+    assert!(lines[0].contains("server=s1") && lines[0].contains("request=r1"), "{text}");
+    assert!(lines[1].contains("evidence=refused"), "{text}");
+    assert!(lines[2].contains("server=s2"), "{text}");
+    assert!(lines[3].starts_with('*'), "{text}");
+}
