Keep quarantines in the platform's store

What callers would see: after all instances start anew at once, a request in quarantine crashes two servers again.

Change: a quarantine is a record of the instances' topic, which each instance follows anyway; it costs one call when it starts and one when it ends. An instance counts as informed once it has read the topic and a peer has told what it knows.

--- a/crates/fleet/src/suspect.rs
+++ b/crates/fleet/src/suspect.rs
@@ -49,6 +49,14 @@
     pub quarantine: Option<Quarantine>,
 }
 
+impl Record {
+    /// Returns whether the suspect is in quarantine, and was not cleared since.
+    pub fn is_quarantined(&self) -> bool {
+        let is_open = self.runs.iter().any(|run| !run.is_cleared);
+        is_open && self.quarantine.is_some_and(|quarantine| !quarantine.remaining.is_zero())
+    }
+}
+
 /// A run of a suspect that ended with a crash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Run {
--- a/crates/fleet/src/suspect/list.rs
+++ b/crates/fleet/src/suspect/list.rs
@@ -52,6 +52,8 @@
     crashes: HashMap<u64, Crash>,
     /// Time at which a request last completed at this instance.
     completions: HashMap<Digest, Moment>,
+    /// Suspects whose quarantine started or ended, until this is taken.
+    unsaved: Vec<Digest>,
 }
 
 /// A crash of a server while suspects ran there.
@@ -100,8 +102,8 @@
     /// Creates an empty list that keeps a suspect for `retention` after its last crash. The first
     /// quarantine lasts as long.
     pub fn new(retention: Duration) -> List {
-        let (suspects, crashes, completions) = Default::default();
-        List { retention, suspects, crashes, completions }
+        let (suspects, crashes, completions, unsaved) = Default::default();
+        List { retention, suspects, crashes, completions, unsaved }
     }
 
     /// Records a run that ended with a crash. Returns whether it was new.
@@ -149,6 +151,9 @@
         if is_open {
             suspect.runs.iter_mut().for_each(|run| run.is_cleared = true);
             suspect.changed_at = now;
+            if 0 < suspect.quarantines {
+                save(&mut self.unsaved, *fingerprint);
+            }
         }
         is_open
     }
@@ -217,6 +222,15 @@
         quarantined.map(|(fingerprint, suspect)| suspect.record(now, *fingerprint)).collect()
     }
 
+    /// Takes the suspects whose quarantine started or ended at this instance.
+    pub fn take_unsaved(&mut self) -> Vec<Digest> {
+        std::mem::take(&mut self.unsaved)
+    }
+
+    pub fn has_unsaved(&self) -> bool {
+        !self.unsaved.is_empty()
+    }
+
     /// Returns the number of suspects that were not cleared.
     pub fn open_count(&self) -> usize {
         let suspects = self.suspects.values();
@@ -230,7 +244,14 @@
     /// Removes what has expired.
     pub fn expire(&mut self, now: Moment) {
         let retention = self.retention;
-        self.suspects.retain(|_, suspect| now < suspect.expires_at(retention));
+        let unsaved = &mut self.unsaved;
+        self.suspects.retain(|fingerprint, suspect| {
+            let is_kept = now < suspect.expires_at(retention);
+            if !is_kept && 0 < suspect.quarantines {
+                save(unsaved, *fingerprint);
+            }
+            is_kept
+        });
         self.crashes.retain(|_, crash| now < crash.at + retention);
         self.completions.retain(|_, completed_at| now < *completed_at + COMPLETION_PERIOD);
     }
@@ -385,10 +406,18 @@
         suspect.quarantines += 1;
         suspect.quarantined_until = now + length;
         suspect.changed_at = now;
+        save(&mut self.unsaved, *fingerprint);
         length
     }
 }
 
+/// Adds a suspect to those whose quarantine started or ended.
+fn save(unsaved: &mut Vec<Digest>, fingerprint: Digest) {
+    if unsaved.len() < MAX_SUSPECTS && !unsaved.contains(&fingerprint) {
+        unsaved.push(fingerprint);
+    }
+}
+
 impl Suspect {
     /// Returns the runs that the suspect was not cleared of.
     fn open_runs(&self) -> impl Iterator<Item = &Run> {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -18,6 +18,7 @@
     entry::Entry,
     listen::PEER_COPY_PATH,
     ports::{Record, Snapshot, Tail},
+    quarantine::archive,
 };
 
 /// Time that a read of a log waits for the first new record.
@@ -46,6 +47,7 @@
     }
     entry.kernel.spawn_detached(announce(Arc::clone(entry)));
     entry.kernel.spawn_detached(follow_peers(Arc::clone(entry)));
+    entry.kernel.spawn_detached(archive::run(Arc::clone(entry)));
 }
 
 /// Reads one log for as long as the process runs.
@@ -61,6 +63,9 @@
             Ok(()) => {
                 entry.record_store_response(topic);
                 delay = MIN_RETRY_DELAY;
+                if topic == Topic::Instances {
+                    entry.record_archive_read();
+                }
                 if topic == Topic::Servers {
                     entry.kernel.clock.sleep(SERVERS_BATCH_INTERVAL).await;
                 }
@@ -172,12 +177,17 @@
 /// Applies the records of one log up to the position `next`.
 fn apply(entry: &Entry, topic: Topic, records: Vec<Record>, next: Position, verdict: Verdict) {
     if topic == Topic::Instances {
-        let mut peers = entry.peers.lock();
         for record in records {
+            if archive::is_key(&record.key) {
+                archive::read(entry, &record.key, &record.value);
+                continue;
+            }
             let address = std::str::from_utf8(&record.value).ok();
             let address = address.and_then(|text| text.parse::<SocketAddr>().ok());
             match address {
-                Some(address) if address != entry.settings.mesh => peers.add(address),
+                Some(address) if address != entry.settings.mesh => {
+                    entry.peers.lock().add(address);
+                }
                 _ => {}
             }
         }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -7,6 +7,8 @@
 //! Architecture Invariant: the gate admits a request only with a [`Clearance`], and only this
 //! module hands them out.
 
+pub mod archive;
+
 use std::{
     io::ErrorKind,
     net::SocketAddr,
@@ -49,8 +51,7 @@
     "the request crashed the servers that ran it; do not send it again unchanged";
 /// Time for which a suspect is kept after its last crash, and length of the first quarantine.
 const RETENTION: Duration = Duration::from_secs(600);
-/// Time after its start for which an instance waits for a peer to tell which requests are in
-/// quarantine.
+/// Time after its start for which an instance waits to learn which requests are in quarantine.
 pub const SETTLING_PERIOD: Duration = Duration::from_millis(300);
 /// Time in which a live server accepts a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
@@ -69,8 +70,12 @@
     replies: Replies<TrialReply>,
     /// Notified when a broken attempt was examined.
     examined: event_listener::Event,
+    /// Notified when a quarantine started or ended.
+    judged: event_listener::Event,
     /// Whether a peer has told which requests are in quarantine.
     is_informed: AtomicBool,
+    /// Whether those in the store were read.
+    is_archive_read: AtomicBool,
 }
 
 /// Proof that a request may run on a server, given what is known of it.
@@ -104,7 +109,9 @@
             trials: Mutex::default(),
             replies: Replies::default(),
             examined: event_listener::Event::new(),
+            judged: event_listener::Event::new(),
             is_informed: AtomicBool::new(false),
+            is_archive_read: AtomicBool::new(false),
         }
     }
 }
@@ -117,9 +124,22 @@
         }
     }
 
-    /// Returns whether the instance knows which requests are in quarantine, or no peer tells it.
+    /// Records that the quarantines in the store were read.
+    pub fn record_archive_read(&self) {
+        if !self.quarantine.is_archive_read.swap(true, Ordering::Relaxed) {
+            self.state_changed.notify(usize::MAX);
+        }
+    }
+
+    /// Returns whether the instance knows which requests are in quarantine, or waited for long
+    /// enough.
     pub fn is_informed(&self) -> bool {
-        SETTLING_PERIOD <= self.now() || self.quarantine.is_informed.load(Ordering::Relaxed)
+        if SETTLING_PERIOD <= self.now() {
+            return true;
+        }
+        let is_archive_read = self.quarantine.is_archive_read.load(Ordering::Relaxed);
+        let is_told = self.quarantine.is_informed.load(Ordering::Relaxed);
+        is_archive_read && (is_told || self.peers.lock().addresses().next().is_none())
     }
 
     /// Returns how to run a request.
@@ -128,7 +148,11 @@
         if list.is_empty() {
             return Decision::Allow;
         }
-        list.decide(self.now(), fingerprint)
+        let decision = list.decide(self.now(), fingerprint);
+        if list.has_unsaved() {
+            self.quarantine.judged.notify(usize::MAX);
+        }
+        decision
     }
 
     /// Returns the clearance of a request for a server; a suspect needs a trial there.
@@ -318,6 +342,9 @@
             return;
         }
         list.expire(now);
+        if list.has_unsaved() {
+            self.quarantine.judged.notify(usize::MAX);
+        }
         metrics::gauge!("chivelatch_suspects").set(list.open_count() as f64);
         metrics::gauge!("chivelatch_quarantined").set(list.quarantined(now).len() as f64);
     }
@@ -337,6 +364,7 @@
             "a request that was running at a crash has completed"
         );
         metrics::counter!("chivelatch_cleared_total").increment(1);
+        self.quarantine.judged.notify(usize::MAX);
         self.state_changed.notify(usize::MAX);
         self.announced.notify(usize::MAX);
     }
