--- a/crates/fleet/src/suspect/trial.rs
+++ b/crates/fleet/src/suspect/trial.rs
@@ -4,14 +4,10 @@
 //! so, or else when its time is over. A suspect that has crashed two servers or more runs on a
 //! server without any other trial.
 
-use std::time::Duration;
-
 use smallvec::SmallVec;
 
 use crate::{Name, digest::Digest, lease::Moment};
 
-/// Time until the next request for a trial if none was granted.
-pub const RETRY_DELAY: Duration = Duration::from_millis(25);
 /// Limit on the trials at once.
 const MAX_TRIALS: usize = 4096;
 
