Spread the first permits of issuers that do not hear each other

Traced: three partitions overlap, eight groups have an issuer each. All learned of the limit at 2.0 s, waited for the full interval (2.61 s) and granted their first permit at 4.62 s, eight at once; only later permits were spaced by their share. Ruled out: instances that start inside a partition.

Also found: an issuer set the time of its next permit by the share that it heard at the last one, so that after a partition the server was left idle for up to 26 intervals.

Change: an issuer that does not hear all grants its first permit at the position of its instance within the time between two; the share counts as it is at each request.

--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -45,7 +45,6 @@
 }
 
 /// Limits of servers, and the requests for permits that are under way.
-#[derive(Default)]
 pub struct Gate {
     pub limits: Mutex<Limits>,
     /// Replies by the id of the request for the permit; `None` while it is awaited.
@@ -254,6 +253,16 @@
     }
 }
 
+impl Default for Gate {
+    fn default() -> Gate {
+        Gate {
+            limits: Mutex::new(Limits::new(rand::random())),
+            replies: Mutex::default(),
+            replied: event_listener::Event::new(),
+        }
+    }
+}
+
 impl Gate {
     /// Waits for the reply to a request for a permit.
     async fn reply(&self, id: u64) -> PermitReply {
--- a/crates/serving/src/limit.rs
+++ b/crates/serving/src/limit.rs
@@ -79,6 +79,8 @@
 /// Limits of all servers, as one instance knows them.
 #[derive(Debug, Default)]
 pub struct Limits {
+    /// Position among the instances that start to issue permits at the same time, from 0 to 1.
+    position: f64,
     servers: HashMap<Name, Limit>,
 }
 
@@ -95,6 +97,10 @@
     next_return: Moment,
     /// Time since which this instance issues the permits, if it does.
     issuer_since: Option<Moment>,
+    /// Time at which the limit was learned.
+    learned_at: Moment,
+    /// Start of the last permit that this instance has issued.
+    last_start: Option<Moment>,
     /// Granted permits that no request holds.
     unused: SmallVec<[Permit; 2]>,
 }
@@ -138,6 +144,11 @@
 }
 
 impl Limits {
+    /// Creates an empty list of an instance with this position among the others, from 0 to 1.
+    pub fn new(position: f64) -> Limits {
+        Limits { position, servers: HashMap::new() }
+    }
+
     /// Records what a response of a server's process says, whose request was sent at `sent_at`.
     /// Returns whether the limit is another one now.
     pub fn record_statement(
@@ -221,6 +232,10 @@
     /// Issues a permit that starts within `max_wait`, where `heard_share` is the share of the known
     /// instances that are heard. Returns the time until its start.
     ///
+    /// Instances that do not hear each other have an issuer each, and these may start at the same
+    /// time. So the first permit of an issuer that does not hear all comes within the time between
+    /// two, at the position of its instance.
+    ///
     /// # Errors
     ///
     /// Returns the time until the next permit is free.
@@ -237,13 +252,20 @@
         if now < taken_over_at {
             return Err(taken_over_at - now);
         }
-        let wait = limit.next_free.saturating_sub(now);
+        let mut start = limit.next_free;
+        if heard_share < 1.0 {
+            let interval = rate.interval(REQUEST_SHARE * heard_share);
+            let first = || taken_over_at.max(limit.learned_at) + interval.mul_f64(self.position);
+            start = start.max(limit.last_start.map_or_else(first, |last| last + interval));
+        }
+        let wait = start.saturating_sub(now);
         if max_wait.min(MAX_RESERVATION) < wait {
             return Err(wait);
         }
-        let interval = rate.interval(REQUEST_SHARE * heard_share);
+        let interval = rate.interval(REQUEST_SHARE);
         let earliest = now.saturating_sub(interval.mul_f64(LATE_START_SHARE));
-        limit.next_free = limit.next_free.max(earliest) + interval;
+        limit.next_free = start.max(earliest) + interval;
+        limit.last_start = Some(start.max(now));
         Ok(wait)
     }
 
@@ -301,11 +323,15 @@
         let previous = std::mem::replace(&mut self.rate, rate);
         match rate {
             // Requests may be under way to the server.
-            Some(rate) if previous.is_none() => self.delay(now, rate.interval(REQUEST_SHARE)),
+            Some(rate) if previous.is_none() => {
+                self.learned_at = now;
+                self.delay(now, rate.interval(REQUEST_SHARE));
+            }
             Some(_) => {}
             None => {
                 self.unused.clear();
                 (self.next_free, self.next_return) = (Moment::ZERO, Moment::ZERO);
+                self.last_start = None;
             }
         }
         previous != rate
--- a/crates/serving/tests/limit.rs
+++ b/crates/serving/tests/limit.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use rand::RngExt as _;
+use rand::{RngExt as _, SeedableRng as _};
 
 use seeds::Random;
 use serving::{
@@ -208,10 +208,15 @@
     SocketAddr::from(([10, 0, 0, index as u8 + 1], 7600))
 }
 
+/// Returns the position of an instance, from 0 to 1: a hash of its incarnation.
+fn position(incarnation: u64) -> f64 {
+    Random::seed_from_u64(incarnation).random()
+}
+
 impl Instance {
     fn new(now: Moment, incarnation: u64) -> Instance {
         Instance {
-            limits: Limits::default(),
+            limits: Limits::new(position(incarnation)),
             limiter: Limiter::default(),
             incarnation,
             started: now,
@@ -376,8 +381,30 @@
 // Guards against many issuers at once, as after kills of instances that cannot hear all others.
 #[test]
 fn keeps_the_limit_of_26_instances_over_kills_and_partitions() {
+    let worst = std::cell::Cell::new(0.0_f64);
     seeds::run(60, |random| {
-        worst_window_of_a_day(random, 26);
+        worst.set(worst.get().max(worst_window_of_a_day(random, 26)));
+    });
+    println!("26 instances, worst window: {:.2} of the allowed", worst.get());
+}
+
+// Guards against an issuer that keeps to its share of a partition after it hears all others again.
+#[test]
+fn uses_most_of_the_limit_again_after_a_partition() {
+    seeds::run(5, |random| {
+        let mut fleet = Fleet::new(26, 1.2);
+        fleet.run_until(random, seconds(5.0));
+        let healed_at = seconds(15.0);
+        for (from, to) in (0..26).flat_map(|from| (0..26).map(move |to| (from, to))) {
+            fleet.instances[from].cut.insert(to, healed_at);
+        }
+        fleet.run_until(random, healed_at + seconds(2.0));
+        let before = fleet.arrived;
+
+        fleet.run_until(random, healed_at + seconds(22.0));
+
+        let used = (fleet.arrived - before) as f64 / (20.0 * 1.2);
+        assert!((0.8..=1.0).contains(&used), "{used:.2}");
     });
 }
 
