--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -6,7 +6,7 @@
 //! Architecture Invariant: a request is sent only with a [`Pass`], and only the gate hands them
 //! out.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use parking_lot::Mutex;
 
@@ -23,6 +23,7 @@
     mesh,
     message::{Message, PermitReply, PermitRequest},
     quarantine::Clearance,
+    replies::Replies,
 };
 
 /// Time after which a request for a permit counts as lost.
@@ -47,9 +48,7 @@
 /// Limits of servers, and the requests for permits that are under way.
 pub struct Gate {
     pub limits: Mutex<Limits>,
-    /// Replies by the id of the request for the permit; `None` while it is awaited.
-    replies: Mutex<HashMap<u64, Option<PermitReply>>>,
-    replied: event_listener::Event,
+    replies: Replies<PermitReply>,
 }
 
 /// Instance that issues permits of a server, or grants the trials of a service.
@@ -176,10 +175,7 @@
 
     /// Records the response to a request for a permit, if it is still awaited.
     pub fn record_permit_reply(&self, reply: PermitReply) {
-        if let Some(slot) = self.gate.replies.lock().get_mut(&reply.id) {
-            *slot = Some(reply);
-        }
-        self.gate.replied.notify(usize::MAX);
+        self.gate.replies.record(reply.id, reply);
     }
 
     fn issue(&self, server: &Name, max_wait: Duration) -> Result<Duration, Duration> {
@@ -227,11 +223,9 @@
             return Err(RETRY_DELAY);
         };
         let request = PermitRequest { id: rand::random(), limit, max_wait };
-        let id = request.id;
-        self.gate.replies.lock().insert(id, None);
+        let awaited = self.gate.replies.expect(request.id);
         mesh::send(socket, issuer, &Message::PermitRequest(request)).await;
-        let reply = self.kernel.clock.timeout(REPLY_TIMEOUT, self.gate.reply(id)).await;
-        self.gate.replies.lock().remove(&id);
+        let reply = self.kernel.clock.timeout(REPLY_TIMEOUT, awaited.reply()).await;
         reply.map_or(Err(RETRY_DELAY), |reply| reply.outcome)
     }
 
@@ -255,24 +249,8 @@
 
 impl Default for Gate {
     fn default() -> Gate {
-        Gate {
-            limits: Mutex::new(Limits::new(rand::random())),
-            replies: Mutex::default(),
-            replied: event_listener::Event::new(),
-        }
-    }
-}
-
-impl Gate {
-    /// Waits for the reply to a request for a permit.
-    async fn reply(&self, id: u64) -> PermitReply {
-        loop {
-            let replied = self.replied.listen();
-            if let Some(reply) = self.replies.lock().get(&id).cloned().flatten() {
-                return reply;
-            }
-            replied.await;
-        }
+        let limits = Mutex::new(Limits::new(rand::random()));
+        Gate { limits, replies: Replies::default() }
     }
 }
 
