Give back the permit of a request that was admitted and not sent

Change: a pass holds the permit until the request may reach the server, and gives both back when it is dropped before. By type: whoever has a pass and does not send cannot keep them.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -81,15 +81,15 @@
 pub async fn send(
     kernel: &Kernel,
     pool: &Pool,
-    pass: Pass,
+    mut pass: Pass,
     request_id: &str,
     request: Request<Full<Bytes>>,
     limit: Duration,
     read_head: impl FnOnce(&response::Parts) -> ResponseMeta,
 ) -> Result<Reply, Failure> {
-    let server = pass.server();
+    let server = &pass.server().clone();
     let mut is_sent = false;
-    let response = send_request(pool, server, request, limit, &mut is_sent);
+    let response = send_request(pool, &mut pass, request, limit, &mut is_sent);
     let outcome = kernel.clock.timeout(limit, response).await;
     let (response, connection) = match outcome {
         Ok(outcome) => outcome?,
@@ -140,12 +140,12 @@
 /// that the caller can tell after a timeout.
 async fn send_request(
     pool: &Pool,
-    server: &Listing,
+    pass: &mut Pass,
     request: Request<Full<Bytes>>,
     limit: Duration,
     is_sent: &mut bool,
 ) -> Result<(hyper::Response<Body>, Connection), Failure> {
-    let address = server.address;
+    let address = pass.server().address;
     let mut request = request;
     loop {
         let mut connection = match pool.take(address, MAX_REUSE_IDLE) {
@@ -153,6 +153,7 @@
             None => connect(pool, address, limit).await?,
         };
         *is_sent = true;
+        pass.record_use();
         match connection.send(request).await {
             Ok(response) => return Ok((response, connection)),
             Err(SendError::Broken(error)) => {
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -33,9 +33,13 @@
 /// Time after its start from which an instance issues permits. It hears its peers before.
 const ISSUER_MIN_AGE: Duration = Duration::from_secs(1);
 
-/// Proof that the gate has admitted one request to a server.
+/// Proof that the gate has admitted one request to a server. Its permit and its place after a pause
+/// are left to other requests if it is dropped before the request was sent.
 pub struct Pass {
+    entry: Arc<Entry>,
     server: Listing,
+    permit: Option<HeldPermit>,
+    is_used: bool,
 }
 
 /// Permit that a request holds. It is left to other requests if it is not used.
@@ -62,7 +66,7 @@
     /// Admits a request to a server, if the server takes one now. Uses the permit that the request
     /// holds if the server has a limit.
     pub fn admit(
-        &self,
+        self: &Arc<Entry>,
         server: &Listing,
         _clearance: Clearance,
         held: &mut Option<HeldPermit>,
@@ -75,12 +79,9 @@
         if !self.with_server(&server.id, |state| state.pause.admit(now)) {
             return None;
         }
-        if let Some(held) = held.as_mut().filter(|_| is_limited) {
-            held.permit = None;
-            metrics::counter!("chivelatch_permits_used_total", "server" => server.id.to_string())
-                .increment(1);
-        }
-        Some(Pass { server: server.clone() })
+        let permit = if is_limited { held.take() } else { None };
+        let (entry, server) = (Arc::clone(self), server.clone());
+        Some(Pass { entry, server, permit, is_used: false })
     }
 
     /// Returns the limit that a server has named, in requests per second.
@@ -245,6 +246,25 @@
     pub fn server(&self) -> &Listing {
         &self.server
     }
+
+    /// Uses the pass: the request may reach the server from now on.
+    pub fn record_use(&mut self) {
+        self.is_used = true;
+        let Some(mut held) = self.permit.take() else { return };
+        held.permit = None;
+        let server = self.server.id.to_string();
+        metrics::counter!("chivelatch_permits_used_total", "server" => server).increment(1);
+    }
+}
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        if self.is_used {
+            return;
+        }
+        let now = self.entry.now();
+        self.entry.with_server(&self.server.id, |state| state.pause.give_back(now));
+    }
 }
 
 impl Default for Gate {
--- a/crates/serving/src/pause.rs
+++ b/crates/serving/src/pause.rs
@@ -64,4 +64,12 @@
         }
         true
     }
+
+    /// Takes back the admission of a request that was not sent.
+    pub fn give_back(&mut self, now: Moment) {
+        let is_over = self.end.is_some_and(|end| end <= now);
+        if is_over && self.next_at <= now + RETURN_INTERVAL {
+            self.next_at = self.next_at.min(now);
+        }
+    }
 }
--- a/crates/serving/tests/pause.rs
+++ b/crates/serving/tests/pause.rs
@@ -76,6 +76,24 @@
     assert!(first_returns.iter().all(|first| (SECOND..=SECOND + ms(250)).contains(first)));
 }
 
+// Guards against a place after a pause that is lost with a request that was admitted and not sent,
+// and against one that is given back into a new pause.
+#[test]
+fn gives_the_place_of_an_unsent_request_to_the_next() {
+    let mut pause = Pause::default();
+    pause.record(ms(0), SECOND, 0.0);
+    let now = SECOND + ms(1);
+
+    let first = pause.admit(now);
+    pause.give_back(now + ms(1));
+    let second = pause.admit(now + ms(1));
+    pause.record(now + ms(2), ms(10), 0.0);
+    pause.give_back(now + ms(3));
+    let third = pause.admit(now + ms(3));
+
+    assert_eq!((first, second, third), (true, true, false));
+}
+
 // Guards against requests in the time for which a server wants none, whatever responses arrive
 // and in whichever order.
 #[test]
