--- a/crates/serving/src/limit.rs
+++ b/crates/serving/src/limit.rs
@@ -125,6 +125,11 @@
         self.0
     }
 
+    /// Returns the rate, or `None` for one that binds nobody.
+    fn if_binding(self) -> Option<Rate> {
+        Some(self).filter(|rate| rate.0 < UNLIMITED_RATE)
+    }
+
     /// Returns the time between two requests at a share of this rate.
     fn interval(self, share: f64) -> Duration {
         Duration::from_secs_f64(1.0 / (self.0.max(MIN_RATE) * share.max(1e-3)))
@@ -160,10 +165,12 @@
     ) -> bool {
         let rate = match statement {
             Statement::Unusable => return false,
-            Statement::Absent if !self.servers.contains_key(server) => return false,
             Statement::Absent => None,
-            Statement::Named(rate) => Some(rate),
+            Statement::Named(rate) => rate.if_binding(),
         };
+        if rate.is_none() && !self.servers.contains_key(server) {
+            return false;
+        }
         let Some(limit) = self.limit(server, born_ms) else { return false };
         let is_stricter = rate.is_some() && (limit.rate.is_none() || rate < limit.rate);
         if sent_at <= limit.stated_at && !is_stricter {
@@ -177,7 +184,7 @@
         if report.rate.is_none() && !self.servers.contains_key(&report.server) {
             return false;
         }
-        let rate = report.rate.and_then(|rate| Rate::new(rate.0));
+        let rate = report.rate.and_then(|rate| Rate::new(rate.0)?.if_binding());
         let stated_at = now.saturating_sub(report.age);
         let Some(limit) = self.limit(&report.server, report.born_ms) else { return false };
         let is_changed = limit.stated_at <= stated_at && limit.set(now, stated_at, rate);
