Issue permits at once where all instances have just started

Change: an instance that has read the store and hears all others that it names may issue at any age, if none of them is older than a second. One that starts beside others, or cannot hear all, waits as before.

--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -16,6 +16,7 @@
     Moment, Name,
     directory::Listing,
     limit::{self, Limits, Permit, Statement},
+    rate_limit::Members,
 };
 
 use crate::{
@@ -199,19 +200,34 @@
         issuer
     }
 
-    /// Returns the instance that decides for all of them on a name, as far as this one knows.
+    /// Returns the instance that decides for all of them on a name, as far as this one knows. Where
+    /// all have just started and hear each other, any of them may, or else one of a certain age.
     pub fn elect(&self, name: &Name) -> Option<Issuer> {
         let now = self.now();
         let members = self.limiter.lock().members(now);
+        let hears_all = self.hears_all(&members);
         let own = (!self.is_stopping()).then_some((self.settings.mesh, now));
-        let candidates = members.heard.into_iter().chain(own);
-        let candidates = candidates.filter(|(_, age)| ISSUER_MIN_AGE <= *age);
+        let candidates: Vec<(SocketAddr, Duration)> =
+            members.heard.into_iter().chain(own).collect();
+        let is_old = |age: Duration| ISSUER_MIN_AGE <= age;
+        let may_be_young = hears_all && !candidates.iter().any(|(_, age)| is_old(*age));
+        let candidates = candidates.into_iter().filter(|(_, age)| may_be_young || is_old(*age));
         let hash = |address| rendezvous::hash(&format!("{name} {address}"));
         let address = limit::issuer(candidates.map(|(address, _)| address), hash);
         let is_local = address == Some(self.settings.mesh);
         Some(if is_local { Issuer::Local } else { Issuer::Peer(address?) })
     }
 
+    /// Returns whether this instance hears all others that the store and the settings name.
+    fn hears_all(&self, members: &Members) -> bool {
+        if !self.is_informed() {
+            return false;
+        }
+        let peers = self.peers.lock();
+        let mut addresses = peers.addresses();
+        addresses.all(|address| members.heard.iter().any(|(heard, _)| *heard == address))
+    }
+
     async fn request_permit(
         &self,
         issuer: SocketAddr,
