Return to a plain server that was not used for a while

Cause: not the limit. The estimate of a server's slowdown falls to 0.7 while it is used and returns to 1 while it is not, so under a light load the server in use has the lower cost for ever; the first one in the list got everything where none had a limit, either.

Change: a plain server that was not measured within 2 s counts as fast as the fastest one, and servers of about the same cost share the requests by a hash of the request; a limited one that takes a request now comes first.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -240,7 +240,7 @@
         };
         match self.meta.model.as_ref().filter(|_| context.has_engines()) {
             Some(model) => self.select_engine(&context, model, awaited_server),
-            None => self.select_plain_server(&context),
+            None => self.select_plain_server(&context, draw),
         }
     }
 
@@ -287,12 +287,12 @@
         }
     }
 
-    fn select_plain_server(&self, context: &Context<'_>) -> Selection {
+    fn select_plain_server(&self, context: &Context<'_>, draw: u64) -> Selection {
         let candidates = context.servers.iter().map(|listing| {
             context.entry.with_server(&listing.id, |server| context.candidate(listing, server))
         });
         let candidates: Vec<Candidate> = candidates.collect();
-        let Some(index) = selection::choose_plain_server(&candidates) else {
+        let Some(index) = selection::choose_plain_server(&candidates, draw >> 32) else {
             return Selection::Reject {
                 retry_after: DEFAULT_RETRY_AFTER,
                 reason: "no server is left",
@@ -441,10 +441,12 @@
             requests_in_flight: server.backlog.requests_in_flight(self.now),
             slots: listing.slots,
             slowdown: server.backlog.slowdown(self.now),
+            is_measured: server.backlog.is_measured(self.now),
             failure_rate: server.backlog.failure_rate(self.now),
             is_same_zone: listing.zone == self.entry.settings.zone,
             is_suspect: self.now < server.suspect_until,
             pause: server.pause.wait(self.now).max(self.limit_wait(listing)),
+            is_limited: self.is_limited(listing),
         }
     }
 }
--- a/crates/serving/src/backlog.rs
+++ b/crates/serving/src/backlog.rs
@@ -17,6 +17,8 @@
 const SLOWDOWN_SAMPLE_WEIGHT: f64 = 0.2;
 /// Minimum and maximum of the estimated slowdown.
 const SLOWDOWN_RANGE: (f64, f64) = (0.7, 8.0);
+/// Time after a response for which the estimate of the slowdown counts as measured.
+const MEASURED_PERIOD: Duration = Duration::from_secs(2);
 /// Half-life of the slowdown and of the failure rate.
 const HALF_LIFE: Duration = Duration::from_secs(4);
 
@@ -136,6 +138,11 @@
         1.0 + (self.slowdown - 1.0) * decay::remaining(self.slowdown_at, now, HALF_LIFE)
     }
 
+    /// Returns whether the slowdown was measured lately.
+    pub fn is_measured(&self, now: Moment) -> bool {
+        !self.slowdown_at.is_zero() && now < self.slowdown_at + MEASURED_PERIOD
+    }
+
     fn fresh_reports(&self, now: Moment) -> impl Iterator<Item = &Report> {
         self.peer_reports.values().filter(move |report| now < report.at + REPORT_LIFETIME)
     }
--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -13,6 +13,8 @@
 
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
 /// Prompt tokens that an engine processes per millisecond.
 pub const PROMPT_TOKENS_PER_MS: f64 = 19.2;
 /// Typical time to the first event of an idle engine, without processing the prompt.
@@ -26,6 +28,8 @@
 const FOREIGN_LOAD_PENALTY_MS: f64 = 1000.0;
 /// Expected remaining time of a load that is in progress.
 const PENDING_LOAD_MS: f64 = 60.0;
+/// Difference in cost below which plain servers share the requests.
+const EQUAL_COST_MS: f64 = 2.0;
 /// Cost of sending a request to another availability zone.
 const CROSS_ZONE_PENALTY_MS: f64 = 3.0;
 /// Cost of a server that failed recently; high enough to make it the last resort.
@@ -72,13 +76,17 @@
     pub slots: u32,
     /// Response time as a multiple of the typical one.
     pub slowdown: f64,
+    /// Whether the slowdown was measured lately.
+    pub is_measured: bool,
     /// Share of requests that failed recently, from 0 to 1.
     pub failure_rate: f64,
     pub is_same_zone: bool,
     /// Whether the server failed recently and is avoided for a while.
     pub is_suspect: bool,
-    /// Time until the server takes the next request, if it asked for a pause.
+    /// Time until the server takes the next request, if it asked for a pause or named a limit.
     pub pause: Duration,
+    /// Whether the server has named a limit.
+    pub is_limited: bool,
 }
 
 /// The chosen candidate.
@@ -103,18 +111,33 @@
     Some(Choice { index, expected: millis(wait) })
 }
 
-/// Chooses the server of a plain service for a request and returns its position.
-pub fn choose_plain_server(candidates: &[Candidate]) -> Option<usize> {
+/// Chooses the server of a plain service for a request and returns its position. Servers with about
+/// the same cost get requests by `draw`, a random number of the request; one that takes few requests
+/// and takes one now comes first, so that it is used. A server that was not
+/// measured lately counts as fast as the fastest one: otherwise one that was avoided for a while would
+/// never be tried again while the others bear the load.
+pub fn choose_plain_server(candidates: &[Candidate], draw: u64) -> Option<usize> {
+    let measured = candidates.iter().filter(|candidate| candidate.is_measured);
+    let fastest = measured.map(|candidate| candidate.slowdown).fold(f64::INFINITY, f64::min);
     let rated = candidates.iter().enumerate().map(|(index, candidate)| {
+        let slowdown = match candidate.is_measured {
+            true => candidate.slowdown,
+            false => candidate.slowdown.min(fastest),
+        };
         let utilization =
             f64::from(candidate.requests_in_flight + 1) / f64::from(candidate.slots.max(1));
         let excess = f64::from(candidate.requests_in_flight.saturating_sub(candidate.slots))
             * EXCESS_REQUEST_MS;
         // Full utilization costs as much as a delay of 100 ms.
-        let delay = utilization * 100.0 * candidate.slowdown + excess + as_ms(candidate.pause);
+        let delay = utilization * 100.0 * slowdown + excess + as_ms(candidate.pause);
         (index, delay + avoidance_cost_ms(candidate))
     });
-    rated.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(index, _)| index)
+    let rated: SmallVec<[(usize, f64); 8]> = rated.collect();
+    let lowest = rated.iter().map(|(_, cost)| *cost).fold(f64::INFINITY, f64::min);
+    let equal = rated.iter().filter(|(_, cost)| *cost < lowest + EQUAL_COST_MS);
+    let equal: SmallVec<[usize; 8]> = equal.map(|(index, _)| *index).collect();
+    let limited = equal.iter().find(|index| candidates[**index].is_limited);
+    limited.or_else(|| equal.get(draw as usize % equal.len().max(1))).copied()
 }
 
 /// Returns the typical time to the first event with `tokens` outstanding, the request's own
--- a/crates/serving/tests/selection.rs
+++ b/crates/serving/tests/selection.rs
@@ -19,10 +19,12 @@
     requests_in_flight: 0,
     slots: 64,
     slowdown: 1.0,
+    is_measured: true,
     failure_rate: 0.0,
     is_same_zone: true,
     is_suspect: false,
     pause: Duration::ZERO,
+    is_limited: false,
 };
 
 fn chosen(candidates: &[Candidate]) -> usize {
@@ -122,7 +124,8 @@
     let busy = Candidate { requests_in_flight: 2, slots: 4, ..IDLE };
 
     assert!((0.3..0.7).contains(&failing.failure_rate));
-    assert_eq!(selection::choose_plain_server(&[Candidate { slots: 4, ..failing }, busy]), Some(1));
+    let servers = [Candidate { slots: 4, ..failing }, busy];
+    assert!((0..9).all(|draw| selection::choose_plain_server(&servers, draw) == Some(1)));
     assert!(backlog.failure_rate(now + Duration::from_secs(30)) < 0.01, "it is tried again");
 }
 
@@ -140,7 +143,8 @@
     let small = Candidate { requests_in_flight: 3, slots: 4, ..IDLE };
     let large = Candidate { requests_in_flight: 4, slots: 16, ..IDLE };
 
-    assert_eq!(selection::choose_plain_server(&[small, large]), Some(1));
+    let servers = [small, large];
+    assert!((0..9).all(|draw| selection::choose_plain_server(&servers, draw) == Some(1)));
 }
 
 #[test]
@@ -176,3 +180,22 @@
 
     assert!(soon < later && Duration::from_secs(3) <= later);
 }
+
+// Guards against a server that gets no request any more although it costs no more than the others.
+#[test]
+fn spreads_requests_over_plain_servers_of_about_the_same_cost() {
+    let fast = Candidate { slowdown: 0.7, slots: 8, ..IDLE };
+    let avoided = Candidate { slowdown: 1.0, is_measured: false, ..fast };
+    let slow = Candidate { slowdown: 3.0, ..fast };
+    let other_zone = Candidate { is_same_zone: false, ..fast };
+    let servers = [fast, avoided, slow, other_zone];
+
+    let chosen = (0..90).map(|draw| selection::choose_plain_server(&servers, draw).unwrap());
+    let mut counts = [0; 4];
+    chosen.for_each(|index| counts[index] += 1);
+
+    assert_eq!(counts, [45, 45, 0, 0]);
+    let limited = [fast, Candidate { is_limited: true, ..fast }];
+    assert!((0..9).all(|draw| selection::choose_plain_server(&limited, draw) == Some(1)));
+    assert_eq!(selection::choose_plain_server(&[], 1), None);
+}
