--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -34,6 +34,10 @@
 /// Time after its start from which an instance issues permits. It hears its peers before.
 const ISSUER_MIN_AGE: Duration = Duration::from_secs(1);
 
+/// Time after its start in which an instance leaves their share of a limit to others that it has not
+/// heard.
+const UNHEARD_PEER_PERIOD: Duration = Duration::from_secs(60);
+
 /// Proof that the gate has admitted one request to a server. Its permit and its place after a pause
 /// are left to other requests if it is dropped before the request was sent.
 pub struct Pass {
@@ -183,7 +187,8 @@
     fn issue(&self, server: &Name, max_wait: Duration) -> Result<Duration, Duration> {
         let now = self.now();
         let members = self.limiter.lock().members(now);
-        let heard_share = (1 + members.heard.len()) as f64 / members.known.max(1) as f64;
+        let known = members.known.max(self.named_instance_count(now));
+        let heard_share = (1 + members.heard.len()) as f64 / known.max(1) as f64;
         let outcome = self.gate.limits.lock().issue(now, server, heard_share.min(1.0), max_wait);
         if outcome.is_ok() {
             metrics::counter!("chivelatch_permits_issued_total", "server" => server.to_string())
@@ -218,6 +223,15 @@
         Some(if is_local { Issuer::Local } else { Issuer::Peer(address?) })
     }
 
+    /// Returns the number of instances that the store and the settings name, while this one may have
+    /// started in a partition from them; the names of those that are gone stay in the store.
+    fn named_instance_count(&self, now: Moment) -> usize {
+        if UNHEARD_PEER_PERIOD <= now {
+            return 0;
+        }
+        1 + self.peers.lock().addresses().count()
+    }
+
     /// Returns whether this instance hears all others that the store and the settings name.
     fn hears_all(&self, members: &Members) -> bool {
         if !self.is_informed() {
