Watch the servers of requests whose callers leave

What callers saw: a request that ends its servers is not recognised if its callers give up first: the connection that breaks belongs to nobody any more. 24 servers ended in 4 s, 21 arrivals after the third end.

Cause: the evidence was collected where an attempt fails, and a caller that leaves drops it; one that left while its server was being examined dropped the examination, too.

Change: an attempt that its caller left is examined 0.1 s later (a new connection, only if no idle one to that server is open) and kept in mind for 6 s; a server that refuses a request is examined if attempts broke there; a crash that a peer tells of counts for the attempts here; an examination goes on without its caller.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -48,6 +48,7 @@
 
 /// An authorized request with the state of its attempts.
 pub struct Job {
+    entry: Arc<Entry>,
     pub meta: RequestMeta,
     /// Id of the last event that the caller has.
     pub last_event_id: Option<Bytes>,
@@ -70,6 +71,8 @@
     pub has_timed_out: bool,
     /// Trial of the current attempt, if the request is a suspect.
     pub trial: Option<HeldTrial>,
+    /// Server of the current attempt.
+    server: Option<Listing>,
     /// Whether the caller got a whole response or a rejection.
     is_finished: bool,
 }
@@ -87,6 +90,7 @@
 impl Job {
     /// Returns the state of a request before its first attempt.
     pub fn new(
+        entry: &Arc<Entry>,
         meta: RequestMeta,
         parts: request::Parts,
         body: Bytes,
@@ -96,6 +100,7 @@
     ) -> Job {
         let fingerprint = quarantine::fingerprint(&grant, &meta.host, &parts, &body);
         Job {
+            entry: Arc::clone(entry),
             fingerprint,
             meta,
             last_event_id: None,
@@ -110,6 +115,7 @@
             attempts: 0,
             has_timed_out: false,
             trial: None,
+            server: None,
             is_finished: false,
         }
     }
@@ -232,6 +238,7 @@
         );
         metrics::counter!("chivelatch_sends_total").increment(1);
         self.attempts += 1;
+        self.server = Some(server.clone());
         let Reply { head, meta, mut body, connection } = exchange::send(
             &entry.kernel,
             &entry.pool,
@@ -360,6 +367,7 @@
             self.runs += 1;
             return self.handle_broken_response(entry, server, failure).await;
         }
+        self.server = None;
         metrics::counter!("chivelatch_not_run_total").increment(1);
         log::info!(
             event = Event::NotRun, request = &*self.meta.id, server = &*server.id;
@@ -375,6 +383,7 @@
                 self.attempts -= 1;
                 entry.pool.close_idle(server.address);
                 entry.record_failure(&server.id);
+                entry.examine_unreachable(server);
             }
             _ => entry.record_failure(&server.id),
         }
@@ -393,6 +402,7 @@
         server: &Listing,
         failure: &Failure,
     ) -> Result<(), Rejection> {
+        self.server = None;
         metrics::counter!("chivelatch_broken_total").increment(1);
         log::warn!(
             event = Event::Broken, request = &*self.meta.id, server = &*server.id,
@@ -414,31 +424,38 @@
     }
 
     /// Finds out whether a server has crashed under this request, before it is sent to another one.
+    /// The caller may leave meanwhile.
     pub async fn examine_break(&mut self, entry: &Arc<Entry>, server: &Listing) {
-        let attempt = Attempt {
-            fingerprint: self.fingerprint,
-            account: self.grant.account.as_ref().map(|it| it.name.clone()).unwrap_or_default(),
-            is_trial: self.trial.is_some(),
-        };
-        let trial = self.trial.take();
+        let (attempt, trial) = self.take_attempt();
+        self.server = None;
         let examination =
             Arc::clone(entry).examine_break(self.meta.id.clone(), server.clone(), attempt);
-        let task = entry.kernel.spawn(async move {
+        let ended = Arc::new(event_listener::Event::new());
+        let end = ended.listen();
+        entry.kernel.spawn_detached(async move {
             examination.await;
             // The trial ends once its result is known.
             drop(trial);
+            ended.notify(usize::MAX);
         });
         if self.can_retry() {
-            task.await;
-        } else {
-            task.detach();
+            end.await;
         }
     }
 
+    /// Returns the current attempt as a suspect, with its trial.
+    fn take_attempt(&mut self) -> (Attempt, Option<HeldTrial>) {
+        let account = self.grant.account.as_ref().map(|it| it.name.clone()).unwrap_or_default();
+        let trial = self.trial.take();
+        let is_trial = trial.is_some();
+        (Attempt { fingerprint: self.fingerprint, account, is_trial }, trial)
+    }
+
     /// Records that a server completed a run of this request.
     pub fn record_completion(&mut self, entry: &Entry) {
         entry.record_completion(&self.fingerprint);
         self.trial = None;
+        self.server = None;
     }
 
     /// Removes the adapter from the server's status report, since it is no longer resident there.
@@ -572,6 +589,14 @@
                 runs = self.runs;
                 "the client disconnected before its response was complete"
             );
+            if let Some(server) = self.server.take() {
+                let (attempt, trial) = self.take_attempt();
+                let (entry, request) = (Arc::clone(&self.entry), self.meta.id.clone());
+                self.entry.kernel.spawn_detached(async move {
+                    entry.examine_abandoned(request, server, attempt).await;
+                    drop(trial);
+                });
+            }
         }
     }
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -55,6 +55,8 @@
 pub const SETTLING_PERIOD: Duration = Duration::from_millis(300);
 /// Time in which a live server accepts a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time after which the server of an attempt that its caller left is examined.
+const ABANDONED_DELAY: Duration = Duration::from_millis(100);
 /// Time after which a request for a trial counts as lost.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
 /// Requests for a trial after which this instance grants it itself. An innocent request must not
@@ -277,22 +279,62 @@
         if step == Step::Await {
             return self.await_examination(crash).await;
         }
+        self.probe(&server).await;
+    }
+
+    /// Tries a new connection to a server with broken attempts.
+    async fn probe(&self, server: &Listing) {
+        let crash = breakage::crash_id(server);
+        let quarantine = &self.quarantine;
         match self.pool.connect(server.address, PROBE_TIMEOUT).await {
             Ok(connection) => {
                 self.pool.release(connection, None);
                 quarantine.breakage.lock().record_connection(crash);
             }
-            Err(services::http::Error::Timeout { .. }) => self.record_crash(&server, "silent"),
+            Err(services::http::Error::Timeout { .. }) => self.record_crash(server, "silent"),
             Err(services::http::Error::Connect { source, .. })
                 if source.kind() == ErrorKind::ConnectionRefused =>
             {
-                self.record_crash(&server, "refused");
+                self.record_crash(server, "refused");
             }
             Err(_) => quarantine.breakage.lock().record_connection(crash),
         }
         quarantine.examined.notify(usize::MAX);
     }
 
+    /// Keeps an attempt in mind that its caller left, and finds out a little later whether its server
+    /// has crashed.
+    pub async fn examine_abandoned(
+        self: Arc<Entry>,
+        request: Name,
+        server: Listing,
+        attempt: Attempt,
+    ) {
+        self.kernel.clock.sleep(ABANDONED_DELAY).await;
+        let has_open = self.pool.has_open(server.address);
+        if !has_open {
+            return self.examine_break(request, server, attempt).await;
+        }
+        let crash = breakage::crash_id(&server);
+        let now = self.now();
+        self.with_mirror(|mirror| {
+            let mut breakage = self.quarantine.breakage.lock();
+            if breakage.record(now, &server, &mirror.directory, attempt) == Step::Probe {
+                breakage.record_connection(crash);
+            }
+        });
+    }
+
+    /// Finds out whether a server that refuses connections has crashed under requests.
+    pub fn examine_unreachable(self: &Arc<Entry>, server: &Listing) {
+        let crash = breakage::crash_id(server);
+        if !self.quarantine.breakage.lock().contains(crash) {
+            return;
+        }
+        let (entry, server) = (Arc::clone(self), server.clone());
+        self.kernel.spawn_detached(async move { entry.probe(&server).await });
+    }
+
     async fn await_examination(&self, crash: u64) {
         let deadline = self.now() + PROBE_TIMEOUT;
         loop {
@@ -406,6 +448,12 @@
         if is_changed {
             self.state_changed.notify(usize::MAX);
         }
+        let breakage = self.quarantine.breakage.lock();
+        let crashes = records.iter().flat_map(|record| &record.runs);
+        let crashed = crashes.filter_map(|run| breakage.server(run.crash));
+        let crashed: Vec<Listing> = crashed.collect();
+        drop(breakage);
+        crashed.iter().for_each(|server| self.record_crash(server, "peer"));
     }
 }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -82,7 +82,7 @@
     })?;
     let time_budget = time_budget(&meta);
     let limit = grant.route.timeout.map_or(time_budget, |timeout| timeout.min(time_budget));
-    Ok(Job::new(meta, parts, body, grant, arrived, arrived + limit))
+    Ok(Job::new(entry, meta, parts, body, grant, arrived, arrived + limit))
 }
 
 /// Returns the time that the caller waits for the response.
--- a/crates/services/src/pool.rs
+++ b/crates/services/src/pool.rs
@@ -143,6 +143,13 @@
         }
     }
 
+    /// Returns whether an idle connection to an address is open.
+    pub fn has_open(&self, address: SocketAddr) -> bool {
+        let idle = self.idle.lock();
+        let mut connections = idle.get(&address).into_iter().flatten();
+        connections.any(|candidate| candidate.connection.sender.is_ready())
+    }
+
     /// Closes the idle connections to an address.
     pub fn close_idle(&self, address: SocketAddr) {
         self.idle.lock().remove(&address);
--- a/crates/serving/src/breakage.rs
+++ b/crates/serving/src/breakage.rs
@@ -1,5 +1,7 @@
 //! Attempts whose connection broke, until it is known whether their server has crashed.
 //!
+//! So do attempts that their callers left, since nobody sees their connections break.
+//!
 //! A broken connection is no evidence of a crash: a link, a full queue or a faulty response breaks
 //! it, too. A server has crashed if a new connection is refused or not answered right after, or if
 //! the store lists a later process of it, or none, without an announcement that it leaves. Each
@@ -85,6 +87,16 @@
         if std::mem::replace(&mut broken.is_probing, true) { Step::Await } else { Step::Probe }
     }
 
+    /// Returns whether there are attempts that a crash would explain.
+    pub fn contains(&self, crash: u64) -> bool {
+        self.servers.contains_key(&crash)
+    }
+
+    /// Returns the server whose crash this is, if there are attempts that it would explain.
+    pub fn server(&self, crash: u64) -> Option<Listing> {
+        self.servers.get(&crash).map(|broken| broken.listing.clone())
+    }
+
     /// Records that a server accepted a new connection. Its attempts are kept: a later process may
     /// have accepted it.
     pub fn record_connection(&mut self, crash: u64) {
