Choose the first plain server until one was measured

Change: before the first response, the first of the servers with the lowest cost is chosen, as it was.

--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -137,6 +137,8 @@
     let equal = rated.iter().filter(|(_, cost)| *cost < lowest + EQUAL_COST_MS);
     let equal: SmallVec<[usize; 8]> = equal.map(|(index, _)| *index).collect();
     let limited = equal.iter().find(|index| candidates[**index].is_limited);
+    // Nothing tells the servers apart before the first response.
+    let draw = if fastest.is_finite() { draw } else { 0 };
     limited.or_else(|| equal.get(draw as usize % equal.len().max(1))).copied()
 }
 
