End the trials of instances that are not heard any more

Cause: a trial lasts until its instance ends it, or for the time that its request had, 30 s without a deadline. One whose instance was killed kept the suspect from running for that long.

Change: the instance that grants trials ends those of holders that it does not hear. The new test failed before (the second trial was refused).

--- a/crates/fleet/src/suspect/trial.rs
+++ b/crates/fleet/src/suspect/trial.rs
@@ -4,6 +4,8 @@
 //! so, or else when its time is over. A suspect that has crashed two servers or more runs on a
 //! server without any other trial.
 
+use std::net::SocketAddr;
+
 use smallvec::SmallVec;
 
 use crate::{Name, digest::Digest, lease::Moment};
@@ -19,6 +21,8 @@
     pub fingerprint: Digest,
     pub server: Name,
     pub is_exclusive: bool,
+    /// Address of the instance that runs it, or `None` for the one that grants it.
+    pub holder: Option<SocketAddr>,
     /// Time at which it ends at the latest.
     pub ends_at: Moment,
 }
@@ -46,6 +50,11 @@
         true
     }
 
+    /// Ends the trials of instances for which `is_heard` is false.
+    pub fn retain_holders(&mut self, is_heard: impl Fn(SocketAddr) -> bool) {
+        self.running.retain(|running| running.holder.is_none_or(&is_heard));
+    }
+
     /// Ends a trial.
     pub fn end(&mut self, id: u64) {
         self.running.retain(|running| running.id != id);
--- a/crates/fleet/tests/poison_fleet.rs
+++ b/crates/fleet/tests/poison_fleet.rs
@@ -376,6 +376,7 @@
             server: Arc::from(server.to_string()),
             // Runs are short.
             is_exclusive: true,
+            holder: None,
             ends_at: self.requests[request].deadline,
         };
         self.instances[granter].trials.start(self.now, trial)
--- a/crates/fleet/tests/suspect.rs
+++ b/crates/fleet/tests/suspect.rs
@@ -299,7 +299,25 @@
 }
 
 fn started(id: u64, fingerprint: Digest, server: &str, is_exclusive: bool) -> Trial {
-    Trial { id, fingerprint, server: name(server), is_exclusive, ends_at: seconds(1.0) }
+    let (server, ends_at) = (name(server), seconds(1.0));
+    Trial { id, fingerprint, server, is_exclusive, holder: None, ends_at }
+}
+
+// Guards against a suspect that nobody runs until the end of the trial of an instance that was killed.
+#[test]
+fn ends_the_trials_of_instances_that_are_not_heard() {
+    let mut trials = Trials::default();
+    let now = seconds(0.0);
+    let holder = Some("10.0.0.1:7600".parse().unwrap());
+    trials.start(now, Trial { holder, ..started(1, poison(), "s1", false) });
+    trials.start(now, started(2, innocent(), "s2", false));
+
+    let before = trials.start(now, started(3, poison(), "s3", false));
+    trials.retain_holders(|_| false);
+    let after = trials.start(now, started(4, poison(), "s3", false));
+    let own = trials.start(now, started(5, innocent(), "s3", false));
+
+    assert_eq!((before, after, own), (false, true, false));
 }
 
 #[test]
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -181,7 +181,7 @@
                 entry.record_informed();
             }
             Some((from, Message::TrialRequest(request))) => {
-                let reply = entry.answer_trial_request(&request);
+                let reply = entry.answer_trial_request(from, &request);
                 send(&socket, from, &Message::TrialReply(reply)).await;
             }
             Some((_, Message::TrialReply(reply))) => entry.record_trial_reply(reply),
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -221,15 +221,15 @@
                 return reply.is_granted.then_some(Some(peer));
             }
         }
-        self.grant_trial(request).then_some(None)
+        self.grant_trial(None, request).then_some(None)
     }
 
     /// Returns the response to a peer's request for a trial.
-    pub fn answer_trial_request(&self, request: &TrialRequest) -> TrialReply {
+    pub fn answer_trial_request(&self, from: SocketAddr, request: &TrialRequest) -> TrialReply {
         self.record_suspects(std::slice::from_ref(&request.evidence));
         let fingerprint = &request.evidence.fingerprint;
         let may_try = matches!(self.decide(fingerprint), Decision::Try { .. });
-        let is_granted = may_try && self.grant_trial(request);
+        let is_granted = may_try && self.grant_trial(Some(from), request);
         let evidence = self.quarantine.list.lock().get(self.now(), fingerprint);
         let evidence = evidence.unwrap_or_else(|| request.evidence.clone());
         TrialReply { id: request.id, is_granted, evidence }
@@ -243,16 +243,20 @@
         self.quarantine.trials.lock().end(id);
     }
 
-    fn grant_trial(&self, request: &TrialRequest) -> bool {
+    fn grant_trial(&self, holder: Option<SocketAddr>, request: &TrialRequest) -> bool {
         let now = self.now();
+        let heard = self.limiter.lock().members(now).heard;
         let trial = Trial {
             id: request.id,
             fingerprint: request.evidence.fingerprint,
             server: request.server.clone(),
             is_exclusive: request.is_exclusive,
+            holder,
             ends_at: now + request.lifetime,
         };
-        self.quarantine.trials.lock().start(now, trial)
+        let mut trials = self.quarantine.trials.lock();
+        trials.retain_holders(|holder| heard.iter().any(|(address, _)| *address == holder));
+        trials.start(now, trial)
     }
 
     /// Finds out whether a server has crashed under an attempt whose connection broke, and if so,
