Tell the load permits of two leases apart

Cause: the ids of permits started at 1 under each lease, so the late release of a permit of the last holder ended one of the present holder, and more loads ran than allowed (noticed by reading).

Change: the ids start at a multiple of the lease's fencing token. The new test failed before: a second permit was granted where one load may run.

--- a/crates/entry/src/issuer.rs
+++ b/crates/entry/src/issuer.rs
@@ -166,7 +166,8 @@
             Origin::Released(carry) => carry,
             Origin::Takeover => 0,
         };
-        issuer.limiter = Some((ownership.fence, Limiter::new(now, budget, level)));
+        let limiter = Limiter::new(now, budget, level, ownership.fence);
+        issuer.limiter = Some((ownership.fence, limiter));
     }
     match issuer.limiter.as_mut().map(|(_, limiter)| limiter.acquire(now, account, rate)) {
         Some(Decision::Granted(permit)) => Permit::Granted(permit),
--- a/crates/load/src/fleet_model.rs
+++ b/crates/load/src/fleet_model.rs
@@ -129,7 +129,7 @@
                 .map(|_| Server::new(deployment, combination))
                 .collect(),
             popularity: Popularity::new(POPULARITY_HALF_LIFE),
-            load_limiter: Limiter::new(Moment::ZERO, deployment.budget, deployment.budget.burst),
+            load_limiter: Limiter::new(Moment::ZERO, deployment.budget, deployment.budget.burst, 0),
             pending_loads: VecDeque::new(),
             loads: Vec::new(),
             accounts: (0..accounts).map(account).collect(),
--- a/crates/quota/src/permit.rs
+++ b/crates/quota/src/permit.rs
@@ -62,20 +62,24 @@
 const USAGE_RETENTION: Duration = Duration::from_secs(10);
 /// Time since its last request after which an account is no longer assumed to be waiting.
 const WAITING_TIMEOUT: Duration = Duration::from_millis(200);
+/// Limit on the permits under one lease.
+const PERMITS_PER_LEASE: u64 = 1 << 24;
 /// Weight of one permit for an account with a rate of one token per second.
 const PERMIT_WEIGHT: u64 = 1 << 32;
 /// Shortest retry delay for an account.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 impl Limiter {
-    /// Creates a limiter that may grant up to `level` permits at once, at most the burst.
-    pub fn new(now: Moment, budget: Budget, level: u64) -> Limiter {
+    /// Creates a limiter under the lease with the fencing token `fence`, that may grant up to `level`
+    /// permits at once, at most the burst. The ids of its permits differ from those under other
+    /// leases, so that a late release does not end one of these.
+    pub fn new(now: Moment, budget: Budget, level: u64, fence: u64) -> Limiter {
         let share = Share { rate: budget.rate, capacity: budget.burst };
         Limiter {
             budget,
             bucket: Bucket::new(now, share, level),
             in_flight: BTreeMap::new(),
-            last_permit: 0,
+            last_permit: fence.wrapping_mul(PERMITS_PER_LEASE),
             usage: BTreeMap::new(),
         }
     }
--- a/crates/quota/tests/permits.rs
+++ b/crates/quota/tests/permits.rs
@@ -9,7 +9,7 @@
     Budget { rate: 3, burst: 4, in_flight: 8, permit_lifetime: Duration::from_secs(10) };
 
 fn limiter() -> Limiter {
-    Limiter::new(Duration::ZERO, BUDGET, BUDGET.burst)
+    Limiter::new(Duration::ZERO, BUDGET, BUDGET.burst, 1)
 }
 
 fn account(name: &str) -> Name {
@@ -61,7 +61,7 @@
 #[test]
 fn retry_delay_has_a_lower_bound_while_all_permits_are_in_flight() {
     let budget = Budget { in_flight: 1, ..BUDGET };
-    let mut limiter = Limiter::new(Duration::ZERO, budget, budget.burst);
+    let mut limiter = Limiter::new(Duration::ZERO, budget, budget.burst, 1);
     limiter.acquire(Duration::ZERO, &account("first"), 1);
     let almost_expired = BUDGET.permit_lifetime - Duration::from_millis(1);
 
@@ -74,7 +74,7 @@
 #[test]
 fn limits_loads_in_flight_and_expires_lost_permits() {
     let budget = Budget { rate: 1000, burst: 1000, ..BUDGET };
-    let mut limiter = Limiter::new(Duration::ZERO, budget, budget.burst);
+    let mut limiter = Limiter::new(Duration::ZERO, budget, budget.burst, 1);
     let mut acquire = |at: Duration| limiter.acquire(at, &account("first"), 1);
 
     let first: Vec<_> = (0..9).map(|_| acquire(Duration::ZERO)).collect();
@@ -84,3 +84,23 @@
     assert!(matches!(first[8], Decision::RetryAfter(_)));
     assert!(matches!(after_expiry, Decision::Granted(_)));
 }
+
+// Guards against more loads in flight than allowed: the late release of a permit of the last holder
+// ends a permit of the present one.
+#[test]
+fn late_release_of_an_earlier_lease_ends_no_permit() {
+    let budget = Budget { in_flight: 1, ..BUDGET };
+    let now = Duration::ZERO;
+    let mut earlier = Limiter::new(now, budget, budget.burst, 7);
+    let mut present = Limiter::new(now, budget, budget.burst, 8);
+    let Decision::Granted(late) = earlier.acquire(now, &account("first"), 1) else {
+        panic!("a permit is free");
+    };
+    let granted = present.acquire(now, &account("first"), 1);
+
+    present.release(late);
+    let second = present.acquire(now, &account("second"), 1);
+
+    assert!(matches!(granted, Decision::Granted(_)));
+    assert!(matches!(second, Decision::RetryAfter(_)), "{second:?}");
+}
