Forget servers that are gone, and send less to peers that have stopped

Change: servers that are not listed and not in use, and reports of hosts without a server, are dropped every 15 s; a peer that is silent for 10 minutes gets gossip once a minute. Peers are not dropped: two sides of a long partition would never find each other again.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry instance: its state, its start and its graceful shutdown.
 
 use std::{
+    collections::HashSet,
     net::{IpAddr, SocketAddr},
     process::ExitCode,
     sync::{
@@ -41,7 +42,7 @@
     ports::{Dialect, Model, Reloader, ResponseMeta, Settings, Store, Tunable},
     quarantine::{self, Quarantine},
     reload,
-    roster::{Roster, Server, StatusReport},
+    roster::{self, Roster, Server, StatusReport},
 };
 
 /// Time after a stop signal in which new connections are still accepted, since the load balancer
@@ -53,6 +54,9 @@
 const MIN_SUSPECT_TIME: Duration = Duration::from_millis(400);
 /// Longest time for which a failed server is avoided.
 const MAX_SUSPECT_TIME: Duration = Duration::from_secs(3);
+/// Time for which the status report of a host without a listed server is kept; its server may not be
+/// listed yet.
+const REPORT_MEMORY: Duration = Duration::from_secs(60);
 /// Half-life of an adapter's request rate.
 const POPULARITY_HALF_LIFE: Duration = Duration::from_secs(8);
 
@@ -403,6 +407,19 @@
         servers.filter(|listing| listing.address.ip() == host).cloned().collect()
     }
 
+    /// Forgets servers and hosts that are gone.
+    pub fn forget_gone(&self) {
+        let (now, mirror) = (self.now(), self.mirror.read());
+        roster::forget_unlisted(&self.servers, |id| mirror.directory.get(id).is_some());
+        let hosts: HashSet<IpAddr> =
+            mirror.directory.iter().map(|listing| listing.address.ip()).collect();
+        self.status_reports.for_each_shard(|reports| {
+            reports.retain(|host, report| {
+                hosts.contains(host) || now < report.received_at + REPORT_MEMORY
+            });
+        });
+    }
+
     /// Returns the latest status report about a server.
     pub fn status_report(&self, listing: &Listing) -> Option<StatusReport> {
         let host = listing.address.ip();
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -39,6 +39,13 @@
 const STARTUP_GOSSIP_INTERVAL: Duration = Duration::from_millis(30);
 /// Silence after which a peer gets gossip less often.
 const PEER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Silence after which a peer has most likely stopped for good. It still gets gossip now and then,
+/// since it may be behind a long partition.
+const STOPPED_PEER_TIMEOUT: Duration = Duration::from_secs(600);
+/// Gossip to such a peer is sent once in this many intervals.
+const STOPPED_PEER_ROUNDS: u64 = 400;
+/// What is gone is forgotten once in this many intervals.
+const CLEANUP_ROUNDS: u64 = 100;
 /// Number of leaving servers in a message, so that it fits into a datagram.
 const MAX_LEAVING_SERVERS: usize = 100;
 /// Number of limits in a message, so that it fits into a datagram.
@@ -101,10 +108,17 @@
 
     /// Returns the peers to send gossip to in this round, without the silent ones in most rounds. A
     /// peer that has sent nothing yet counts as silent only `PEER_TIMEOUT` after the start.
-    fn due(&self, now: Moment, round: u64) -> Vec<SocketAddr> {
-        let is_live = |peer: &Peer| now < peer.last_seen.unwrap_or_default() + PEER_TIMEOUT;
-        let due = self.known.iter();
-        let due = due.filter(|(_, peer)| is_live(peer) || round.is_multiple_of(SILENT_PEER_ROUNDS));
+    pub fn due(&self, now: Moment, round: u64) -> Vec<SocketAddr> {
+        let is_due = |peer: &Peer| {
+            let silence = now.saturating_sub(peer.last_seen.unwrap_or_default());
+            let rounds = match silence {
+                silence if silence < PEER_TIMEOUT => 1,
+                silence if silence < STOPPED_PEER_TIMEOUT => SILENT_PEER_ROUNDS,
+                _ => STOPPED_PEER_ROUNDS,
+            };
+            round.is_multiple_of(rounds)
+        };
+        let due = self.known.iter().filter(|(_, peer)| is_due(peer));
         due.map(|(address, _)| *address).collect()
     }
 }
@@ -367,6 +381,9 @@
         for peer in &due {
             send(&socket, *peer, &message).await;
         }
+        if round.is_multiple_of(CLEANUP_ROUNDS) {
+            entry.forget_gone();
+        }
         if round.is_multiple_of(QUARANTINE_ROUNDS) {
             send_quarantined(&entry, &socket, &due).await;
         }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -5,6 +5,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
+use kernel::shard;
 use placement::rendezvous;
 use serving::{
     Moment, Name,
@@ -117,6 +118,13 @@
     rendezvous::preferred(hash, nodes, nodes.len()).into_iter().find(|index| is_eligible(*index))
 }
 
+/// Forgets the servers that are not listed any more, unless requests still wait or run there.
+pub fn forget_unlisted(servers: &shard::Map<Name, Server>, is_listed: impl Fn(&Name) -> bool) {
+    servers.for_each_shard(|servers| {
+        servers.retain(|id, server| is_listed(id) || server.is_in_use());
+    });
+}
+
 /// State of a server at this instance, in addition to its listing.
 #[derive(Debug, Default)]
 pub struct Server {
@@ -133,6 +141,12 @@
     pub pause: Pause,
 }
 
+impl Server {
+    fn is_in_use(&self) -> bool {
+        self.backlog.local_work() != (0, 0) || !self.load_requests.is_empty()
+    }
+}
+
 impl StatusReport {
     /// Returns whether the report is about the listed server and not about another process on the
     /// same host.
