Bound the time of a trial that a datagram asks for

Cause: the granting instance added the time that a datagram names to its own, so one with an endless time stopped the process (overflow when adding durations).

Change: at most 60 s.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -59,6 +59,8 @@
 const ABANDONED_DELAY: Duration = Duration::from_millis(100);
 /// Time after which a request for a trial counts as lost.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
+/// Longest trial.
+const MAX_TRIAL_TIME: Duration = Duration::from_secs(60);
 /// Requests for a trial after which this instance grants it itself. An innocent request must not
 /// depend on one peer.
 const MAX_TRIAL_REQUESTS: usize = 2;
@@ -197,7 +199,7 @@
             entry: Arc::clone(self),
             id: request.id,
             server: request.server,
-            ends_at: self.now() + request.lifetime,
+            ends_at: self.now() + request.lifetime.min(MAX_TRIAL_TIME),
             granted_by,
         })
     }
@@ -252,7 +254,7 @@
             server: request.server.clone(),
             is_exclusive: request.is_exclusive,
             holder,
-            ends_at: now + request.lifetime,
+            ends_at: now + request.lifetime.min(MAX_TRIAL_TIME),
         };
         let mut trials = self.quarantine.trials.lock();
         trials.retain_holders(|holder| heard.iter().any(|(address, _)| *address == holder));
