Survive endless times in datagrams of peers

Cause: the age of a peer and the wait for a permit, both read from datagrams, were added to times without a bound, so one malformed message stopped the process (overflow when adding durations).

Change: both are bounded. The two new tests failed before with the panic.

--- a/crates/serving/src/limit.rs
+++ b/crates/serving/src/limit.rs
@@ -32,6 +32,8 @@
 const ORDER_BURST: f64 = 2.0;
 /// Longest time from the grant of a permit to its start.
 pub const MAX_RESERVATION: Duration = Duration::from_secs(3);
+/// Longest time until the next permit: that of an issuer that hears few of many instances.
+const MAX_WAIT: Duration = Duration::from_secs(600);
 /// Time after its start in which a permit may be used.
 const PERMIT_LIFETIME: Duration = Duration::from_millis(400);
 /// Time from which an instance is the issuer until it grants the first permit. Meanwhile it hears
@@ -139,6 +141,7 @@
 impl Permit {
     /// Returns a permit that was requested at `asked_at` and granted with a wait of `wait`.
     pub fn new(asked_at: Moment, now: Moment, wait: Duration) -> Permit {
+        let wait = wait.min(MAX_RESERVATION);
         Permit { starts_at: now + wait, ends_at: asked_at + wait + PERMIT_LIFETIME }
     }
 
@@ -279,7 +282,7 @@
     /// Records that no permit is free before `wait` has passed.
     pub fn record_wait(&mut self, now: Moment, server: &Name, wait: Duration) {
         if let Some(limit) = self.servers.get_mut(server) {
-            limit.delay(now, wait);
+            limit.delay(now, wait.min(MAX_WAIT));
         }
     }
 
--- a/crates/serving/src/rate_limit.rs
+++ b/crates/serving/src/rate_limit.rs
@@ -248,7 +248,7 @@
     }
 
     fn age_at(&self, now: Moment) -> Duration {
-        self.age + now.saturating_sub(self.last_report_at.unwrap_or(now))
+        self.age.saturating_add(now.saturating_sub(self.last_report_at.unwrap_or(now)))
     }
 
     fn is_silent(&self, now: Moment, timeout: Duration) -> bool {
--- a/crates/serving/tests/limit.rs
+++ b/crates/serving/tests/limit.rs
@@ -443,3 +443,16 @@
         });
     }
 }
+
+// Guards against a datagram that stops the process: a wait without end.
+#[test]
+fn survives_a_wait_without_end() {
+    let mut limits = limits_with(1.0);
+
+    let permit = Permit::new(seconds(1.0), seconds(1.0), Duration::MAX);
+    limits.record_wait(seconds(1.0), &server(), Duration::MAX);
+
+    assert!(!permit.is_valid(seconds(1000.0)));
+    assert!(Duration::from_secs(3) <= limits.wait(seconds(1.0), &server()));
+    assert!(limits.return_after(seconds(1.0), &server(), 26) < Duration::from_secs(3600));
+}
--- a/crates/serving/tests/rate_limit.rs
+++ b/crates/serving/tests/rate_limit.rs
@@ -334,3 +334,16 @@
 
     assert_eq!(before - limiter.usage_report(now, 1).usage[0].level, 30);
 }
+
+// Guards against a datagram that stops the process: a peer that claims to have run for ever.
+#[test]
+fn survives_a_peer_of_endless_age() {
+    let mut limiter = Limiter::default();
+    let peer = SocketAddr::from(([10, 0, 0, 9], 7600));
+    let report = UsageReport { incarnation: 1, age: Duration::MAX, usage: Vec::new() };
+
+    limiter.record_report(Duration::from_secs(1), peer, &report);
+    let members = limiter.members(Duration::from_millis(1200));
+
+    assert_eq!(members.heard, [(peer, Duration::MAX)]);
+}
