--- a/crates/fleet/src/suspect/list.rs
+++ b/crates/fleet/src/suspect/list.rs
@@ -24,6 +24,8 @@
 const COMPLETED_EXTRA_CRASHES: usize = 2;
 /// Time before a crash in which a completion speaks for a request.
 const COMPLETION_PERIOD: Duration = Duration::from_secs(10);
+/// Time between two removals of expired entries.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Limit on the completions that are kept.
 const MAX_COMPLETIONS: usize = 65_536;
 /// Time after a crash in which the reports of other instances arrive.
@@ -54,6 +56,8 @@
     completions: HashMap<Digest, Moment>,
     /// Suspects whose quarantine started or ended, until this is taken.
     unsaved: Vec<Digest>,
+    /// Time at which expired entries were last removed.
+    expired_at: Moment,
 }
 
 /// A crash of a server while suspects ran there.
@@ -103,7 +107,8 @@
     /// quarantine lasts as long.
     pub fn new(retention: Duration) -> List {
         let (suspects, crashes, completions, unsaved) = Default::default();
-        List { retention, suspects, crashes, completions, unsaved }
+        let expired_at = Moment::ZERO;
+        List { retention, suspects, crashes, completions, unsaved, expired_at }
     }
 
     /// Records a run that ended with a crash. Returns whether it was new.
@@ -241,8 +246,12 @@
         self.suspects.is_empty()
     }
 
-    /// Removes what has expired.
+    /// Removes what has expired, unless it did so lately.
     pub fn expire(&mut self, now: Moment) {
+        if now < self.expired_at + EXPIRY_INTERVAL {
+            return;
+        }
+        self.expired_at = now;
         let retention = self.retention;
         let unsaved = &mut self.unsaved;
         self.suspects.retain(|fingerprint, suspect| {
