Clear a suspect of crashes before its completion, whenever they are reported

What callers could have seen, found by reading: an innocent request that is rejected at one instance, and half a minute later at all. A completion cleared only the crashes that its instance knew by then, and was told for 0.6 s; an instance that missed it went on, quarantined the request, and told so every 3 s, until the others had forgotten that it was cleared and adopted the quarantine.

Change: a completion clears every crash before it, also one that is reported later; an instance that hears of an open run that it knows as cleared answers with what it knows; an instance that learns so gives up its quarantine, and the elected one drops it from the store. A completion from before the start of an instance counted as recent there, since times do not go below zero; it does not count.

--- a/crates/fleet/src/suspect/list.rs
+++ b/crates/fleet/src/suspect/list.rs
@@ -133,7 +133,8 @@
             is_new |= self.add_run(now, record.fingerprint, names, run);
         }
         let Some(suspect) = self.suspects.get_mut(&record.fingerprint) else { return is_new };
-        let completed_at = record.completed_age.map(|age| now.saturating_sub(age));
+        // A completion from before the start of this instance is not recent.
+        let completed_at = record.completed_age.and_then(|age| now.checked_sub(age));
         suspect.completed_at = suspect.completed_at.max(completed_at);
         if let Some(Quarantine { count, remaining }) = record.quarantine
             && suspect.quarantines < count
@@ -152,7 +153,7 @@
             self.completions.insert(*fingerprint, now);
         }
         let Some(suspect) = self.suspects.get_mut(fingerprint) else { return false };
-        let is_open = suspect.open_runs().next().is_some();
+        let is_open = suspect.is_open();
         if is_open {
             suspect.runs.iter_mut().for_each(|run| run.is_cleared = true);
             suspect.changed_at = now;
@@ -170,12 +171,15 @@
             return false;
         };
         known.is_refuted = true;
-        for suspect in self.suspects.values_mut() {
+        for (fingerprint, suspect) in &mut self.suspects {
             let runs = suspect.runs.iter_mut();
             for run in runs.filter(|run| run.crash == crash && !run.is_cleared) {
                 run.is_cleared = true;
                 suspect.changed_at = now;
             }
+            if suspect.changed_at == now && 0 < suspect.quarantines && !suspect.is_open() {
+                save(&mut self.unsaved, *fingerprint);
+            }
         }
         true
     }
@@ -239,7 +243,7 @@
     /// Returns the number of suspects that were not cleared.
     pub fn open_count(&self) -> usize {
         let suspects = self.suspects.values();
-        suspects.filter(|suspect| suspect.open_runs().next().is_some()).count()
+        suspects.filter(|suspect| suspect.is_open()).count()
     }
 
     pub fn is_empty(&self) -> bool {
@@ -271,13 +275,15 @@
         now: Moment,
         fingerprint: Digest,
         (account, service): (&Name, &Name),
-        mut run: Run,
+        reported: Run,
     ) -> bool {
-        run.is_cleared |= self.add_crash(service, &run);
+        let completed_at = self.completions.get(&fingerprint).copied();
+        let has_completed = completed_at.is_some_and(|completed_at| reported.at <= completed_at);
+        let is_refuted = self.add_crash(service, &reported);
+        let is_cleared = reported.is_cleared || has_completed || is_refuted;
         if !self.suspects.contains_key(&fingerprint) {
             self.make_room(now);
         }
-        let completed_at = self.completions.get(&fingerprint).copied();
         let suspect = self.suspects.entry(fingerprint).or_insert_with(|| Suspect {
             account: account.clone(),
             service: service.clone(),
@@ -287,18 +293,16 @@
             quarantined_until: Moment::ZERO,
             changed_at: Moment::ZERO,
         });
-        if suspect.completed_at < completed_at {
-            // Peers have to know of it.
-            suspect.completed_at = completed_at;
+        let was_open = suspect.is_open();
+        let (is_new, is_cleared) = suspect.merge(Run { is_cleared, ..reported });
+        // The peers have to know what speaks for it.
+        if suspect.completed_at < completed_at || is_cleared && !reported.is_cleared {
+            suspect.completed_at = suspect.completed_at.max(completed_at);
             suspect.changed_at = now;
         }
-        let Some(known) = suspect.runs.iter_mut().find(|known| known.crash == run.crash) else {
-            suspect.add(run);
-            return true;
-        };
-        let is_new = (run.is_trial && !known.is_trial) || (run.is_cleared && !known.is_cleared);
-        known.is_trial |= run.is_trial;
-        known.is_cleared |= run.is_cleared;
+        if was_open && !suspect.is_open() && 0 < suspect.quarantines {
+            save(&mut self.unsaved, fingerprint);
+        }
         is_new
     }
 
@@ -433,6 +437,10 @@
         self.runs.iter().filter(|run| !run.is_cleared)
     }
 
+    fn is_open(&self) -> bool {
+        self.open_runs().next().is_some()
+    }
+
     fn last_crash_at(&self) -> Option<Moment> {
         self.open_runs().map(|run| run.at).max()
     }
@@ -459,7 +467,7 @@
     }
 
     fn is_quarantined(&self, now: Moment) -> bool {
-        now < self.quarantined_until && self.open_runs().next().is_some()
+        now < self.quarantined_until && self.is_open()
     }
 
     fn expires_at(&self, retention: Duration) -> Moment {
@@ -470,6 +478,19 @@
         last_crash_at.max(self.quarantined_until) + retention
     }
 
+    /// Adds a run, or what is new of a known one. Returns whether anything was new, and whether the
+    /// run is cleared.
+    fn merge(&mut self, run: Run) -> (bool, bool) {
+        let Some(known) = self.runs.iter_mut().find(|known| known.crash == run.crash) else {
+            self.add(run);
+            return (true, run.is_cleared);
+        };
+        let is_new = (run.is_trial && !known.is_trial) || (run.is_cleared && !known.is_cleared);
+        known.is_trial |= run.is_trial;
+        known.is_cleared |= run.is_cleared;
+        (is_new, known.is_cleared)
+    }
+
     /// Adds a run. Beyond the limit, one that does not count any more is dropped, or the oldest.
     fn add(&mut self, run: Run) {
         if MAX_RUNS <= self.runs.len() {
--- a/crates/fleet/tests/suspect.rs
+++ b/crates/fleet/tests/suspect.rs
@@ -349,3 +349,61 @@
 
     assert_eq!((beside, elsewhere, joining), (false, true, false));
 }
+
+// Guards against an innocent request that one instance goes on rejecting, and makes all others
+// reject, since the report that it has completed was lost.
+#[test]
+fn answers_a_peer_that_still_suspects_a_cleared_request() {
+    let mut peer = list_with_poison();
+    let mut list = peer.clone();
+    list.complete(seconds(1.1), &poison());
+    assert!(is_rejected(&mut peer, 2.0, poison()));
+    assert_eq!(peer.take_unsaved(), [poison()]);
+    let wrong = peer.get(seconds(25.0), &poison()).unwrap();
+    list.expire(seconds(25.0));
+    let before = list.changes(seconds(25.0)).len();
+
+    list.merge(seconds(25.0), &wrong);
+    let answers = list.changes(seconds(25.1));
+    answers.iter().for_each(|answer| assert!(peer.merge(seconds(25.1), answer)));
+
+    assert_eq!((before, answers.len()), (0, 1));
+    assert_eq!(list.decide(seconds(25.2), &poison()), Decision::Allow);
+    assert_eq!(peer.decide(seconds(25.2), &poison()), Decision::Allow);
+    assert_eq!(peer.take_unsaved(), [poison()], "its quarantine is dropped from the store");
+}
+
+// Guards against an innocent request that is suspected for a crash that is reported after it has
+// completed elsewhere, however long after.
+#[test]
+fn completion_clears_earlier_crashes_that_are_reported_later() {
+    let mut list = List::new(RETENTION);
+    list.complete(seconds(100.0), &innocent());
+    let mut peer = list_with_poison();
+    peer.record(seconds(90.0), &report(innocent(), 1));
+    let late = peer.get(seconds(101.0), &innocent()).unwrap();
+
+    list.merge(seconds(101.0), &late);
+    let after_late = list.decide(seconds(101.0), &innocent());
+    list.record(seconds(102.0), &report(innocent(), 3));
+
+    assert_eq!(after_late, Decision::Allow);
+    assert_eq!(list.changes(seconds(101.1)).len(), 1, "the peers have to know of it");
+    assert!(is_tried(&mut list, 102.0, innocent()), "a later crash counts");
+}
+
+// Guards against an instance that has just started and takes an old completion for a recent one.
+#[test]
+fn completion_from_before_the_start_of_an_instance_is_not_recent() {
+    let mut peer = List::new(RETENTION);
+    peer.complete(seconds(100.0), &poison());
+    peer.record(seconds(105.0), &report(poison(), 1));
+    let mut record = peer.get(seconds(105.0), &poison()).unwrap();
+    record.completed_age = Some(Duration::from_secs(3600));
+    let mut list = List::new(RETENTION);
+
+    list.merge(seconds(2.0), &record);
+    list.record(seconds(3.0), &trial(poison(), 2));
+
+    assert!(is_rejected(&mut list, 4.0, poison()));
+}
--- a/crates/gateway/src/quarantine/archive.rs
+++ b/crates/gateway/src/quarantine/archive.rs
@@ -66,8 +66,8 @@
         let record = entry.quarantine.list.lock().get(entry.now(), fingerprint);
         let value = match record {
             Some(record) if record.is_quarantined() => encode(record, entry.kernel.clock.unix_ms()),
-            // One instance drops what all of them have forgotten.
-            None if entry.elect(&key.as_str().into()) != Some(Issuer::Local) => return,
+            // All instances learn that a quarantine has ended; one of them drops it.
+            _ if entry.elect(&key.as_str().into()) != Some(Issuer::Local) => return,
             _ => Bytes::new(),
         };
         let Err(error) = (entry.store.announce)(&key, value).await else { return };
