Deliver the last replies of a process that stops

Cause: Link::close closed all connections at once. Replies that were written and not yet delivered were lost, and so were calls that had arrived and were not read: the caller could not tell whether its request had begun (502, outcome unknown). A process that left the instance list while it was still answering was disconnected by its peers as well, and one that could not be reached any more counted as a failed server although it had only stopped.

Change: a link that closes reads no further call, waits until the replies to those in progress are delivered, and then closes its connections with a code that says so. A call without a reply on such a connection has not begun, and goes to another server. Peers only forget the connection of a process that was listed as leaving.

Result: two tests of wire::link.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -12,12 +12,16 @@
 use async_channel::Receiver;
 use smallvec::SmallVec;
 
-use fleet::{Name, change::Repeat};
+use fleet::{
+    Name,
+    change::Repeat,
+    member::{Member, Phase},
+};
 use schedule::retry;
 use services::body::EVENT_STREAM;
 use wire::{
-    frame::{Call, Head, Isolation},
-    identity,
+    frame::{Call, Head, Isolation, NotBegun},
+    identity, link,
 };
 
 use crate::{
@@ -34,7 +38,8 @@
 const FRAME_CHANNEL_CAPACITY: usize = 16;
 /// Retry-after time after a failure of the backend servers.
 const SERVER_FAILURE_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Longest wait of a request, from its arrival, for a server to get a new side process.
+/// Longest wait of a request, from its arrival, for a server whose side process leaves to get a new
+/// one. It may get none: an operator may have drained the server.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(3);
 const HANDOVER_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Size limit of an answer that is not streamed.
@@ -119,7 +124,10 @@
 /// all servers.
 async fn wait_for_handover(entry: &Entry, job: &Job, failures: &[Failure]) -> bool {
     let is_handover = !failures.is_empty() && failures.iter().all(Failure::is_handover);
-    let deadline = job.deadline.min(job.arrived_at + HANDOVER_TIMEOUT);
+    let deadline = match failures.iter().any(Failure::awaits_lease) {
+        true => job.deadline,
+        false => job.deadline.min(job.arrived_at + HANDOVER_TIMEOUT),
+    };
     if !is_handover || deadline <= entry.node.now() {
         return false;
     }
@@ -167,10 +175,14 @@
     let call = Call::Attempt(Box::new(frame));
     let opened = entry.node.link.call(choice.member.address, identity::Role::Side, &call).await;
     let exchange = opened.map_err(|error| match error {
-        wire::link::Error::Connect { .. } | wire::link::Error::Timeout { .. } => {
-            Failure::Unreachable
+        link::Error::Stopped { .. } => Failure::NotBegun(NotBegun::Leaving),
+        link::Error::Connect { .. } | link::Error::Timeout { .. }
+            if has_left(entry, &choice.member) =>
+        {
+            Failure::NotBegun(NotBegun::Leaving)
         }
-        wire::link::Error::Frame { .. } => Failure::Lost,
+        link::Error::Connect { .. } | link::Error::Timeout { .. } => Failure::Unreachable,
+        link::Error::Frame { .. } => Failure::Lost,
     })?;
     let (sender, frames) = async_channel::bounded(FRAME_CHANNEL_CAPACITY);
     let reader =
@@ -179,6 +191,16 @@
     receive_start(frames, isolation).await
 }
 
+/// Returns whether a process was listed as leaving or left the list since it was chosen.
+fn has_left(entry: &Entry, chosen: &Member) -> bool {
+    let listing = entry.node.listing();
+    let is_chosen = |member: &&Member| {
+        member.instance == chosen.instance && member.incarnation == chosen.incarnation
+    };
+    let listed = listing.members.iter().find(is_chosen);
+    listed.is_none_or(|member| member.phase == Phase::Leaving)
+}
+
 /// Waits until the answer has started: for the first chunk of a stream, or for the end of
 /// any other answer.
 async fn receive_start(
--- a/crates/entry/src/attempt/frames.rs
+++ b/crates/entry/src/attempt/frames.rs
@@ -49,7 +49,12 @@
     /// or does not hold the lease. This is not a fault of the server, and the next attempt
     /// does not count as a retry.
     pub(super) fn is_handover(&self) -> bool {
-        matches!(self, Failure::NotBegun(NotBegun::Leaving | NotBegun::NotHolder))
+        self.awaits_lease() || matches!(self, Failure::NotBegun(NotBegun::Leaving))
+    }
+
+    /// Returns whether the server's side process does not hold the lease yet.
+    pub(super) fn awaits_lease(&self) -> bool {
+        matches!(self, Failure::NotBegun(NotBegun::NotHolder))
     }
 }
 
@@ -63,10 +68,14 @@
     sender: Sender<Frame>,
 ) {
     let mut chunks = 0;
+    let mut has_reply = false;
     loop {
         let clock = &entry.node.kernel.clock;
         let reply = receive(clock, &mut exchange, entry.settings.silence_timeout).await;
+        let is_unread = reply.is_none() && !has_reply && exchange.is_unread();
+        has_reply |= reply.is_some();
         let frame = match reply {
+            None if is_unread => Frame::Failed(Failure::NotBegun(NotBegun::Leaving)),
             Some(Reply::Waiting { id: received }) if received == id => continue,
             Some(Reply::Head(head)) if head.id == id => Frame::Head(head),
             Some(Reply::Chunk { id: received, index, bytes })
--- a/crates/kernel/src/drain.rs
+++ b/crates/kernel/src/drain.rs
@@ -68,6 +68,12 @@
         Guard { _in_flight: self.inner.in_flight.lock().clone() }
     }
 
+    /// Registers work in flight. Returns `None` once [`Drain::finish`] was called.
+    pub fn try_guard(&self) -> Option<Guard> {
+        let in_flight = self.inner.in_flight.lock().clone()?;
+        Some(Guard { _in_flight: Some(in_flight) })
+    }
+
     /// Waits for at most `limit` until no work is in flight; returns whether all of it ended.
     pub async fn finish(&self, clock: &Clock, limit: Duration) -> bool {
         self.inner.in_flight.lock().take();
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -7,7 +7,7 @@
 
 use fleet::{
     change,
-    member::{Listing, Member, Role},
+    member::{Listing, Member, Phase, Role},
     replica::Entry,
 };
 use services::{
@@ -103,12 +103,15 @@
 }
 
 /// Closes the connections to processes that left the list, so that calls to them fail at once
-/// rather than after a timeout.
+/// rather than after a timeout. One that was leaving may still answer its last calls.
 fn disconnect_delisted(node: &Node, before: &Listing) {
     let listing = node.listing();
     let is_delisted = |member: &&Member| !listing.contains(&member.instance, member.incarnation);
     for member in before.members.iter().filter(is_delisted) {
-        node.link.disconnect(member.address);
+        match member.phase {
+            Phase::Live => node.link.disconnect(member.address),
+            Phase::Leaving => node.link.forget(member.address),
+        }
     }
 }
 
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -14,7 +14,7 @@
     codec,
     frame::{Call, Reply},
     identity::{self, Files, Role},
-    link::Link,
+    link::{Error, Link},
 };
 
 /// Time limit of a call.
@@ -138,3 +138,74 @@
     assert!(outcome.is_err());
     assert!(waited < LIMIT * 5, "{waited:?}");
 }
+
+/// Serves calls that take `time` each.
+fn serve_slowly(kernel: &Kernel, link: &Link, time: Duration) -> SocketAddr {
+    let address = link.local_address().expect("the endpoint is bound");
+    let (link, clock) = (link.clone(), kernel.clock.clone());
+    kernel.spawn_detached(async move {
+        link.serve(move |_, _, mut exchange| {
+            let clock = clock.clone();
+            async move {
+                clock.sleep(time).await;
+                let _disconnected = codec::send(&mut exchange.send, &Reply::Done).await;
+            }
+        })
+        .await;
+    });
+    address
+}
+
+#[test]
+fn delivers_replies_in_progress_before_it_closes() {
+    let authority = Authority::new();
+
+    let replies = kernel::run(2, |kernel| async move {
+        let side = authority.open(&kernel, Role::Side);
+        let address = serve_slowly(&kernel, &side, Duration::from_millis(300));
+        let caller = authority.open(&kernel, Role::Entry);
+        let calls: Vec<_> = (0..20)
+            .map(|_| {
+                let caller = caller.clone();
+                kernel.spawn(async move {
+                    caller.unary_call(address, Role::Side, &Call::Status, LIMIT).await.ok()
+                })
+            })
+            .collect();
+        kernel.clock.sleep(Duration::from_millis(150)).await;
+        side.close().await;
+        let mut replies = Vec::new();
+        for call in calls {
+            replies.push(call.await);
+        }
+        replies
+    });
+
+    assert_eq!(replies, vec![Some(Reply::Done); 20]);
+}
+
+#[test]
+fn tells_callers_of_a_stopped_process_that_their_calls_were_not_read() {
+    let authority = Authority::new();
+
+    let (during, after) = kernel::run(2, |kernel| async move {
+        let side = authority.open(&kernel, Role::Side);
+        let address = serve_slowly(&kernel, &side, Duration::from_millis(300));
+        let caller = authority.open(&kernel, Role::Entry);
+        let early = caller.clone();
+        let first = kernel.spawn(async move {
+            early.unary_call(address, Role::Side, &Call::Status, LIMIT).await.ok()
+        });
+        kernel.clock.sleep(Duration::from_millis(100)).await;
+        let closing = kernel.spawn(async move { side.close().await });
+        kernel.clock.sleep(Duration::from_millis(50)).await;
+        let during = caller.unary_call(address, Role::Side, &Call::Status, LIMIT).await;
+        let _first = first.await;
+        closing.await;
+        let after = caller.unary_call(address, Role::Side, &Call::Status, LIMIT).await;
+        (during, after)
+    });
+
+    assert!(matches!(during, Err(Error::Stopped { .. })), "{during:?}");
+    assert!(matches!(after, Err(Error::Stopped { .. })), "{after:?}");
+}
