Release the leases of a process that stops until the log has them

Cause: a release was appended once. If the append was not acknowledged in time, the lease stayed in force, and its next holder had to wait for a takeover, twice the takeover time. A process that was suspended for longer than the list's expiry also dropped its leases for a new incarnation before it could release them.

Change: releases are appended until they are read back, for 10 s at most. A process that stops keeps its incarnation. The participant remembers holders that were listed as leaving, so that others can tell a handover from a failure.

Result: two tests of fleet::lease.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -20,7 +20,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Name, member::Listing};
+use crate::{
+    Name,
+    member::{Listing, Phase},
+};
 
 /// Monotonic time since the start of the process.
 pub type Moment = Duration;
@@ -101,6 +104,13 @@
         self.leases.iter()
     }
 
+    /// Returns whether the lease that a release record gives up is still in force.
+    pub fn is_in_force(&self, release: &Record) -> bool {
+        let Record::Release { resource, fence, .. } = release else { return false };
+        let lease = self.leases.get(resource);
+        lease.is_some_and(|lease| lease.fence == *fence && lease.released.is_none())
+    }
+
     /// Whether a resource that is missing from the table may be held.
     pub fn is_partial(&self) -> bool {
         self.is_partial
@@ -174,6 +184,8 @@
     is_delisted: bool,
     /// Time of the first read of the list without the holder, by absent holder.
     absent_since: BTreeMap<Holder, Moment>,
+    /// Holders that the list showed as leaving, also if they are gone from it.
+    leaving: BTreeSet<Holder>,
     own_leases: BTreeMap<Name, OwnLease>,
     /// Send times of claims and renewals not yet read back from the log.
     pending: BTreeMap<Name, Moment>,
@@ -220,6 +232,7 @@
             last_list_read: None,
             is_delisted: false,
             absent_since: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             own_leases: BTreeMap::new(),
             pending: BTreeMap::new(),
         }
@@ -279,6 +292,7 @@
             self.is_delisted = true;
         }
         self.record_absences(now, listing);
+        self.record_leaving(listing);
     }
 
     /// Returns the ownership of `resource` if this process holds it at `now`. That requires recent
@@ -306,6 +320,18 @@
         Some(own.starts_at.saturating_sub(now))
     }
 
+    /// Returns whether `resource` is expected to get a holder without a takeover: it has had none
+    /// yet, its holder released it, or its holder stops and releases it as its last act.
+    pub fn is_handed_over(&self, resource: &str) -> bool {
+        let lease = self.table.lease(resource);
+        lease.is_none_or(|lease| lease.released.is_some() || self.leaving.contains(&lease.holder))
+    }
+
+    /// Returns whether the log was read to its tail by a read that was requested after `moment`.
+    pub fn has_read_log_since(&self, moment: Moment) -> bool {
+        self.last_log_read.is_some_and(|read| moment <= read)
+    }
+
     /// Returns the claims and renewals to append so that this process acquires and keeps
     /// `resources`.
     pub fn acquire<'a>(
@@ -390,6 +416,17 @@
         }
     }
 
+    fn record_leaving(&mut self, listing: &Listing) {
+        let leaving = listing.members.iter().filter(|member| member.phase == Phase::Leaving);
+        let leaving = leaving.map(|member| Holder {
+            instance: Arc::clone(&member.instance),
+            incarnation: member.incarnation,
+        });
+        self.leaving.extend(leaving);
+        let leases = &self.table.leases;
+        self.leaving.retain(|holder| leases.values().any(|lease| lease.holder == *holder));
+    }
+
     fn has_recent_evidence(&self, now: Moment) -> bool {
         let limit = self.rules.takeover / 2;
         let is_recent =
--- a/crates/fleet/tests/lease_outages.rs
+++ b/crates/fleet/tests/lease_outages.rs
@@ -175,3 +175,51 @@
     assert_eq!(held.origin, Origin::Released(42));
     assert_eq!(held.fence, 2);
 }
+
+fn listing_in(phase: Phase) -> Listing {
+    let mut listing = listing();
+    listing.members[0].phase = phase;
+    listing
+}
+
+/// Returns a participant of another instance that knows of the lease.
+fn observer() -> Participant {
+    let me = Holder { instance: Arc::from("entry-2"), incarnation: 9 };
+    let mut observer = Participant::new(me, RULES);
+    observer.on_log_read(Duration::ZERO, Duration::ZERO, 0, [(0, &claim())]);
+    observer
+}
+
+#[test]
+fn expects_next_holder_only_of_lease_that_is_handed_over() {
+    let mut observer = observer();
+    let release = Record::Release { resource: resource(), fence: 0, carry: 5 };
+
+    observer.on_list_read(seconds(1), seconds(1), &listing_in(Phase::Live));
+    let while_live = observer.is_handed_over(&resource());
+    observer.on_list_read(seconds(2), seconds(2), &Listing::default());
+    let after_crash = observer.is_handed_over(&resource());
+    observer.on_list_read(seconds(3), seconds(3), &listing_in(Phase::Leaving));
+    let while_leaving = observer.is_handed_over(&resource());
+    observer.on_list_read(seconds(4), seconds(4), &Listing::default());
+    let after_leaving = observer.is_handed_over(&resource());
+    observer.on_log_read(seconds(5), seconds(5), 0, [(1, &release)]);
+    let after_release = observer.is_handed_over(&resource());
+
+    assert_eq!(
+        [while_live, after_crash, while_leaving, after_leaving, after_release],
+        [false, false, true, true, true]
+    );
+}
+
+#[test]
+fn lease_is_in_force_until_its_release_is_read() {
+    let mut participant = participant_with_lease();
+
+    let releases = participant.release_all(seconds(1), |_| 5);
+    let before = participant.table().is_in_force(&releases[0]);
+    participant.on_log_read(seconds(2), seconds(2), 0, [(1, &releases[0])]);
+    let after = participant.table().is_in_force(&releases[0]);
+
+    assert_eq!((before, after), (true, false));
+}
--- a/crates/node/src/leases.rs
+++ b/crates/node/src/leases.rs
@@ -18,8 +18,10 @@
 
 /// Log stream of the lease records.
 pub const LEASE_STREAM: &str = "leases";
-/// Pause after claims or renewals were appended, before they are read back.
+/// Pause after records were appended, before they are read back.
 const READ_BACK_PAUSE: Duration = Duration::from_millis(50);
+/// Longest time in which a process that stops tries to release its leases.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Follows the lease stream, and claims and renews the resources that `wanted` returns, until the
 /// process exits.
@@ -51,13 +53,32 @@
     Ok(())
 }
 
-/// Releases all leases of this process. `carry` returns the value handed to the next holder of a
-/// resource.
+/// Releases all leases of this process, and waits until the releases are read back: without one,
+/// the next holder has to wait for a takeover. `carry` returns the value handed to the next holder
+/// of a resource.
 pub async fn release(node: &Node, carry: impl Fn(&Name) -> u64) {
-    let now = node.now();
-    let releases = node.with_participant(|participant| participant.release_all(now, carry));
-    for record in releases {
-        append(node, &record).await;
+    let started_at = node.now();
+    let mut releases =
+        node.with_participant(|participant| participant.release_all(started_at, carry));
+    while !releases.is_empty() {
+        for record in &releases {
+            append(node, record).await;
+        }
+        if let Err(error) = read(node).await {
+            ::log::debug!("cannot read the lease stream: {error}");
+        }
+        node.with_participant(|participant| {
+            let table = participant.table();
+            releases.retain(|release| !table.is_in_force(release));
+        });
+        if releases.is_empty() {
+            return;
+        }
+        if started_at + RELEASE_TIMEOUT <= node.now() {
+            ::log::warn!("gave up {} leases without a release in the log", releases.len());
+            return;
+        }
+        node.kernel.clock.sleep(READ_BACK_PAUSE).await;
     }
 }
 
@@ -119,8 +140,11 @@
 }
 
 /// Continues as a new incarnation once the current one has left the list: that one can never hold
-/// or claim a lease again.
+/// or claim a lease again. A process that stops keeps its incarnation, which can still release.
 fn renew_incarnation(node: &Node) {
+    if node.drain.is_stopping() {
+        return;
+    }
     node.with_participant(|participant| {
         if !participant.is_delisted() {
             return;
