Wait within the deadline for the next holder of an account's tokens

Cause: requests waited two seconds for a shard that changed hands, however far their deadline was, and were rejected at once if the holder had left the list before its release was read. Each waiting request asked all holders every 25 ms.

Change: requests wait until their deadline while a shard is handed over, and while this instance's view of the log is older than the request. They ask at intervals that double up to 200 ms.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use fleet::{Name, lease::Holder, member::Phase};
+use fleet::{Name, lease::Moment};
 use quota::{
     pool::{Part, Reservation},
     share::{self, Limits},
@@ -15,15 +15,18 @@
 use wire::{
     frame::{Call, Draw, Grant, Reply, Settlement},
     identity::Role,
+    link,
 };
 
 use crate::{Entry, issuer, rejection::Kind, rejection::Rejection};
 
 /// Interval at which idle grants are returned to their holders.
 const IDLE_RETURN_INTERVAL: Duration = Duration::from_millis(100);
-/// Longest wait for a shard without a holder to be claimed, such as one of a new account.
-const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
-const CLAIM_POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Longest time in which this instance's view of the leases may be behind, while the log is read.
+const STALE_VIEW_TIMEOUT: Duration = Duration::from_secs(2);
+/// First interval between draws from shards without a holder; it doubles up to the longest one.
+const MIN_CLAIM_POLL_INTERVAL: Duration = Duration::from_millis(25);
+const MAX_CLAIM_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest wait for refills; after a longer one, the request is rejected. A wait up to this
 /// limit takes less time than a rejection and the caller's retry.
 const MAX_REFILL_WAIT: Duration = Duration::from_millis(50);
@@ -31,8 +34,8 @@
 /// Retry-after time while a shard's holder is being replaced.
 const NO_HOLDER_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Reserves `cost` tokens. Waits for a short refill, and for a shard that is about to be
-/// claimed.
+/// Reserves `cost` tokens. Waits for a short refill, and until `deadline` for a shard that is
+/// handed over to another holder.
 ///
 /// # Errors
 ///
@@ -43,6 +46,7 @@
     account: &Name,
     limits: Limits,
     cost: u64,
+    deadline: Moment,
 ) -> Result<Reservation, Rejection> {
     let shards = limits.shard_count(entry.settings.shards);
     let largest = limits.largest_reservation(shards);
@@ -53,20 +57,22 @@
         );
         return Err(Rejection::not_run(Kind::BeyondBurst, message));
     }
-    let claim_deadline = entry.node.now() + CLAIM_TIMEOUT;
+    let arrived_at = entry.node.now();
+    let mut poll_interval = MIN_CLAIM_POLL_INTERVAL;
     let mut refill_wait = Duration::ZERO;
     loop {
-        let shortage = match try_reserve(entry, account, limits, cost).await {
+        let shortage = match try_reserve(entry, account, limits, cost, deadline).await {
             Ok(reservation) => return Ok(reservation),
             Err(shortage) => shortage,
         };
-        let is_claim_pending =
-            shortage == Shortage::Handover || is_claim_expected(entry, account, shards);
+        let is_handover = shortage == Shortage::Handover || is_handed_over(entry, account, shards);
+        let may_be_handover = is_handover || is_view_behind(entry, arrived_at);
         match shortage {
             Shortage::Handover | Shortage::NoHolder
-                if is_claim_pending && entry.node.now() < claim_deadline =>
+                if may_be_handover && entry.node.now() + poll_interval < deadline =>
             {
-                entry.node.kernel.clock.sleep(CLAIM_POLL_INTERVAL).await;
+                entry.node.kernel.clock.sleep(poll_interval).await;
+                poll_interval = MAX_CLAIM_POLL_INTERVAL.min(poll_interval * 2);
             }
             // Only the refills count: the calls to the holders may take long, too.
             Shortage::Refill(wait) if refill_wait + wait <= MAX_REFILL_WAIT => {
@@ -98,6 +104,7 @@
     account: &Name,
     limits: Limits,
     cost: u64,
+    deadline: Moment,
 ) -> Result<Reservation, Shortage> {
     let mut shortage = Shortage::NoHolder;
     for shard in shard_order(limits.shard_count(entry.settings.shards)) {
@@ -106,29 +113,27 @@
         if let Some(reservation) = reserved {
             return Ok(reservation);
         }
-        shortage = shortage.min(draw(entry, account, limits, shard, cost).await);
+        shortage = shortage.min(draw(entry, account, limits, shard, cost, deadline).await);
     }
     let now = entry.node.now();
     with_pool(entry, account, |pool| pool.reserve(now, cost)).ok_or(shortage)
 }
 
-/// Returns whether a shard of the account is about to be claimed: it has had no holder
-/// yet, or its holder released it or is leaving. Replacing a holder that failed takes
-/// longer.
-fn is_claim_expected(entry: &Entry, account: &Name, shards: u64) -> bool {
-    let listing = entry.node.listing();
-    let is_leaving = |holder: &Holder| {
-        let mut leaving = listing.members.iter().filter(|member| member.phase == Phase::Leaving);
-        leaving.any(|member| member.instance == holder.instance)
-    };
+/// Returns whether a shard of the account is handed over to another holder. Replacing a holder that
+/// failed takes longer.
+fn is_handed_over(entry: &Entry, account: &Name, shards: u64) -> bool {
     entry.node.with_participant(|participant| {
-        (0..shards).any(|index| {
-            let lease = participant.table().lease(&share::resource(account, index));
-            lease.is_none_or(|lease| lease.released.is_some() || is_leaving(&lease.holder))
-        })
+        (0..shards).any(|index| participant.is_handed_over(&share::resource(account, index)))
     })
 }
 
+/// Returns whether the log may hold a release or a claim since `arrived_at` that this instance has
+/// not read yet.
+fn is_view_behind(entry: &Entry, arrived_at: Moment) -> bool {
+    entry.node.now() < arrived_at + STALE_VIEW_TIMEOUT
+        && !entry.node.with_participant(|participant| participant.has_read_log_since(arrived_at))
+}
+
 fn rate_limit_rejection(account: &Name, shortage: Shortage) -> Rejection {
     let (cause, wait) = match shortage {
         Shortage::Refill(wait) => ("rate", wait),
@@ -180,7 +185,14 @@
 
 /// Draws tokens from one shard into the pool. Returns the reason why the shard did not
 /// grant more.
-async fn draw(entry: &Entry, account: &Name, limits: Limits, shard: u64, cost: u64) -> Shortage {
+async fn draw(
+    entry: &Entry,
+    account: &Name,
+    limits: Limits,
+    shard: u64,
+    cost: u64,
+    deadline: Moment,
+) -> Shortage {
     let requested_at = entry.node.now();
     let lifetime = limits.spend_lifetime();
     let want = with_pool(entry, account, |pool| pool.draw_size(requested_at, cost, lifetime));
@@ -191,7 +203,7 @@
             Shortage::Refill(refill)
         }
         // An instance that takes over from a failed holder has to wait before it grants tokens.
-        Some(Grant::NotHolder { starts_in: Some(wait) }) if CLAIM_TIMEOUT < wait => {
+        Some(Grant::NotHolder { starts_in: Some(wait) }) if deadline <= entry.node.now() + wait => {
             Shortage::NoHolder
         }
         Some(Grant::NotHolder { .. }) => Shortage::Handover,
@@ -214,6 +226,7 @@
     match entry.node.link.unary_call(address, Role::Entry, &call, node::CALL_TIMEOUT).await {
         Ok(Reply::Grant(grant)) => Some(grant),
         Ok(_) => None,
+        Err(link::Error::Stopped { .. }) => Some(Grant::NotHolder { starts_in: None }),
         Err(error) => {
             log::debug!("failed to draw tokens from the holder of {resource}: {error}");
             None
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -125,7 +125,8 @@
     let limits = issuer::account_limits(state, &job.account).ok_or_else(|| {
         Rejection::not_run(Kind::Unauthorized, "the key's account is gone; ask the operators")
     })?;
-    let reservation = admission::reserve(entry, &job.account, limits, job.cost).await?;
+    let reservation =
+        admission::reserve(entry, &job.account, limits, job.cost, job.deadline).await?;
     entry.node.note(&job.request_id, format!("admitted {} tokens", reservation.amount()));
     Ok(reservation)
 }
