Decide which instances of a zone read the store

Change: an instance reads the store unless it hears a reader of its zone that ranks higher and reaches the store, and whose mirror it has a copy of (serving::reader). Reports of usage that were overtaken on another way are ignored (serving::rate_limit), and side processes report less often to entry instances of other zones without work there (serving::subscription).

The rate of an account is kept over 68 instances that hear the other zones twice and late.

--- a/crates/serving/src/cursor.rs
+++ b/crates/serving/src/cursor.rs
@@ -47,6 +47,11 @@
 }
 
 impl Cursor {
+    /// Returns whether the mirror has the log up to a position, so that only later records are needed.
+    pub fn has_position(&self) -> bool {
+        self.needs_tail
+    }
+
     /// Returns the next read. `mirrored` is the position up to which the mirror has the log, which
     /// a peer's copy may have advanced.
     pub fn next_read(&mut self, mirrored: Position) -> Read {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,9 +15,11 @@
 pub mod mirror;
 pub mod pause;
 pub mod rate_limit;
+pub mod reader;
 pub mod rejection;
 pub mod residency;
 pub mod retry;
 pub mod selection;
+pub mod subscription;
 
 pub use fleet::{Name, lease::Moment};
--- a/crates/serving/src/mirror.rs
+++ b/crates/serving/src/mirror.rs
@@ -62,6 +62,8 @@
 /// Contents of the mirror, sent to a peer that cannot reach the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PeerCopy {
+    /// Number of changes of the peer's mirror.
+    pub generation: u64,
     pub positions: Positions,
     pub manifest: Option<Arc<Manifest>>,
     /// Base model, adapter and version.
@@ -147,6 +149,7 @@
     pub fn to_peer_copy(&self) -> PeerCopy {
         let versions = self.versions.iter();
         PeerCopy {
+            generation: self.generation(),
             positions: self.positions,
             manifest: self.manifest.clone(),
             versions: versions
@@ -156,6 +159,12 @@
         }
     }
 
+    /// Records that the mirror has the logs up to `positions` without further changes.
+    pub fn advance(&mut self, positions: Positions) {
+        self.positions.operator = self.positions.operator.max(positions.operator);
+        self.positions.servers = self.positions.servers.max(positions.servers);
+    }
+
     /// Merges the newer parts of a peer's copy. Returns whether it had any.
     pub fn merge(&mut self, now: Moment, copy: PeerCopy) -> bool {
         let mut is_newer = false;
--- a/crates/serving/src/rate_limit.rs
+++ b/crates/serving/src/rate_limit.rs
@@ -29,6 +29,9 @@
 const PEER_EXPIRY: Duration = Duration::from_secs(20);
 /// Silence after which a peer is forgotten.
 const PEER_MEMORY: Duration = Duration::from_secs(600);
+/// Longest time by which a report arrives after a later one. A peer that is behind by more has told a
+/// wrong age before.
+const MAX_REPORT_DELAY: Duration = Duration::from_secs(5);
 /// Share of the burst that a new bucket starts with.
 const INITIAL_LEVEL_SHARE: f64 = 0.1;
 /// Time after the start for which a peer that has not reported yet counts as an instance.
@@ -156,9 +159,13 @@
     }
 
     /// Charges the units that a peer has admitted since its previous report. While this instance is
-    /// new, adopts the level of an older peer if it is lower.
-    pub fn record_report(&mut self, now: Moment, from: SocketAddr, report: &UsageReport) {
+    /// new, adopts the level of an older peer if it is lower. Returns whether the report was used: one
+    /// that a later report has overtaken is not.
+    pub fn record_report(&mut self, now: Moment, from: SocketAddr, report: &UsageReport) -> bool {
         let peer = self.peers.entry(from).or_default();
+        if peer.is_overtaken(now, report) {
+            return false;
+        }
         let is_first = peer.incarnation != report.incarnation;
         if is_first {
             peer.incarnation = report.incarnation;
@@ -182,6 +189,7 @@
                 bucket.take(now, surplus);
             }
         }
+        true
     }
 
     /// Returns the number of instances that share the rate limits, this one included.
@@ -247,6 +255,19 @@
             .map_or(now < UNREPORTED_PEER_EXPIRY, |reported_at| now < reported_at + PEER_EXPIRY)
     }
 
+    /// Returns whether a report that arrives now was sent before the last one: by an earlier start of
+    /// the peer, or earlier in the same one.
+    fn is_overtaken(&self, now: Moment, report: &UsageReport) -> bool {
+        if self.last_report_at.is_none() {
+            return false;
+        }
+        if self.incarnation != report.incarnation {
+            return self.age_at(now) < report.age;
+        }
+        let behind = self.age.saturating_sub(report.age);
+        !behind.is_zero() && behind < MAX_REPORT_DELAY
+    }
+
     fn age_at(&self, now: Moment) -> Duration {
         self.age.saturating_add(now.saturating_sub(self.last_report_at.unwrap_or(now)))
     }
--- a/crates/serving/tests/mirror.rs
+++ b/crates/serving/tests/mirror.rs
@@ -76,6 +76,7 @@
     mirror.apply(NOW, Change::Server(ready("s1")));
     mirror.positions = positions(5);
     let older = PeerCopy {
+        generation: 0,
         positions: positions(4),
         manifest: None,
         versions: Vec::new(),
--- a/crates/serving/tests/rate_limit.rs
+++ b/crates/serving/tests/rate_limit.rs
@@ -4,7 +4,7 @@
 //! while an account sends many times its rate, when instances lose their buckets
 //! in a crash, and while instances cannot reach each other.
 
-use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::RngExt as _;
 
@@ -35,12 +35,23 @@
     partitioned_until: Moment,
 }
 
+/// A usage report in transit.
+struct Delivery {
+    at: Moment,
+    from: usize,
+    report: UsageReport,
+    /// Whether it goes to the instances of the other zones, or to those of the sender's own.
+    is_relayed: bool,
+}
+
 struct Fleet {
     instances: Vec<Instance>,
     account: Arc<Account>,
     now: Moment,
-    /// Usage reports in transit: arrival, sender, report.
-    in_transit: VecDeque<(Moment, usize, UsageReport)>,
+    /// Number of zones, whose instances hear those of the others through two instances that pass
+    /// reports on; with one zone, all hear each other directly.
+    zones: usize,
+    in_transit: Vec<Delivery>,
     admitted: Vec<(Moment, u64)>,
     rejected: u64,
     /// Tokens to be sent that are not in a request yet.
@@ -80,7 +91,8 @@
             instances: (1..=instances as u64).map(instance).collect(),
             account: account(rate),
             now: Moment::ZERO,
-            in_transit: VecDeque::new(),
+            zones: 1,
+            in_transit: Vec::new(),
             admitted: Vec::new(),
             rejected: 0,
             unsent: 0.0,
@@ -97,7 +109,7 @@
     /// Advances by one step, with requests to random instances at `tokens_per_s` in total.
     fn step(&mut self, random: &mut Random, tokens_per_s: f64) {
         self.now += STEP;
-        self.exchange();
+        self.exchange(random);
         self.unsent += tokens_per_s * STEP.as_secs_f64() * random.random_range(0.0..2.0);
         while 0.0 < self.unsent {
             let units = random.random_range(200..7000);
@@ -116,7 +128,7 @@
         }
     }
 
-    fn exchange(&mut self) {
+    fn exchange(&mut self, random: &mut Random) {
         let count = self.instances.len();
         let is_due = self.now.as_millis().is_multiple_of(REPORT_INTERVAL.as_millis());
         for (index, instance) in self.instances.iter_mut().enumerate() {
@@ -127,15 +139,29 @@
             instance.limiter.set_accounts(age, std::slice::from_ref(&self.account));
             if is_due && instance.is_connected(self.now) {
                 let report = instance.limiter.usage_report(age, instance.incarnation);
-                self.in_transit.push_back((self.now + Duration::from_millis(3), index, report));
+                let deliver = |delay_ms, is_relayed| Delivery {
+                    at: self.now + Duration::from_millis(delay_ms),
+                    from: index,
+                    report: report.clone(),
+                    is_relayed,
+                };
+                self.in_transit.push(deliver(3, false));
+                for _ in 0..if self.zones == 1 { 0 } else { 2 } {
+                    self.in_transit.push(deliver(random.random_range(3..200), true));
+                }
             }
         }
-        while self.in_transit.front().is_some_and(|(at, ..)| *at <= self.now) {
-            let Some((_, from, report)) = self.in_transit.pop_front() else { break };
+        let (now, zones) = (self.now, self.zones);
+        for delivery in self.in_transit.extract_if(.., |delivery| delivery.at <= now) {
+            let from = delivery.from;
             for (index, instance) in self.instances.iter_mut().enumerate() {
-                if index != from && instance.is_connected(self.now) {
-                    let age = self.now - instance.started;
-                    instance.limiter.record_report(age, address(from), &report);
+                let is_other_zone = index % zones != from % zones;
+                if index != from
+                    && is_other_zone == delivery.is_relayed
+                    && instance.is_connected(now)
+                {
+                    let age = now - instance.started;
+                    instance.limiter.record_report(age, address(from), &delivery.report);
                 }
             }
         }
@@ -168,6 +194,23 @@
     });
 }
 
+#[test]
+fn admits_no_more_than_the_rate_over_many_instances_that_hear_each_other_through_others() {
+    seeds::run(3, |random| {
+        let mut fleet = Fleet { zones: 6, ..Fleet::new(68, 30_000) };
+
+        for step in 0..2500 {
+            // An instance is replaced now and then, and its earlier reports arrive afterwards.
+            if step % 200 == 150 {
+                fleet.restart(step / 200);
+            }
+            fleet.step(random, 200_000.0);
+        }
+
+        assert!(fleet.peak_usage() <= 1.0, "{}", fleet.peak_usage());
+    });
+}
+
 #[test]
 fn admits_no_more_than_the_rate_when_all_instances_are_killed_at_once() {
     seeds::run(10, |random| {
@@ -261,7 +304,7 @@
         // Fill the buckets before the first request.
         for _ in 0..1000 {
             fleet.now += STEP;
-            fleet.exchange();
+            fleet.exchange(random);
         }
 
         for _ in 0..2500 {
@@ -347,3 +390,26 @@
 
     assert_eq!(members.heard, [(peer, Duration::MAX)]);
 }
+
+#[test]
+fn ignores_reports_that_were_overtaken() {
+    let seconds = Duration::from_secs;
+    let account = account(30_000);
+    let mut limiter = Limiter::default();
+    limiter.set_accounts(Moment::ZERO, std::slice::from_ref(&account));
+    let report = |incarnation, age, admitted| UsageReport {
+        incarnation,
+        age,
+        usage: vec![Usage { account: account.name.clone(), admitted, level: 30_000 }],
+    };
+
+    let used = [
+        limiter.record_report(seconds(10), address(1), &report(1, seconds(20), 5000)),
+        limiter.record_report(seconds(10), address(1), &report(1, seconds(19), 4000)),
+        limiter.record_report(seconds(11), address(1), &report(2, seconds(1), 0)),
+        limiter.record_report(seconds(11), address(1), &report(1, seconds(20), 5000)),
+        limiter.record_report(seconds(12), address(1), &report(2, seconds(2), 100)),
+    ];
+
+    assert_eq!(used, [true, false, true, false, true]);
+}
