Tell other zones through two of their instances, and read the store by zone

Cause: gossip went from each entry instance to each, status reports from each side process to each entry instance, and every instance read the store.

Change: gateway::mesh is split by kind of report. News goes to the own zone directly, and to two instances of each other zone, which pass it on there; a zone of two or fewer, or one that is not heard, gets it directly. An instance that hears a reader of its zone fetches copies of its mirror instead of reading the store. Datagrams are counted by kind, in metrics and a log line.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -30,6 +30,7 @@
     manifest::Manifest,
     mirror::{Mirror, Topic},
     rate_limit::Limiter,
+    reader,
     retry::Budget,
 };
 
@@ -38,7 +39,7 @@
     gate::Gate,
     listen, mesh,
     mesh::Peers,
-    message::LeavingServer,
+    message::{LeavingServer, News},
     ports::{Dialect, Model, Reloader, ResponseMeta, Settings, Store, Tunable},
     quarantine::{self, Quarantine},
     reload,
@@ -93,6 +94,12 @@
     /// Request rates by adapter at this instance.
     pub popularity: Mutex<Popularity<Name>>,
     pub peers: Mutex<Peers>,
+    /// Instances of the own zone that read the store.
+    pub readers: Mutex<reader::Zone>,
+    /// Whether a copy of a reader's mirror is being fetched.
+    pub is_fetching_copy: AtomicBool,
+    /// News of other zones that waits to be passed on in the own one.
+    pub collected_news: Mutex<Vec<(SocketAddr, News)>>,
     mirror: RwLock<Mirror>,
     roster: RwLock<Arc<Roster>>,
     store_health: Mutex<StoreHealth>,
@@ -108,6 +115,8 @@
 struct StoreHealth {
     /// Time of the last usable response.
     last_response: Moment,
+    /// Time of the last one with servers, which are read at short intervals.
+    last_servers_response: Moment,
     is_failing: bool,
 }
 
@@ -187,6 +196,9 @@
             limiter: Mutex::default(),
             popularity: Mutex::new(Popularity::new(POPULARITY_HALF_LIFE)),
             peers: Mutex::new(Peers::new(seeds)),
+            readers: Mutex::new(reader::Zone::new(mesh::rank(&settings.mesh))),
+            is_fetching_copy: AtomicBool::new(false),
+            collected_news: Mutex::default(),
             mirror: RwLock::default(),
             roster: RwLock::default(),
             store_health: Mutex::default(),
@@ -283,6 +295,9 @@
         let now = self.now();
         let mut store_health = self.store_health.lock();
         store_health.last_response = now;
+        if topic == Topic::Servers {
+            store_health.last_servers_response = now;
+        }
         if !std::mem::take(&mut store_health.is_failing) {
             return;
         }
@@ -308,10 +323,25 @@
         );
     }
 
-    /// Returns the time since the last usable response of the store.
+    /// Returns the time since the last usable response of the store, to this instance or to the one
+    /// that it follows.
     pub fn store_silence(&self) -> Duration {
-        let store_health = self.store_health.lock();
-        self.now().saturating_sub(store_health.last_response)
+        let now = self.now();
+        let followed = self.readers.lock().followed_silence(now);
+        followed.unwrap_or_else(|| now.saturating_sub(self.store_health.lock().last_response))
+    }
+
+    /// Returns whether another instance reads the store for this one.
+    pub fn follows_reader(&self) -> bool {
+        self.readers.lock().followed_silence(self.now()).is_some()
+    }
+
+    /// Returns what this instance tells its zone about its reads of the store.
+    pub fn reader_report(&self, generation: u64) -> reader::Report {
+        let now = self.now();
+        let silence = now.saturating_sub(self.store_health.lock().last_servers_response);
+        let silence = (!self.follows_reader()).then_some(silence);
+        reader::Report { incarnation: self.incarnation, generation, silence }
     }
 
     /// Returns the oldest version of a model's adapter that may run, or 0 for a base model.
@@ -409,6 +439,7 @@
 
     /// Forgets servers and hosts that are gone.
     pub fn forget_gone(&self) {
+        self.readers.lock().forget_silent(self.now());
         let (now, mirror) = (self.now(), self.mirror.read());
         roster::forget_unlisted(&self.servers, |id| mirror.directory.get(id).is_some());
         let hosts: HashSet<IpAddr> =
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,7 +1,12 @@
-//! Keeps the mirror up to date from the platform's store, or from peers while
-//! the store is unreachable.
+//! Keeps the mirror up to date: from the platform's store, from the instance of the zone that reads
+//! it for the others (`serving::reader`), or from any peer while the store is unreachable.
 
-use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashSet,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use hyper::Request;
 
@@ -12,6 +17,7 @@
     cursor::{Cursor, Position, Read, Verdict},
     directory::Effect,
     mirror::{Change, Mirror, Outcome, PeerCopy, Positions, Topic},
+    reader::Version,
 };
 
 use crate::{
@@ -37,6 +43,8 @@
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time without a response of the store after which peers are queried.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time between checks whether another instance still reads the store for this one.
+const READER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of a request for a peer's copy.
 const COPY_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -50,31 +58,16 @@
     entry.kernel.spawn_detached(archive::run(Arc::clone(entry)));
 }
 
-/// Reads one log for as long as the process runs.
+/// Reads one log for as long as the process runs, except while another instance reads it for this
+/// one.
 async fn follow_log(entry: Arc<Entry>, topic: Topic) {
     let mut cursor = Cursor::default();
     let mut delay = MIN_RETRY_DELAY;
     loop {
-        let read = match cursor.next_read(mirrored_position(&entry, topic)) {
-            Read::Snapshot => read_snapshot(&entry, topic, &mut cursor).await,
-            Read::Tail(from) => read_tail(&entry, topic, &mut cursor, from).await,
-        };
-        match read {
-            Ok(()) => {
-                entry.record_store_response(topic);
-                delay = MIN_RETRY_DELAY;
-                if topic == Topic::Instances {
-                    entry.record_archive_read();
-                }
-                if topic == Topic::Servers {
-                    entry.kernel.clock.sleep(SERVERS_BATCH_INTERVAL).await;
-                }
-            }
-            Err(error) => {
-                entry.record_store_failure(topic, &error);
-                entry.kernel.clock.sleep(delay).await;
-                delay = (delay * 2).min(MAX_RETRY_DELAY);
-            }
+        if cursor.has_position() && entry.follows_reader() {
+            entry.kernel.clock.sleep(READER_CHECK_INTERVAL).await;
+        } else {
+            read_log(&entry, topic, &mut cursor, &mut delay).await;
         }
         let expired = entry.update_mirror(|now, mirror| mirror.directory.expire(now));
         for server in expired {
@@ -86,6 +79,31 @@
     }
 }
 
+/// Reads one log once. Waits for `delay` after a failure, and increases it.
+async fn read_log(entry: &Arc<Entry>, topic: Topic, cursor: &mut Cursor, delay: &mut Duration) {
+    let read = match cursor.next_read(mirrored_position(entry, topic)) {
+        Read::Snapshot => read_snapshot(entry, topic, cursor).await,
+        Read::Tail(from) => read_tail(entry, topic, cursor, from).await,
+    };
+    match read {
+        Ok(()) => {
+            entry.record_store_response(topic);
+            *delay = MIN_RETRY_DELAY;
+            if topic == Topic::Instances {
+                entry.record_archive_read();
+            }
+            if topic == Topic::Servers {
+                entry.kernel.clock.sleep(SERVERS_BATCH_INTERVAL).await;
+            }
+        }
+        Err(error) => {
+            entry.record_store_failure(topic, &error);
+            entry.kernel.clock.sleep(*delay).await;
+            *delay = (*delay * 2).min(MAX_RETRY_DELAY);
+        }
+    }
+}
+
 /// Returns the position up to which the mirror has a log. It has no records of the instances' log,
 /// which only yields peer addresses.
 fn mirrored_position(entry: &Entry, topic: Topic) -> Position {
@@ -129,7 +147,12 @@
     from: Position,
 ) -> Result<(), Error> {
     let wait = if topic == Topic::Servers { SERVERS_READ_WAIT } else { READ_WAIT };
-    match (entry.store.read)(topic, from.offset, wait).await? {
+    let tail = (entry.store.read)(topic, from.offset, wait).await?;
+    if from < mirrored_position(entry, topic) {
+        // A copy with later records was merged meanwhile.
+        return Ok(());
+    }
+    match tail {
         Tail::Expired => {
             log::info!(
                 event = Event::LogExpired, topic:? = topic, from = from.offset, era = from.era;
@@ -295,22 +318,52 @@
         let source =
             peers.into_iter().find(|(_, peer)| has_no_manifest || is_ahead(peer.positions));
         let Some((address, _)) = source else { continue };
-        match fetch_peer_copy(&entry, address).await {
-            Ok(copy) => {
-                let positions = copy.positions;
-                let is_newer = entry.update_mirror(|now, mirror| mirror.merge(now, copy));
-                log::info!(
-                    event = Event::PeerCopy, peer:% = address, is_newer,
-                    operator = positions.operator.offset, servers = positions.servers.offset,
-                    era = positions.servers.era,
-                    store_silent_ms = entry.store_silence().as_millis() as u64;
-                    "merged the copy of a peer"
-                );
+        let _logged = merge_peer_copy(&entry, address).await;
+    }
+}
+
+/// Fetches a copy of the mirror from the reader of the zone in the background, unless one is being
+/// fetched. `incarnation` is that of its process.
+pub fn fetch_reader_copy(entry: &Arc<Entry>, reader: SocketAddr, incarnation: u64) {
+    if entry.is_fetching_copy.swap(true, Ordering::Relaxed) {
+        return;
+    }
+    let fetcher = Arc::clone(entry);
+    entry.kernel.spawn_detached(async move {
+        if let Some(generation) = merge_peer_copy(&fetcher, reader).await {
+            let version = Version { incarnation, generation };
+            fetcher.readers.lock().record_copy(fetcher.now(), reader, version);
+        }
+        fetcher.is_fetching_copy.store(false, Ordering::Relaxed);
+    });
+}
+
+/// Fetches and merges the copy of a peer's mirror. Returns its generation, or `None` if it cannot be
+/// fetched.
+async fn merge_peer_copy(entry: &Entry, address: SocketAddr) -> Option<u64> {
+    match fetch_peer_copy(entry, address).await {
+        Ok(copy) => {
+            let (positions, generation) = (copy.positions, copy.generation);
+            let era = entry.with_mirror(|mirror| mirror.positions.servers.era);
+            let is_newer = entry.update_mirror(|now, mirror| mirror.merge(now, copy));
+            if era < positions.servers.era {
+                entry.store_restored.notify(usize::MAX);
             }
-            Err(error) => log::info!(
+            log::info!(
+                event = Event::PeerCopy, peer:% = address, is_newer, generation,
+                operator = positions.operator.offset, servers = positions.servers.offset,
+                era = positions.servers.era,
+                store_silent_ms = entry.store_silence().as_millis() as u64;
+                "merged the copy of a peer"
+            );
+            Some(generation)
+        }
+        Err(error) => {
+            log::info!(
                 event = Event::PeerCopy, peer:% = address;
                 "cannot fetch a peer's copy of the mirror; retrying: {error}"
-            ),
+            );
+            None
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/mesh/gossip.rs
@@ -0,0 +1,305 @@
+//! What entry instances tell each other: the usage of client accounts, their reads of the store, the
+//! servers that leave, the limits of servers and the suspects of crashes.
+//!
+//! News goes to the own availability zone directly and to two instances of each other zone, which
+//! pass it on ([`Peers`](crate::mesh::Peers)). The senders keep no account of who passed on what: the
+//! same news may arrive twice, or out of order, and is recorded so that this does no harm. What an
+//! instance passes on is what another one could have sent itself, with its address.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_net::UdpSocket;
+
+use fleet::suspect::Record;
+use serving::{Moment, directory::Listing};
+
+use crate::{
+    entry::Entry,
+    follow,
+    mesh::{
+        peers::{self, Peer, Recipients},
+        send,
+    },
+    message::{Gossip, LeavingServer, MAX_BYTES, Message, News},
+};
+
+/// Time between gossip messages to a peer.
+const GOSSIP_INTERVAL: Duration = Duration::from_millis(150);
+/// Time between gossip messages to a peer until one has told what it knows.
+const STARTUP_GOSSIP_INTERVAL: Duration = Duration::from_millis(30);
+/// Time for which gossip from other zones is collected before it is passed on.
+const RELAY_INTERVAL: Duration = Duration::from_millis(40);
+/// Gossip that waits to be passed on; more of it is dropped, since the next round repeats it.
+const MAX_COLLECTED: usize = 4096;
+/// Size of a message that passes gossip on, in bytes, without its last element.
+const RELAYED_BYTES: usize = MAX_BYTES / 2;
+/// What is gone is forgotten once in this many intervals.
+const CLEANUP_ROUNDS: u64 = 100;
+/// Number of leaving servers in a message, so that it fits into a datagram.
+const MAX_LEAVING_SERVERS: usize = 100;
+/// Number of limits in a message, so that it fits into a datagram.
+const MAX_LIMIT_REPORTS: usize = 50;
+/// Number of suspects in a message, so that it fits into a datagram.
+const MAX_SUSPECT_RECORDS: usize = 12;
+/// All suspects in quarantine are sent once in this many intervals.
+const QUARANTINE_ROUNDS: u64 = 20;
+/// Time for which a server that leaves is named in each round, since datagrams may be lost.
+const LEAVING_REPEAT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Sends the rate limit usage, the positions in the store, the servers that leave and the limits of
+/// servers to peers.
+pub async fn run(entry: Arc<Entry>, socket: Arc<UdpSocket>) {
+    let mut round = 0;
+    loop {
+        let announced = entry.announced.listen();
+        let interval = if entry.is_informed() { GOSSIP_INTERVAL } else { STARTUP_GOSSIP_INTERVAL };
+        let is_announced = entry.kernel.clock.timeout(interval, announced).await.is_ok();
+        let recipients = recipients(&entry, round);
+        send_leaving(&entry, &socket, &recipients).await;
+        send_limits(&entry, &socket, &recipients).await;
+        entry.review_breakage();
+        send_suspects(&entry, &socket, &recipients).await;
+        if is_announced {
+            continue;
+        }
+        round += 1;
+        let recipients = self::recipients(&entry, round);
+        let gossip = News::Gossip(Box::new(current_gossip(&entry)));
+        send_news(&socket, &gossip, &recipients).await;
+        if round.is_multiple_of(CLEANUP_ROUNDS) {
+            entry.forget_gone();
+        }
+        if round.is_multiple_of(QUARANTINE_ROUNDS) {
+            send_quarantined(&entry, &socket, &recipients).await;
+        }
+    }
+}
+
+/// Passes the collected gossip from other zones on in the own one.
+pub async fn relay(entry: Arc<Entry>, socket: Arc<UdpSocket>) {
+    loop {
+        entry.kernel.clock.sleep(RELAY_INTERVAL).await;
+        let collected = std::mem::take(&mut *entry.collected_news.lock());
+        if collected.is_empty() {
+            continue;
+        }
+        let members = entry.peers.lock().in_zone(&entry.settings.zone, entry.now(), 1);
+        for message in pack(collected) {
+            for member in &members {
+                send(&socket, *member, &message).await;
+            }
+        }
+    }
+}
+
+/// Records what a peer tells, and what other zones told it.
+pub async fn receive(entry: &Arc<Entry>, socket: &UdpSocket, from: SocketAddr, message: Message) {
+    match message {
+        Message::News(news) => record(entry, socket, from, &news).await,
+        Message::ForZone(news) => {
+            record(entry, socket, from, &news).await;
+            pass_on(entry, socket, from, news).await;
+        }
+        Message::Relayed(news) if is_in_zone(entry, &from) => {
+            for (origin, news) in news {
+                if origin != entry.settings.mesh && !is_in_zone(entry, &origin) {
+                    record_relayed(entry, origin, &news);
+                }
+            }
+        }
+        Message::Relayed(_) => {
+            metrics::counter!("chivelatch_mesh_dropped_total", "reason" => "relay").increment(1);
+        }
+        _ => {}
+    }
+}
+
+/// Sends the suspects that are in quarantine.
+async fn send_quarantined(entry: &Entry, socket: &UdpSocket, recipients: &Recipients) {
+    let records = entry.quarantine.list.lock().quarantined(entry.now());
+    send_records(socket, &records, recipients).await;
+}
+
+fn recipients(entry: &Entry, round: u64) -> Recipients {
+    entry.peers.lock().recipients(&entry.settings.zone, entry.now(), round)
+}
+
+fn current_gossip(entry: &Entry) -> Gossip {
+    let (positions, generation) =
+        entry.with_mirror(|mirror| (mirror.positions, mirror.generation()));
+    let (now, manifest) = (entry.now(), entry.manifest());
+    let peers: Vec<SocketAddr> = entry.peers.lock().addresses().collect();
+    let mut limiter = entry.limiter.lock();
+    peers.into_iter().for_each(|peer| limiter.add_peer(peer));
+    if let Some(manifest) = &manifest {
+        limiter.set_accounts(now, &manifest.accounts);
+    }
+    let usage = limiter.usage_report(now, entry.incarnation);
+    drop(limiter);
+    Gossip {
+        zone: entry.settings.zone.clone(),
+        positions,
+        reader: entry.reader_report(generation),
+        usage,
+    }
+}
+
+async fn send_news(socket: &UdpSocket, news: &News, recipients: &Recipients) {
+    if !recipients.direct.is_empty() {
+        let message = Message::News(news.clone());
+        for peer in &recipients.direct {
+            send(socket, *peer, &message).await;
+        }
+    }
+    if !recipients.relays.is_empty() {
+        let message = Message::ForZone(news.clone());
+        for peer in &recipients.relays {
+            send(socket, *peer, &message).await;
+        }
+    }
+}
+
+/// Returns whether a peer is known to be in the own zone.
+fn is_in_zone(entry: &Entry, address: &SocketAddr) -> bool {
+    let peers = entry.peers.lock();
+    peers.get(address).is_some_and(|peer| peer.zone.as_ref() == Some(&entry.settings.zone))
+}
+
+/// Passes news of another zone on in the own one, gossip together with others.
+async fn pass_on(entry: &Entry, socket: &UdpSocket, from: SocketAddr, news: News) {
+    if let News::Gossip(_) = news {
+        let mut collected = entry.collected_news.lock();
+        if collected.len() < MAX_COLLECTED {
+            collected.push((from, news));
+        }
+        return;
+    }
+    let members = entry.peers.lock().in_zone(&entry.settings.zone, entry.now(), 1);
+    let message = Message::Relayed(vec![(from, news)]);
+    for member in members {
+        send(socket, member, &message).await;
+    }
+}
+
+/// Packs news into messages that fit into datagrams.
+fn pack(collected: Vec<(SocketAddr, News)>) -> Vec<Message> {
+    let mut messages = Vec::new();
+    let (mut batch, mut bytes) = (Vec::new(), 0);
+    for element in collected {
+        bytes += postcard::experimental::serialized_size(&element).unwrap_or(0);
+        batch.push(element);
+        if RELAYED_BYTES < bytes {
+            messages.push(Message::Relayed(std::mem::take(&mut batch)));
+            bytes = 0;
+        }
+    }
+    if !batch.is_empty() {
+        messages.push(Message::Relayed(batch));
+    }
+    messages
+}
+
+/// Records news that came from its sender directly.
+async fn record(entry: &Arc<Entry>, socket: &UdpSocket, from: SocketAddr, news: &News) {
+    let is_first = record_relayed(entry, from, news);
+    if is_first {
+        let direct = Recipients { direct: vec![from], relays: Vec::new() };
+        send_news(socket, &News::Suspects(Vec::new()), &direct).await;
+        send_quarantined(entry, socket, &direct).await;
+    }
+}
+
+/// Records news of an instance. Returns whether it is the first gossip of this start of it.
+fn record_relayed(entry: &Arc<Entry>, from: SocketAddr, news: &News) -> bool {
+    match news {
+        News::Gossip(gossip) => return record_gossip(entry, from, gossip),
+        News::Leaving(servers) => {
+            for server in servers {
+                entry.record_leaving(&server.server, server.born_ms);
+            }
+        }
+        News::Limits(reports) => entry.record_limit_reports(reports),
+        News::Suspects(records) => {
+            entry.record_suspects(records);
+            entry.record_informed();
+        }
+    }
+    false
+}
+
+/// Records the gossip of a peer. Returns whether it is the first one of this start of the peer.
+fn record_gossip(entry: &Arc<Entry>, from: SocketAddr, gossip: &Gossip) -> bool {
+    let now = entry.now();
+    if !entry.limiter.lock().record_report(now, from, &gossip.usage) {
+        // It was overtaken by a later one on another way.
+        return false;
+    }
+    let incarnation = gossip.usage.incarnation;
+    let peer = Peer {
+        last_seen: Some(now),
+        zone: Some(gossip.zone.clone()),
+        positions: gossip.positions,
+        incarnation,
+    };
+    let previous = entry.peers.lock().update(from, peer);
+    if gossip.zone == entry.settings.zone {
+        record_reader(entry, now, from, gossip);
+    }
+    previous.is_none_or(|previous| previous.incarnation != incarnation)
+}
+
+/// Records what an instance of the own zone tells of its reads of the store, and follows it.
+fn record_reader(entry: &Arc<Entry>, now: Moment, from: SocketAddr, gossip: &Gossip) {
+    let mut readers = entry.readers.lock();
+    let needs_copy = readers.record_report(now, from, peers::rank(&from), gossip.reader);
+    let is_current = readers.source(now) == Some(from) && readers.is_current(from);
+    drop(readers);
+    if needs_copy {
+        follow::fetch_reader_copy(entry, from, gossip.reader.incarnation);
+    } else if is_current {
+        entry.update_mirror(|_, mirror| mirror.advance(gossip.positions));
+    }
+}
+
+/// Sends the servers that announced lately that they leave to peers, if there are any.
+async fn send_leaving(entry: &Entry, socket: &UdpSocket, recipients: &Recipients) {
+    let servers: Vec<LeavingServer> = {
+        let (now, mut servers) = (entry.now(), entry.leaving_servers.lock());
+        servers.retain(|(announced_at, _)| now < *announced_at + LEAVING_REPEAT_PERIOD);
+        servers.iter().rev().take(MAX_LEAVING_SERVERS).map(|(_, server)| server.clone()).collect()
+    };
+    if !servers.is_empty() {
+        send_news(socket, &News::Leaving(servers), recipients).await;
+    }
+}
+
+/// Sends what changed lately about suspects to peers.
+async fn send_suspects(entry: &Entry, socket: &UdpSocket, recipients: &Recipients) {
+    let changes = entry.quarantine.list.lock().changes(entry.now());
+    send_records(socket, &changes, recipients).await;
+}
+
+async fn send_records(socket: &UdpSocket, records: &[Record], recipients: &Recipients) {
+    for records in records.chunks(MAX_SUSPECT_RECORDS) {
+        send_news(socket, &News::Suspects(records.to_vec()), recipients).await;
+    }
+}
+
+/// Sends the limits of servers to peers and to the side processes of these servers, if there are
+/// any.
+async fn send_limits(entry: &Entry, socket: &UdpSocket, recipients: &Recipients) {
+    entry.with_mirror(|mirror| {
+        entry.gate.limits.lock().retain(|id| mirror.directory.get(id).is_some());
+    });
+    for reports in entry.limit_reports().chunks(MAX_LIMIT_REPORTS) {
+        let news = News::Limits(reports.to_vec());
+        send_news(socket, &news, recipients).await;
+        let listings = entry.with_mirror(|mirror| {
+            let listings = reports.iter().filter_map(|report| mirror.directory.get(&report.server));
+            listings.cloned().collect::<Vec<Listing>>()
+        });
+        for listing in listings {
+            send(socket, entry.side_address(&listing), &Message::News(news.clone())).await;
+        }
+    }
+}
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -8,7 +8,9 @@
 use fleet::suspect::Record;
 use serde::{Deserialize, Serialize};
 
-use serving::{Name, limit, mirror::Positions, rate_limit::UsageReport, residency::SlotUsage};
+use serving::{
+    Name, limit, mirror::Positions, rate_limit::UsageReport, reader, residency::SlotUsage,
+};
 
 /// Maximum size of a datagram, in bytes.
 pub const MAX_BYTES: usize = 8 * 1024;
@@ -28,28 +30,110 @@
         slot_usage: SlotUsage,
         work: Work,
     },
-    /// Gossip of earlier builds, whose positions have no era; ignored.
+    /// Messages of earlier builds; ignored.
     EarlierGossip,
-    /// From any process to the entry instances: servers that announced in a response that they
-    /// leave.
-    Leaving(Vec<LeavingServer>),
-    /// Between entry instances.
-    Gossip(Gossip),
-    /// From an entry instance to the others and to the side processes of the servers: limits that
-    /// servers have named.
-    Limits(Vec<limit::Report>),
+    EarlierLeaving,
+    EarlierUsage,
+    EarlierLimits,
     /// From an entry instance to the one that issues a server's permits.
     PermitRequest(PermitRequest),
     /// The response to it.
     PermitReply(PermitReply),
-    /// Between entry instances: requests that are suspected of crashing servers.
-    Suspects(Vec<Record>),
+    /// Message of earlier builds; ignored.
+    EarlierSuspects,
     /// From an entry instance to the one that grants a service's trials of suspects.
     TrialRequest(TrialRequest),
     /// The response to it.
     TrialReply(TrialReply),
     /// From the instance that requested a trial: the trial is over.
-    TrialEnd { id: u64 },
+    TrialEnd {
+        id: u64,
+    },
+    /// To an entry instance, and limits also to the side process of the server.
+    News(News),
+    /// To an entry instance of another availability zone, which passes it on in its zone.
+    ForZone(News),
+    /// What other zones told an entry instance, by sender, to the others of its zone.
+    Relayed(Vec<(SocketAddr, News)>),
+}
+
+/// What processes tell the entry instances.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum News {
+    /// From each entry instance, at intervals.
+    Gossip(Box<Gossip>),
+    /// From any process: servers that announced in a response that they leave.
+    Leaving(Vec<LeavingServer>),
+    /// Limits that servers have named.
+    Limits(Vec<limit::Report>),
+    /// Requests that are suspected of crashing servers.
+    Suspects(Vec<Record>),
+}
+
+macro_rules! kinds {
+    ($($kind:ident = $name:literal,)*) => {
+        /// Kind of a message, for counts.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Kind {
+            $($kind,)*
+        }
+
+        impl Kind {
+            pub const ALL: &[Kind] = &[$(Kind::$kind),*];
+
+            pub fn name(self) -> &'static str {
+                match self {
+                    $(Kind::$kind => $name,)*
+                }
+            }
+        }
+    };
+}
+
+kinds! {
+    Demand = "demand",
+    Status = "status",
+    Work = "work",
+    Gossip = "gossip",
+    Leaving = "leaving",
+    Limits = "limits",
+    Suspects = "suspects",
+    Relayed = "relayed",
+    Permit = "permit",
+    Trial = "trial",
+    Earlier = "earlier",
+}
+
+impl Message {
+    pub fn kind(&self) -> Kind {
+        match self {
+            Message::Demand(_) => Kind::Demand,
+            Message::Status(_) => Kind::Status,
+            Message::Work { .. } => Kind::Work,
+            Message::News(news) | Message::ForZone(news) => news.kind(),
+            Message::Relayed(_) => Kind::Relayed,
+            Message::PermitRequest(_) | Message::PermitReply(_) => Kind::Permit,
+            Message::TrialRequest(_) | Message::TrialReply(_) | Message::TrialEnd { .. } => {
+                Kind::Trial
+            }
+            Message::EarlierGossip
+            | Message::EarlierLeaving
+            | Message::EarlierUsage
+            | Message::EarlierLimits
+            | Message::EarlierSuspects => Kind::Earlier,
+        }
+    }
+}
+
+impl News {
+    fn kind(&self) -> Kind {
+        match self {
+            News::Gossip(_) => Kind::Gossip,
+            News::Leaving(_) => Kind::Leaving,
+            News::Limits(_) => Kind::Limits,
+            News::Suspects(_) => Kind::Suspects,
+        }
+    }
 }
 
 /// Request for a trial of a suspect on a server.
@@ -112,6 +196,8 @@
     pub server: Name,
     /// Start of the server's process, in milliseconds since the Unix epoch.
     pub born_ms: u64,
+    /// Whether the entry instance is in the availability zone of the engine.
+    pub is_near: bool,
     /// Base model that the engine should load.
     pub model: Option<Name>,
     /// Adapter slots of the engine.
@@ -155,8 +241,11 @@
 /// Report of an entry instance to its peers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Gossip {
+    /// Availability zone.
+    pub zone: Name,
     /// Positions up to which it has read the store.
     pub positions: Positions,
-    #[serde(rename = "statement")]
+    /// Its reads of the store, for its zone.
+    pub reader: reader::Report,
     pub usage: UsageReport,
 }
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -19,11 +19,12 @@
 use serving::{
     Moment, Name, limit,
     residency::{AdapterVersion, EngineState, Order, Planner, Report, SlotUsage},
+    subscription::{Due, Subscription},
 };
 
 use crate::{
     listen, mesh,
-    message::{Demand, LeavingServer, Message, Status, Work},
+    message::{Demand, LeavingServer, Message, News, Status, Work},
     ports::{Engine, OrderResponse, Settings},
 };
 
@@ -33,11 +34,6 @@
 const BUSY_POLL_INTERVAL: Duration = Duration::from_millis(12);
 /// Silence after which an entry instance gets no more reports.
 const SUBSCRIBER_TIMEOUT: Duration = Duration::from_secs(3);
-/// Longest time between status reports, also if the status is unchanged.
-const STATUS_INTERVAL: Duration = Duration::from_millis(700);
-/// Shortest time between reports of the work in flight alone.
-const WORK_INTERVAL: Duration = Duration::from_millis(150);
-
 /// A side process, shared by its tasks.
 struct Side {
     kernel: Kernel,
@@ -62,21 +58,22 @@
     reported_leaving: Option<u64>,
     /// Time at which the engine accepted the latest order to load a base model.
     loading_since: Option<Moment>,
-    /// Latest status sent, without the work in flight; `None` forces a new report.
-    sent_status: Option<Status>,
-    status_sent_at: Moment,
-    sent_work: Work,
-    work_sent_at: Moment,
-    sent_slot_usage: SlotUsage,
+    /// Latest status, without the work in flight, and the number of its changes.
+    status: Status,
+    status_changes: u64,
 }
 
 /// An entry instance that gets reports.
+#[derive(Default)]
 struct Subscriber {
     last_seen: Moment,
     /// Prompt tokens of its requests that wait for their first event.
     tokens: u64,
     /// Its requests in flight.
     requests: u32,
+    subscription: Subscription,
+    /// Work of the latest report to it.
+    sent_work: (Work, SlotUsage),
 }
 
 /// Runs a side process until SIGTERM.
@@ -106,6 +103,7 @@
     });
     kernel.spawn_detached(receive_demands(Arc::clone(&side)));
     kernel.spawn_detached(manage_engine(side));
+    kernel.spawn_detached(mesh::log_regularly(kernel.clone()));
     // A side process reloads no settings, but SIGHUP must not end it.
     let _hangups = drain::hangups();
     drain::termination().await;
@@ -125,7 +123,7 @@
     loop {
         match mesh::next(&side.socket).await {
             Some((from, Message::Demand(demand))) => record_demand(&side, from, demand),
-            Some((_, Message::Limits(reports))) => record_limits(&side, &reports),
+            Some((_, Message::News(News::Limits(reports)))) => record_limits(&side, &reports),
             _ => {}
         }
     }
@@ -136,9 +134,13 @@
     let now = side.now();
     let has_load_requests = !demand.load_requests.is_empty();
     let mut state = side.state.lock();
-    let subscriber =
-        Subscriber { last_seen: now, tokens: demand.tokens, requests: demand.requests };
-    let is_first = state.subscribers.insert(from, subscriber).is_none();
+    let is_first = !state.subscribers.contains_key(&from);
+    let subscriber = state.subscribers.entry(from).or_default();
+    subscriber.last_seen = now;
+    (subscriber.tokens, subscriber.requests) = (demand.tokens, demand.requests);
+    subscriber.subscription.is_near = demand.is_near;
+    subscriber.subscription.has_work =
+        (demand.tokens, demand.requests) != (0, 0) || has_load_requests;
     if demand.born_ms == state.born_ms {
         state.engine_id = Some(demand.server);
     }
@@ -153,9 +155,6 @@
             .collect(),
     };
     state.planner.record_report(now, from, report);
-    if is_first {
-        state.sent_status = None;
-    }
     drop(state);
     if is_first || has_load_requests {
         side.poll_requested.notify(usize::MAX);
@@ -245,7 +244,7 @@
             if matches!(order, Order::LoadModel { .. }) {
                 let mut state = side.state.lock();
                 state.loading_since = Some(side.now());
-                state.sent_status = None;
+                state.status_changes += 1;
             }
         }
         Ok(OrderResponse::OtherEngine { actual }) => {
@@ -293,53 +292,52 @@
         event = Event::Leaving, server = &*server, born_ms = engine.born_ms;
         "the engine leaves; it gets no more orders"
     );
-    let message = Message::Leaving(vec![LeavingServer { server, born_ms: engine.born_ms }]);
+    let leaving = LeavingServer { server, born_ms: engine.born_ms };
+    let message = Message::News(News::Leaving(vec![leaving]));
     for subscriber in subscribers {
         mesh::send(&side.socket, subscriber, &message).await;
     }
 }
 
-/// Sends the due report, if any, to the subscribers.
+/// Sends the due reports to the subscribers.
 async fn send_updates(side: &Side, engine: &EngineState) {
-    let Some((message, subscribers)) = pending_update(side, engine) else { return };
-    for subscriber in subscribers {
-        mesh::send(&side.socket, subscriber, &message).await;
+    for (message, subscribers) in due_updates(side, engine) {
+        for subscriber in subscribers {
+            mesh::send(&side.socket, subscriber, &message).await;
+        }
     }
 }
 
-/// Returns the due report, if any, and the subscribers. It is a full status report if the status
-/// changed or `STATUS_INTERVAL` passed, or else the work in flight if that changed.
-fn pending_update(side: &Side, engine: &EngineState) -> Option<(Message, Vec<SocketAddr>)> {
+/// Returns the due reports with the subscribers that get them.
+fn due_updates(side: &Side, engine: &EngineState) -> Vec<(Message, Vec<SocketAddr>)> {
     let now = side.now();
     let mut state = side.state.lock();
     state.planner.record_engine_state(engine);
     state.subscribers.retain(|_, subscriber| now < subscriber.last_seen + SUBSCRIBER_TIMEOUT);
-    let subscribers = state.subscribers.keys().copied().collect();
-    let work = state.work();
-    let slot_usage = state.planner.slot_usage(now, engine);
+    let work = (state.work(), state.planner.slot_usage(now, engine));
     let status = state.status(engine);
-    if state.status_sent_at + STATUS_INTERVAL <= now || state.sent_status.as_ref() != Some(&status)
-    {
-        state.sent_status = Some(status.clone());
-        state.status_sent_at = now;
-        state.sent_work.clone_from(&work);
-        state.work_sent_at = now;
-        let loading = state.loading_since.filter(|_| engine.models.is_empty());
-        let loading_ms = loading.map(|since| now.saturating_sub(since).as_millis() as u64);
-        return Some((
-            Message::Status(Status { work, slot_usage, loading_ms, ..status }),
-            subscribers,
-        ));
+    if state.status != status {
+        state.status = status.clone();
+        state.status_changes += 1;
     }
-    if state.work_sent_at + WORK_INTERVAL <= now
-        && (&state.sent_work, state.sent_slot_usage) != (&work, slot_usage)
-    {
-        state.sent_slot_usage = slot_usage;
-        state.sent_work.clone_from(&work);
-        state.work_sent_at = now;
-        return Some((Message::Work { born_ms: engine.born_ms, slot_usage, work }, subscribers));
+    let changes = state.status_changes;
+    let (mut with_status, mut with_work) = (Vec::new(), Vec::new());
+    for (address, subscriber) in &mut state.subscribers {
+        let has_new_work = subscriber.sent_work != work;
+        let Some(due) = subscriber.subscription.due(now, changes, has_new_work) else { continue };
+        subscriber.subscription.record_sent(now, changes, due);
+        subscriber.sent_work.clone_from(&work);
+        match due {
+            Due::Status => with_status.push(*address),
+            Due::Work => with_work.push(*address),
+        }
     }
-    None
+    let (work, slot_usage) = work;
+    let loading = state.loading_since.filter(|_| engine.models.is_empty());
+    let loading_ms = loading.map(|since| now.saturating_sub(since).as_millis() as u64);
+    let short = Message::Work { born_ms: engine.born_ms, slot_usage, work: work.clone() };
+    let full = Message::Status(Status { work, slot_usage, loading_ms, ..status });
+    vec![(full, with_status), (short, with_work)]
 }
 
 impl State {
--- /dev/null
+++ b/crates/gateway/tests/peers.rs
@@ -0,0 +1,90 @@
+//! Guards against messages from each instance to each, against zones that hear nothing because the
+//! instances that pass messages on have stopped, and against small fleets that pay for a middle hop.
+
+use std::{net::SocketAddr, time::Duration};
+
+use gateway::mesh::{Peer, Peers, Recipients};
+use serving::{Moment, Name};
+
+const NOW: Moment = Duration::from_secs(100);
+
+fn address(zone: usize, index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, zone as u8, index as u8], 9000))
+}
+
+fn zone(number: usize) -> Name {
+    Name::from(format!("zone-{number}"))
+}
+
+/// Returns the peers of `zones` zones with `count` instances each, last heard at `seen`.
+fn fleet(zones: usize, count: usize, seen: impl Fn(usize, usize) -> Moment) -> Peers {
+    let mut peers = Peers::new([]);
+    for number in 0..zones {
+        for index in 0..count {
+            let last_seen = Some(seen(number, index));
+            let peer = Peer { last_seen, zone: Some(zone(number)), ..Peer::default() };
+            peers.update(address(number, index), peer);
+        }
+    }
+    peers
+}
+
+fn zone_of(address: &SocketAddr) -> u8 {
+    let SocketAddr::V4(address) = address else { panic!("the addresses are of IPv4") };
+    address.ip().octets()[2]
+}
+
+#[test]
+fn reaches_other_zones_through_two_instances_each() {
+    let peers = fleet(6, 11, |_, _| NOW);
+
+    let Recipients { direct, relays } = peers.recipients(&zone(0), NOW, 1);
+
+    assert_eq!(direct.len(), 11);
+    assert!(direct.iter().all(|address| zone_of(address) == 0));
+    let counts = [1, 2, 3, 4, 5].map(|zone| relays.iter().filter(|it| zone_of(it) == zone).count());
+    assert_eq!(counts, [2; 5]);
+}
+
+#[test]
+fn chooses_other_instances_for_silent_ones() {
+    let peers = fleet(2, 11, |_, _| NOW);
+    let chosen = peers.recipients(&zone(0), NOW, 1).relays;
+    let later = NOW + Duration::from_secs(1);
+    let is_silent = |zone, index| chosen.contains(&address(zone, index));
+    let peers = fleet(2, 11, |zone, index| if is_silent(zone, index) { NOW } else { later });
+
+    let now_chosen = peers.recipients(&zone(0), later, 1).relays;
+
+    assert_eq!(now_chosen.len(), 2);
+    assert!(now_chosen.iter().all(|address| !chosen.contains(address)));
+}
+
+#[test]
+fn sends_directly_to_a_zone_in_which_nobody_is_heard() {
+    let later = NOW + Duration::from_secs(2);
+    let peers = fleet(2, 11, |zone, _| if zone == 1 { NOW } else { later });
+
+    let Recipients { direct, relays } = peers.recipients(&zone(0), later, 1);
+
+    assert_eq!((direct.len(), relays.len()), (22, 0));
+}
+
+#[test]
+fn sends_directly_within_a_small_fleet() {
+    let peers = fleet(4, 2, |_, _| NOW);
+
+    let Recipients { direct, relays } = peers.recipients(&zone(0), NOW, 1);
+
+    assert_eq!((direct.len(), relays.len()), (8, 0));
+}
+
+#[test]
+fn sends_directly_to_peers_of_unknown_zone() {
+    let mut peers = fleet(2, 11, |_, _| NOW);
+    peers.add(address(7, 7));
+
+    let direct = peers.recipients(&zone(0), Duration::from_secs(1), 1).direct;
+
+    assert!(direct.contains(&address(7, 7)));
+}
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -110,6 +110,8 @@
     EngineStart = "engine_start",
     /// A datagram was too large to be sent.
     Mesh = "mesh",
+    /// Datagrams that were sent and received since the previous such line.
+    Traffic = "traffic",
     /// Log lines were dropped because the log queue was full.
     LogDropped = "log_dropped",
 }
