--- a/crates/gateway/src/mesh/peers.rs
+++ b/crates/gateway/src/mesh/peers.rs
@@ -48,6 +48,9 @@
     pub incarnation: u64,
 }
 
+/// Peers of one zone.
+type Members<'a> = SmallVec<[(&'a SocketAddr, &'a Peer); 16]>;
+
 /// Peers that a message is sent to.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Recipients {
@@ -92,8 +95,7 @@
 
     /// Returns the peers to send a message to in this round, without the silent ones in most rounds.
     pub fn recipients(&self, own_zone: &Name, now: Moment, round: u64) -> Recipients {
-        let mut zones: BTreeMap<Option<&Name>, SmallVec<[(&SocketAddr, &Peer); 16]>> =
-            BTreeMap::new();
+        let mut zones: BTreeMap<Option<&Name>, Members<'_>> = BTreeMap::new();
         for (address, peer) in &self.known {
             zones.entry(peer.zone.as_ref()).or_default().push((address, peer));
         }
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -61,5 +61,6 @@
     quota,
     replaced_side,
     second_side,
+    slow_stop,
     whole_path,
 }
