--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -26,7 +26,6 @@
     in_flight::LoadRequest,
     job::Job,
     ports::Model,
-    quarantine,
     roster::{Roster, Server, StatusReport},
     serve::{DEFAULT_RETRY_AFTER, authorize},
 };
@@ -171,18 +170,6 @@
         self.trial = entry.obtain_trial(self, server, is_exclusive).await;
     }
 
-    /// Returns the rejection of a request that crashed the servers that ran it.
-    fn quarantine_rejection(&self, retry_after: Duration) -> Rejection {
-        log::info!(
-            event = Event::Quarantine, request = &*self.meta.id,
-            fingerprint:% = self.fingerprint.short(),
-            retry_after_ms = retry_after.as_millis() as u64;
-            "rejecting a request that crashed the servers that ran it"
-        );
-        metrics::counter!("chivelatch_quarantine_rejections_total").increment(1);
-        self.final_rejection(quarantine::REASON, retry_after)
-    }
-
     /// Authorizes the request again, since the configuration may have changed.
     fn authorize_again(&mut self, entry: &Entry) -> Result<(), Rejection> {
         let Some(manifest) = entry.manifest() else { return Ok(()) };
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -4,13 +4,16 @@
 //! retry budget and the servers allow it. One that may have run is sent again
 //! only if its route's retry policy and number of attempts allow that, too.
 
+mod failure;
+mod rejection;
+
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use front::body::Body;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{
-    Request, Response, StatusCode,
+    Request, Response,
     header::CONTENT_LENGTH,
     http::{request, response},
 };
@@ -21,13 +24,13 @@
     body::{self, Tail},
     pool::Connection,
 };
-use serving::{Moment, Name, breakage::Attempt, directory::Listing, manifest::Grant, selection};
+use serving::{Moment, Name, directory::Listing, manifest::Grant, selection};
 
 use crate::{
     answer::{self, Rejection, check_head, end_to_end},
     end::End,
     entry::Entry,
-    exchange::{self, Failure, NotRunReason, Reply},
+    exchange::{self, Failure, Reply},
     gate::Pass,
     in_flight::InFlight,
     ports::{self, RequestMeta, ResponseMeta, ServerNames},
@@ -352,156 +355,6 @@
         }
     }
 
-    /// Handles an attempt that yielded no usable response head.
-    ///
-    /// # Errors
-    ///
-    /// Returns the rejection if no further attempt is possible.
-    async fn handle_send_failure(
-        &mut self,
-        entry: &Arc<Entry>,
-        server: &Listing,
-        failure: &Failure,
-    ) -> Result<(), Rejection> {
-        if !failure.has_not_run() {
-            self.runs += 1;
-            return self.handle_broken_response(entry, server, failure).await;
-        }
-        self.server = None;
-        metrics::counter!("chivelatch_not_run_total").increment(1);
-        log::info!(
-            event = Event::NotRun, request = &*self.meta.id, server = &*server.id;
-            "{failure}"
-        );
-        match failure {
-            Failure::NotRun { reason: NotRunReason::AdapterMissing, .. } => {
-                self.forget_adapter(entry, server);
-                return Ok(());
-            }
-            Failure::NotRun { reason: NotRunReason::Pausing, .. } => return Ok(()),
-            Failure::Unreachable { .. } => {
-                self.attempts -= 1;
-                entry.pool.close_idle(server.address);
-                entry.record_failure(&server.id);
-                entry.examine_unreachable(server);
-            }
-            _ => entry.record_failure(&server.id),
-        }
-        self.excluded.push(server.id.clone());
-        Ok(())
-    }
-
-    /// Handles an attempt that may have run and gave no usable response.
-    ///
-    /// # Errors
-    ///
-    /// Returns the rejection if no further attempt is possible.
-    async fn handle_broken_response(
-        &mut self,
-        entry: &Arc<Entry>,
-        server: &Listing,
-        failure: &Failure,
-    ) -> Result<(), Rejection> {
-        self.server = None;
-        metrics::counter!("chivelatch_broken_total").increment(1);
-        log::warn!(
-            event = Event::Broken, request = &*self.meta.id, server = &*server.id,
-            fingerprint:% = self.fingerprint.short(), runs = self.runs;
-            "{failure}"
-        );
-        self.has_timed_out |= matches!(failure, Failure::TimedOut);
-        if !self.has_timed_out {
-            entry.record_failure(&server.id);
-        }
-        self.excluded.push(server.id.clone());
-        if matches!(failure, Failure::Disconnected { .. }) {
-            self.examine_break(entry, server).await;
-        }
-        if self.has_timed_out || !self.can_retry() {
-            return Err(self.final_rejection("the server gave no answer", DEFAULT_RETRY_AFTER));
-        }
-        Ok(())
-    }
-
-    /// Finds out whether a server has crashed under this request, before it is sent to another one.
-    /// The caller may leave meanwhile.
-    pub async fn examine_break(&mut self, entry: &Arc<Entry>, server: &Listing) {
-        let (attempt, trial) = self.take_attempt();
-        self.server = None;
-        let examination =
-            Arc::clone(entry).examine_break(self.meta.id.clone(), server.clone(), attempt);
-        let ended = Arc::new(event_listener::Event::new());
-        let end = ended.listen();
-        entry.kernel.spawn_detached(async move {
-            examination.await;
-            // The trial ends once its result is known.
-            drop(trial);
-            ended.notify(usize::MAX);
-        });
-        if self.can_retry() {
-            end.await;
-        }
-    }
-
-    /// Returns the current attempt as a suspect, with its trial.
-    fn take_attempt(&mut self) -> (Attempt, Option<HeldTrial>) {
-        let account = self.grant.account.as_ref().map(|it| it.name.clone()).unwrap_or_default();
-        let trial = self.trial.take();
-        let is_trial = trial.is_some();
-        (Attempt { fingerprint: self.fingerprint, account, is_trial }, trial)
-    }
-
-    /// Records that a server completed a run of this request.
-    pub fn record_completion(&mut self, entry: &Entry) {
-        entry.record_completion(&self.fingerprint);
-        self.trial = None;
-        self.server = None;
-    }
-
-    /// Removes the adapter from the server's status report, since it is no longer resident there.
-    fn forget_adapter(&self, entry: &Entry, server: &Listing) {
-        let Some(adapter) = self.meta.model.as_ref().and_then(|model| model.adapter.as_ref())
-        else {
-            return;
-        };
-        let host = server.address.ip();
-        entry.status_reports.with(&host, |reports| {
-            if let Some(report) = reports.get_mut(&host) {
-                let status = Arc::make_mut(&mut report.status);
-                status.adapters.retain(|(name, _)| name != adapter);
-            }
-        });
-    }
-
-    /// Charges the request to the client account.
-    ///
-    /// # Errors
-    ///
-    /// Returns the rejection if the account's rate limit is exceeded.
-    pub fn charge(&mut self, entry: &Entry) -> Result<(), Rejection> {
-        let Some(account) = &self.grant.account else { return Ok(()) };
-        let units = account.units(self.meta.tokens.map(|(prompt, output)| prompt + output));
-        let now = entry.now();
-        match entry.limiter.lock().acquire(now, account, units) {
-            Ok(()) => {
-                self.charge = Some((units, now));
-                Ok(())
-            }
-            Err(retry_after) => {
-                log::info!(
-                    event = Event::OverRate, request = &*self.meta.id,
-                    account = &*account.name, units, rate = account.rate, burst = account.burst;
-                    "the client account's rate is used up"
-                );
-                Err(Rejection {
-                    status: StatusCode::TOO_MANY_REQUESTS,
-                    reason: "the client account's rate is used up",
-                    retry_after: Some(retry_after),
-                })
-            }
-        }
-    }
-
     fn try_spend_retry(&self, entry: &Entry, server: &Listing) -> bool {
         let now = entry.now();
         let instances = entry.limiter.lock().instance_count(now);
@@ -511,29 +364,6 @@
         })
     }
 
-    /// Returns the rejection after the last attempt. It invites a retry only if the request did not
-    /// run anywhere.
-    pub fn final_rejection(&self, reason: &'static str, retry_after: Duration) -> Rejection {
-        if self.runs == 0 {
-            return Rejection::later(reason, retry_after);
-        }
-        let status =
-            if self.has_timed_out { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
-        Rejection::plain(status, reason)
-    }
-
-    /// Rejects the request. Refunds its charge if it did not run anywhere.
-    pub fn reject(&mut self, entry: &Entry, rejection: &Rejection) -> Response<Body> {
-        self.is_finished = true;
-        if let (0, Some((units, charged_at)), Some(account)) =
-            (self.runs, self.charge.take(), &self.grant.account)
-        {
-            entry.limiter.lock().refund(entry.now(), account, units, charged_at);
-        }
-        answer::log_rejection(&self.meta, rejection, entry.now().saturating_sub(self.arrived));
-        answer::rejection_response(entry, Some(&self.meta.id), rejection)
-    }
-
     /// Logs and measures the end of a response, complete or not.
     pub fn log_end(&mut self, entry: &Entry, server: &Name, end: &End) {
         let End { outcome, framing, tail, bytes } = *end;
--- /dev/null
+++ b/crates/gateway/src/job/rejection.rs
@@ -0,0 +1,81 @@
+//! Rejections of a request, and its charge, which is refunded if it did not run anywhere.
+
+use std::time::Duration;
+
+use front::body::Body;
+use hyper::{Response, StatusCode};
+
+use kernel::event::Event;
+
+use crate::{
+    answer::{self, Rejection},
+    entry::Entry,
+    job::Job,
+    quarantine,
+};
+
+impl Job {
+    /// Charges the request to the client account.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rejection if the account's rate limit is exceeded.
+    pub fn charge(&mut self, entry: &Entry) -> Result<(), Rejection> {
+        let Some(account) = &self.grant.account else { return Ok(()) };
+        let units = account.units(self.meta.tokens.map(|(prompt, output)| prompt + output));
+        let now = entry.now();
+        match entry.limiter.lock().acquire(now, account, units) {
+            Ok(()) => {
+                self.charge = Some((units, now));
+                Ok(())
+            }
+            Err(retry_after) => {
+                log::info!(
+                    event = Event::OverRate, request = &*self.meta.id,
+                    account = &*account.name, units, rate = account.rate, burst = account.burst;
+                    "the client account's rate is used up"
+                );
+                Err(Rejection {
+                    status: StatusCode::TOO_MANY_REQUESTS,
+                    reason: "the client account's rate is used up",
+                    retry_after: Some(retry_after),
+                })
+            }
+        }
+    }
+
+    /// Returns the rejection after the last attempt. It invites a retry only if the request did not
+    /// run anywhere.
+    pub fn final_rejection(&self, reason: &'static str, retry_after: Duration) -> Rejection {
+        if self.runs == 0 {
+            return Rejection::later(reason, retry_after);
+        }
+        let status =
+            if self.has_timed_out { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+        Rejection::plain(status, reason)
+    }
+
+    /// Rejects the request. Refunds its charge if it did not run anywhere.
+    pub fn reject(&mut self, entry: &Entry, rejection: &Rejection) -> Response<Body> {
+        self.is_finished = true;
+        if let (0, Some((units, charged_at)), Some(account)) =
+            (self.runs, self.charge.take(), &self.grant.account)
+        {
+            entry.limiter.lock().refund(entry.now(), account, units, charged_at);
+        }
+        answer::log_rejection(&self.meta, rejection, entry.now().saturating_sub(self.arrived));
+        answer::rejection_response(entry, Some(&self.meta.id), rejection)
+    }
+
+    /// Returns the rejection of a request that crashed the servers that ran it.
+    pub fn quarantine_rejection(&self, retry_after: Duration) -> Rejection {
+        log::info!(
+            event = Event::Quarantine, request = &*self.meta.id,
+            fingerprint:% = self.fingerprint.short(),
+            retry_after_ms = retry_after.as_millis() as u64;
+            "rejecting a request that crashed the servers that ran it"
+        );
+        metrics::counter!("chivelatch_quarantine_rejections_total").increment(1);
+        self.final_rejection(quarantine::REASON, retry_after)
+    }
+}
