Send a status report at once to an instance that has none

Cause, by reading: a subscription outlives the entry instance at its address, so one that had started anew, or lost the first report, had none for up to 2.1 s.

Change: demand reports say whether the instance has a report. Test: sends_status_at_once_to_one_that_started_anew.

--- a/crates/gateway/src/mesh/demand.rs
+++ b/crates/gateway/src/mesh/demand.rs
@@ -62,7 +62,11 @@
                 } else {
                     round.is_multiple_of(idle_rounds) || has_no_report || is_busy(server)
                 };
-                is_due.then(|| take_demand(listing, is_near, server, model, engine.adapter_slots))
+                is_due.then(|| Demand {
+                    is_near,
+                    needs_status: has_no_report,
+                    ..take_demand(listing, server, model, engine.adapter_slots)
+                })
             });
             demands.extend(demand.map(|demand| (listing.clone(), demand)));
         }
@@ -79,7 +83,6 @@
 /// Returns the demand report for a server and resets its used adapters.
 fn take_demand(
     listing: &Listing,
-    is_near: bool,
     server: &mut Server,
     model: Option<Name>,
     adapter_slots: usize,
@@ -88,7 +91,8 @@
     Demand {
         server: listing.id.clone(),
         born_ms: listing.born_ms,
-        is_near,
+        is_near: false,
+        needs_status: false,
         model,
         adapter_slots,
         tokens,
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -198,6 +198,8 @@
     pub born_ms: u64,
     /// Whether the entry instance is in the availability zone of the engine.
     pub is_near: bool,
+    /// Whether the entry instance has no status report of the engine.
+    pub needs_status: bool,
     /// Base model that the engine should load.
     pub model: Option<Name>,
     /// Adapter slots of the engine.
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -134,11 +134,14 @@
     let now = side.now();
     let has_load_requests = !demand.load_requests.is_empty();
     let mut state = side.state.lock();
-    let is_first = !state.subscribers.contains_key(&from);
+    let needs_status = demand.needs_status || !state.subscribers.contains_key(&from);
     let subscriber = state.subscribers.entry(from).or_default();
     subscriber.last_seen = now;
     (subscriber.tokens, subscriber.requests) = (demand.tokens, demand.requests);
     subscriber.subscription.is_near = demand.is_near;
+    if needs_status {
+        subscriber.subscription.forget_status();
+    }
     subscriber.subscription.has_work =
         (demand.tokens, demand.requests) != (0, 0) || has_load_requests;
     if demand.born_ms == state.born_ms {
@@ -156,7 +159,7 @@
     };
     state.planner.record_report(now, from, report);
     drop(state);
-    if is_first || has_load_requests {
+    if needs_status || has_load_requests {
         side.poll_requested.notify(usize::MAX);
     }
 }
--- a/crates/serving/src/subscription.rs
+++ b/crates/serving/src/subscription.rs
@@ -59,6 +59,11 @@
         Some(if needs_status { Due::Status } else { Due::Work })
     }
 
+    /// Records that the instance has no status: it has started anew, or the report was lost.
+    pub fn forget_status(&mut self) {
+        self.sent_status = None;
+    }
+
     /// Records that a report was sent, after `changes` of the status.
     pub fn record_sent(&mut self, now: Moment, changes: u64, report: Due) {
         self.sent_at = now;
--- a/crates/serving/tests/subscription.rs
+++ b/crates/serving/tests/subscription.rs
@@ -72,3 +72,13 @@
 
     assert_eq!(reports, [Due::Work, Due::Work, Due::Status, Due::Work]);
 }
+
+#[test]
+fn sends_status_at_once_to_one_that_started_anew() {
+    let mut subscription = Subscription::default();
+    subscription.record_sent(Duration::from_secs(1), 1, Due::Status);
+
+    subscription.forget_status();
+
+    assert_eq!(subscription.due(Duration::from_secs(1), 1, false), Some(Due::Status));
+}
