Let nobody join a zone through another instance of it

Cause, by reading: news that was passed on could say that its sender is in the own zone, and was then believed when it passed on news itself.

Change: such news is dropped. Test: takes_news_of_others_only_from_its_own_zone.

--- a/crates/gateway/src/mesh/gossip.rs
+++ b/crates/gateway/src/mesh/gossip.rs
@@ -11,7 +11,7 @@
 use async_net::UdpSocket;
 
 use fleet::suspect::Record;
-use serving::{Moment, directory::Listing};
+use serving::{Moment, Name, directory::Listing};
 
 use crate::{
     entry::Entry,
@@ -102,7 +102,8 @@
         }
         Message::Relayed(news) if is_in_zone(entry, &from) => {
             for (origin, news) in news {
-                if origin != entry.settings.mesh && !is_in_zone(entry, &origin) {
+                let is_foreign = origin != entry.settings.mesh && !is_in_zone(entry, &origin);
+                if is_foreign && !claims_zone(&news, &entry.settings.zone) {
                     record_relayed(entry, origin, &news);
                 }
             }
@@ -165,6 +166,11 @@
     peers.get(address).is_some_and(|peer| peer.zone.as_ref() == Some(&entry.settings.zone))
 }
 
+/// Returns whether news says that its sender is in a zone.
+fn claims_zone(news: &News, zone: &Name) -> bool {
+    matches!(news, News::Gossip(gossip) if gossip.zone == *zone)
+}
+
 /// Passes news of another zone on in the own one, gossip together with others.
 async fn pass_on(entry: &Entry, socket: &UdpSocket, from: SocketAddr, news: News) {
     if let News::Gossip(_) = news {
