Compare a mirror again that own reads have changed

Cause, by reading: a follower that read the store for a moment could drop a server whose listing had lapsed, while its reader kept it within the grace period after an outage. The reader's generation did not change, so the follower took its mirror for a current copy. Also, an instance that had just started counted as a reader before it had reached the store.

Change: own reads that change the mirror end the copy; copies at equal positions are merged; a reader has to have read the servers once. Tests: mirror_that_own_reads_have_changed_is_no_copy, merges_the_servers_of_a_peer_that_read_as_far, nobody_follows_an_instance_that_has_not_reached_the_store.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -115,8 +115,8 @@
 struct StoreHealth {
     /// Time of the last usable response.
     last_response: Moment,
-    /// Time of the last one with servers, which are read at short intervals.
-    last_servers_response: Moment,
+    /// Time of the last one with servers, which are read at short intervals; `None` before the first.
+    last_servers_response: Option<Moment>,
     is_failing: bool,
 }
 
@@ -296,7 +296,7 @@
         let mut store_health = self.store_health.lock();
         store_health.last_response = now;
         if topic == Topic::Servers {
-            store_health.last_servers_response = now;
+            store_health.last_servers_response = Some(now);
         }
         if !std::mem::take(&mut store_health.is_failing) {
             return;
@@ -339,8 +339,9 @@
     /// Returns what this instance tells its zone about its reads of the store.
     pub fn reader_report(&self, generation: u64) -> reader::Report {
         let now = self.now();
-        let silence = now.saturating_sub(self.store_health.lock().last_servers_response);
-        let silence = (!self.follows_reader()).then_some(silence);
+        let responded_at = self.store_health.lock().last_servers_response;
+        let responded_at = responded_at.filter(|_| !self.follows_reader());
+        let silence = responded_at.map(|at| now.saturating_sub(at));
         reader::Report { incarnation: self.incarnation, generation, silence }
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -81,12 +81,16 @@
 
 /// Reads one log once. Waits for `delay` after a failure, and increases it.
 async fn read_log(entry: &Arc<Entry>, topic: Topic, cursor: &mut Cursor, delay: &mut Duration) {
+    let generation = entry.with_mirror(Mirror::generation);
     let read = match cursor.next_read(mirrored_position(entry, topic)) {
         Read::Snapshot => read_snapshot(entry, topic, cursor).await,
         Read::Tail(from) => read_tail(entry, topic, cursor, from).await,
     };
     match read {
         Ok(()) => {
+            if generation != entry.with_mirror(Mirror::generation) {
+                entry.readers.lock().record_own_change();
+            }
             entry.record_store_response(topic);
             *delay = MIN_RETRY_DELAY;
             if topic == Topic::Instances {
--- a/crates/serving/src/mirror.rs
+++ b/crates/serving/src/mirror.rs
@@ -165,7 +165,8 @@
         self.positions.servers = self.positions.servers.max(positions.servers);
     }
 
-    /// Merges the newer parts of a peer's copy. Returns whether it had any.
+    /// Merges the newer parts of a peer's copy. Returns whether it had any. At equal positions, the
+    /// peer's servers count: it may have kept one whose listing lapsed and is back.
     pub fn merge(&mut self, now: Moment, copy: PeerCopy) -> bool {
         let mut is_newer = false;
         if let Some(manifest) = copy.manifest {
@@ -176,7 +177,8 @@
             is_newer |= self.apply(now, change) == Outcome::NewVersion;
         }
         self.positions.operator = self.positions.operator.max(copy.positions.operator);
-        if self.positions.servers < copy.positions.servers {
+        if self.positions.servers <= copy.positions.servers {
+            is_newer |= self.positions.servers < copy.positions.servers;
             if self.positions.servers.era < copy.positions.servers.era {
                 self.directory.record_store_recovery(now);
             }
@@ -186,7 +188,6 @@
             for listing in copy.servers {
                 self.directory.upsert(listing);
             }
-            is_newer = true;
         }
         is_newer
     }
--- a/crates/serving/src/reader.rs
+++ b/crates/serving/src/reader.rs
@@ -30,7 +30,8 @@
     pub incarnation: u64,
     /// Number of changes of its mirror.
     pub generation: u64,
-    /// Time since the store last responded to it; `None` if it does not read the store.
+    /// Time since the store last responded to it; `None` if it does not read the store, or has not
+    /// reached it yet.
     pub silence: Option<Duration>,
 }
 
@@ -103,6 +104,11 @@
         self.copy = Some((from, version, now));
     }
 
+    /// Records that the mirror was changed by this instance's own reads, so that it is no copy.
+    pub fn record_own_change(&mut self) {
+        self.copy = None;
+    }
+
     /// Returns the reader to follow, if there is one.
     pub fn source(&self, now: Moment) -> Option<SocketAddr> {
         let working = self.readers.iter().filter(|(_, reader)| reader.is_working(now));
--- a/crates/serving/tests/mirror.rs
+++ b/crates/serving/tests/mirror.rs
@@ -94,6 +94,26 @@
     assert_eq!(mirror.positions, positions(6));
 }
 
+// Guards against a follower that misses a server whose listing lapsed and is back: its reader has
+// kept it, so no record tells a change.
+#[test]
+fn merges_the_servers_of_a_peer_that_read_as_far() {
+    let mut mirror = Mirror::default();
+    mirror.apply(NOW, Change::Server(ready("s1")));
+    mirror.positions = positions(5);
+    let copy = PeerCopy {
+        generation: 0,
+        positions: positions(5),
+        manifest: None,
+        versions: Vec::new(),
+        servers: vec![ready("s1"), ready("s2")],
+    };
+
+    mirror.merge(NOW, copy);
+
+    assert!(mirror.directory.get("s2").is_some());
+}
+
 #[test]
 fn removes_a_server_whose_record_is_invalid() {
     let mut mirror = Mirror::default();
--- a/crates/serving/tests/reader.rs
+++ b/crates/serving/tests/reader.rs
@@ -210,3 +210,29 @@
     assert!(fetches);
     assert!(!zone.is_current(address(0)));
 }
+
+// Guards against a mirror that differs from the reader's and is never compared again.
+#[test]
+fn mirror_that_own_reads_have_changed_is_no_copy() {
+    let mut zone = Zone::new(1);
+    let report = Report { incarnation: 3, generation: 4, silence: Some(Duration::ZERO) };
+    let now = Duration::from_secs(9);
+    zone.record_copy(now, address(0), report.version());
+    let fetches_at_first = zone.record_report(now, address(0), 2, report);
+
+    zone.record_own_change();
+
+    assert_eq!(zone.followed_silence(now), None);
+    assert!(!fetches_at_first && zone.record_report(now, address(0), 2, report));
+}
+
+#[test]
+fn nobody_follows_an_instance_that_has_not_reached_the_store() {
+    let mut zone = Zone::new(1);
+    let now = Duration::from_millis(100);
+
+    let report = Report { incarnation: 3, generation: 0, silence: None };
+
+    assert!(!zone.record_report(now, address(0), 2, report));
+    assert_eq!(zone.source(now), None);
+}
