Spread what is passed on over all instances of a zone

Change: each sender ranks the instances of a zone differently, so that each of them passes on a part; gossip is passed on each 100 ms, only the latest of a sender; above 100 instances all report less often, and the silence after which a peer counts as silent grows with that. Readers count as silent after 0.9 s.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -1,7 +1,7 @@
 //! An entry instance: its state, its start and its graceful shutdown.
 
 use std::{
-    collections::HashSet,
+    collections::{HashMap, HashSet},
     net::{IpAddr, SocketAddr},
     process::ExitCode,
     sync::{
@@ -98,8 +98,8 @@
     pub readers: Mutex<reader::Zone>,
     /// Whether a copy of a reader's mirror is being fetched.
     pub is_fetching_copy: AtomicBool,
-    /// News of other zones that waits to be passed on in the own one.
-    pub collected_news: Mutex<Vec<(SocketAddr, News)>>,
+    /// Latest gossip of instances of other zones that waits to be passed on in the own one.
+    pub collected_news: Mutex<HashMap<SocketAddr, News>>,
     mirror: RwLock<Mirror>,
     roster: RwLock<Arc<Roster>>,
     store_health: Mutex<StoreHealth>,
--- a/crates/gateway/src/mesh/gossip.rs
+++ b/crates/gateway/src/mesh/gossip.rs
@@ -11,7 +11,7 @@
 use async_net::UdpSocket;
 
 use fleet::suspect::Record;
-use serving::{Moment, Name, directory::Listing};
+use serving::{Moment, Name, directory::Listing, rate_limit};
 
 use crate::{
     entry::Entry,
@@ -23,13 +23,11 @@
     message::{Gossip, LeavingServer, MAX_BYTES, Message, News},
 };
 
-/// Time between gossip messages to a peer.
-const GOSSIP_INTERVAL: Duration = Duration::from_millis(150);
 /// Time between gossip messages to a peer until one has told what it knows.
 const STARTUP_GOSSIP_INTERVAL: Duration = Duration::from_millis(30);
 /// Time for which gossip from other zones is collected before it is passed on.
-const RELAY_INTERVAL: Duration = Duration::from_millis(40);
-/// Gossip that waits to be passed on; more of it is dropped, since the next round repeats it.
+const RELAY_INTERVAL: Duration = Duration::from_millis(100);
+/// Senders whose gossip waits to be passed on; that of others is dropped, since they repeat it.
 const MAX_COLLECTED: usize = 4096;
 /// Size of a message that passes gossip on, in bytes, without its last element.
 const RELAYED_BYTES: usize = MAX_BYTES / 2;
@@ -52,7 +50,11 @@
     let mut round = 0;
     loop {
         let announced = entry.announced.listen();
-        let interval = if entry.is_informed() { GOSSIP_INTERVAL } else { STARTUP_GOSSIP_INTERVAL };
+        let interval = if entry.is_informed() {
+            rate_limit::report_interval(entry.limiter.lock().instance_count(entry.now()))
+        } else {
+            STARTUP_GOSSIP_INTERVAL
+        };
         let is_announced = entry.kernel.clock.timeout(interval, announced).await.is_ok();
         let recipients = recipients(&entry, round);
         send_leaving(&entry, &socket, &recipients).await;
@@ -122,7 +124,8 @@
 }
 
 fn recipients(entry: &Entry, round: u64) -> Recipients {
-    entry.peers.lock().recipients(&entry.settings.zone, entry.now(), round)
+    let own = (&entry.settings.mesh, &entry.settings.zone);
+    entry.peers.lock().recipients(own, entry.now(), round)
 }
 
 fn current_gossip(entry: &Entry) -> Gossip {
@@ -176,7 +179,7 @@
     if let News::Gossip(_) = news {
         let mut collected = entry.collected_news.lock();
         if collected.len() < MAX_COLLECTED {
-            collected.push((from, news));
+            collected.insert(from, news);
         }
         return;
     }
@@ -188,7 +191,7 @@
 }
 
 /// Packs news into messages that fit into datagrams.
-fn pack(collected: Vec<(SocketAddr, News)>) -> Vec<Message> {
+fn pack(collected: impl IntoIterator<Item = (SocketAddr, News)>) -> Vec<Message> {
     let mut messages = Vec::new();
     let (mut batch, mut bytes) = (Vec::new(), 0);
     for element in collected {
--- a/crates/gateway/src/mesh/peers.rs
+++ b/crates/gateway/src/mesh/peers.rs
@@ -1,7 +1,8 @@
 //! The other entry instances, and which of them get a message directly.
 //!
 //! A message goes directly to the instances of the own availability zone, and to two instances of
-//! each other zone, which pass it on in theirs. In a zone with no more than that, all get it
+//! each other zone, which pass it on in theirs. Each sender ranks them differently, so that all of a
+//! zone bear a part of this. In a zone with no more than that, all get it
 //! directly. A zone in which nobody is heard gets it directly, too, as do instances whose zone is not
 //! known yet.
 
@@ -25,7 +26,7 @@
 /// Gossip to a silent peer is sent once in this many rounds.
 const SILENT_PEER_ROUNDS: u64 = 10;
 /// Silence after which a peer passes no messages on in its zone.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(600);
+const RELAY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Instances of a zone that pass a message on. One of them may have stopped.
 const RELAYS: usize = 2;
 
@@ -93,8 +94,14 @@
         self.known.keys().copied()
     }
 
-    /// Returns the peers to send a message to in this round, without the silent ones in most rounds.
-    pub fn recipients(&self, own_zone: &Name, now: Moment, round: u64) -> Recipients {
+    /// Returns the peers to which the instance at `own` sends a message in this round, without the
+    /// silent ones in most rounds.
+    pub fn recipients(
+        &self,
+        (own, own_zone): (&SocketAddr, &Name),
+        now: Moment,
+        round: u64,
+    ) -> Recipients {
         let mut zones: BTreeMap<Option<&Name>, Members<'_>> = BTreeMap::new();
         for (address, peer) in &self.known {
             zones.entry(peer.zone.as_ref()).or_default().push((address, peer));
@@ -102,7 +109,7 @@
         let mut recipients = Recipients::default();
         for (zone, peers) in zones {
             let is_other = zone.is_some_and(|zone| zone != own_zone);
-            let relays = if is_other { relays(&peers, now) } else { SmallVec::new() };
+            let relays = if is_other { relays(own, &peers, now) } else { SmallVec::new() };
             if relays.is_empty() {
                 let due = peers.iter().filter(|(_, peer)| peer.is_due(now, round));
                 recipients.direct.extend(due.map(|(address, _)| **address));
@@ -121,21 +128,25 @@
     }
 }
 
-/// Returns the instances that pass a message on in their zone; none if the zone is so small that all
+/// Returns the instances that pass a message of `sender` on in their zone; none if the zone is so small that all
 /// get it directly, or if nobody there is heard.
-fn relays(peers: &[(&SocketAddr, &Peer)], now: Moment) -> SmallVec<[SocketAddr; RELAYS]> {
+fn relays(
+    sender: &SocketAddr,
+    peers: &[(&SocketAddr, &Peer)],
+    now: Moment,
+) -> SmallVec<[SocketAddr; RELAYS]> {
     if peers.len() <= RELAYS {
         return SmallVec::new();
     }
     let heard = peers.iter().filter(|(_, peer)| peer.silence(now) < RELAY_TIMEOUT);
     let mut ranked: SmallVec<[(u64, SocketAddr); 16]> =
-        heard.map(|(address, _)| (rank(address), **address)).collect();
+        heard.map(|(address, _)| (rank(&format!("{sender} {address}")), **address)).collect();
     ranked.sort_unstable_by(|a, b| b.cmp(a));
     ranked.into_iter().take(RELAYS).map(|(_, address)| address).collect()
 }
 
 /// Returns the rank of an instance among those of its zone.
-pub fn rank(address: &SocketAddr) -> u64 {
+pub fn rank(address: impl ToString) -> u64 {
     rendezvous::hash(&address.to_string())
 }
 
--- a/crates/serving/src/rate_limit.rs
+++ b/crates/serving/src/rate_limit.rs
@@ -21,8 +21,14 @@
 
 use crate::{Moment, Name, manifest::Account};
 
-/// Silence after which a peer's share of the rate is withheld.
-const RATE_SILENCE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Shortest time between two reports of an instance.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(150);
+/// Number of instances above which all of them report less often, so that what an instance receives
+/// stays bounded.
+const MAX_FREQUENT_INSTANCES: usize = 100;
+/// Silence after which a peer's share of the rate is withheld, in report intervals. A report may take
+/// one more interval to be passed on.
+const RATE_SILENCE_INTERVALS: f64 = 8.0 / 3.0;
 /// Silence after which a peer's share of the burst is withheld, too.
 const BURST_SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Silence after which a peer is assumed to have stopped.
@@ -66,6 +72,17 @@
     pub level: u64,
 }
 
+/// Returns the time between two reports of an instance in a fleet of `instances`.
+pub fn report_interval(instances: usize) -> Duration {
+    let excess = instances as f64 / MAX_FREQUENT_INSTANCES as f64;
+    MIN_REPORT_INTERVAL.mul_f64(excess.max(1.0))
+}
+
+/// Returns the silence after which a peer's share of the rate is withheld.
+fn rate_silence_timeout(instances: usize) -> Duration {
+    report_interval(instances).mul_f64(RATE_SILENCE_INTERVALS)
+}
+
 /// Rate limiter of all client accounts. Each `now` is the time since this instance started.
 #[derive(Debug, Default)]
 pub struct Limiter {
@@ -199,12 +216,14 @@
 
     /// Returns the peers that are heard, and the number of instances.
     pub fn members(&self, now: Moment) -> Members {
+        let known = self.instance_count(now);
+        let timeout = rate_silence_timeout(known);
         let heard = self
             .peers
             .iter()
-            .filter(|(_, peer)| peer.is_live(now) && !peer.is_silent(now, RATE_SILENCE_TIMEOUT));
+            .filter(|(_, peer)| peer.is_live(now) && !peer.is_silent(now, timeout));
         Members {
-            known: self.instance_count(now),
+            known,
             heard: heard.map(|(address, peer)| (*address, peer.age_at(now))).collect(),
         }
     }
@@ -236,14 +255,16 @@
 
     /// Returns the account's rate and burst without the shares of silent peers.
     fn share(&self, now: Moment, account: &Account) -> Share {
-        let instances = self.instance_count(now) as u64;
+        let instances = self.instance_count(now);
+        let rate_timeout = rate_silence_timeout(instances);
+        let instances = instances as u64;
         let available = |total: u64, timeout: Duration| {
             let live = self.peers.values().filter(|peer| peer.is_live(now));
             let silent = live.filter(|peer| peer.is_silent(now, timeout)).count() as u64;
             (total - total * silent / instances).max(1)
         };
         Share {
-            rate: available(account.rate, RATE_SILENCE_TIMEOUT),
+            rate: available(account.rate, rate_timeout),
             capacity: available(account.burst, BURST_SILENCE_TIMEOUT),
         }
     }
--- a/crates/serving/src/reader.rs
+++ b/crates/serving/src/reader.rs
@@ -16,7 +16,7 @@
 use crate::Moment;
 
 /// Silence of a reader after which nobody follows it.
-const READER_TIMEOUT: Duration = Duration::from_millis(500);
+const READER_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time without a response of the store after which nobody follows a reader. It is above the time
 /// between two reads.
 const MAX_STORE_SILENCE: Duration = Duration::from_millis(1200);
