--- a/crates/gateway/src/mesh/gossip.rs
+++ b/crates/gateway/src/mesh/gossip.rs
@@ -260,7 +260,7 @@
 /// Records what an instance of the own zone tells of its reads of the store, and follows it.
 fn record_reader(entry: &Arc<Entry>, now: Moment, from: SocketAddr, gossip: &Gossip) {
     let mut readers = entry.readers.lock();
-    let needs_copy = readers.record_report(now, from, peers::rank(&from), gossip.reader);
+    let needs_copy = readers.record_report(now, from, peers::rank(from), gossip.reader);
     let is_current = readers.source(now) == Some(from) && readers.is_current(from);
     drop(readers);
     if needs_copy {
--- a/crates/gateway/src/mesh/peers.rs
+++ b/crates/gateway/src/mesh/peers.rs
@@ -140,7 +140,7 @@
     }
     let heard = peers.iter().filter(|(_, peer)| peer.silence(now) < RELAY_TIMEOUT);
     let mut ranked: SmallVec<[(u64, SocketAddr); 16]> =
-        heard.map(|(address, _)| (rank(&format!("{sender} {address}")), **address)).collect();
+        heard.map(|(address, _)| (rank(format!("{sender} {address}")), **address)).collect();
     ranked.sort_unstable_by(|a, b| b.cmp(a));
     ranked.into_iter().take(RELAYS).map(|(_, address)| address).collect()
 }
