--- a/crates/gateway/src/mesh/gossip.rs
+++ b/crates/gateway/src/mesh/gossip.rs
@@ -2,9 +2,9 @@
 //! servers that leave, the limits of servers and the suspects of crashes.
 //!
 //! News goes to the own availability zone directly and to two instances of each other zone, which
-//! pass it on ([`Peers`](crate::mesh::Peers)). The senders keep no account of who passed on what: the
-//! same news may arrive twice, or out of order, and is recorded so that this does no harm. What an
-//! instance passes on is what another one could have sent itself, with its address.
+//! pass it on ([`Peers`](crate::mesh::Peers)). The same news may arrive twice, or out of order; each
+//! kind is recorded so that this does no harm. News that was passed on counts only if it comes from
+//! the own zone and is about another one.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -106,7 +106,7 @@
             for (origin, news) in news {
                 let is_foreign = origin != entry.settings.mesh && !is_in_zone(entry, &origin);
                 if is_foreign && !claims_zone(&news, &entry.settings.zone) {
-                    record_relayed(entry, origin, &news);
+                    apply(entry, origin, &news);
                 }
             }
         }
@@ -208,9 +208,10 @@
     messages
 }
 
-/// Records news that came from its sender directly.
+/// Applies news that came from its sender directly, and tells one that has just started what is in
+/// quarantine.
 async fn record(entry: &Arc<Entry>, socket: &UdpSocket, from: SocketAddr, news: &News) {
-    let is_first = record_relayed(entry, from, news);
+    let is_first = apply(entry, from, news);
     if is_first {
         let direct = Recipients { direct: vec![from], relays: Vec::new() };
         send_news(socket, &News::Suspects(Vec::new()), &direct).await;
@@ -218,8 +219,8 @@
     }
 }
 
-/// Records news of an instance. Returns whether it is the first gossip of this start of it.
-fn record_relayed(entry: &Arc<Entry>, from: SocketAddr, news: &News) -> bool {
+/// Applies news of an instance, whoever passed it on. Returns whether it is the first gossip of this start of it.
+fn apply(entry: &Arc<Entry>, from: SocketAddr, news: &News) -> bool {
     match news {
         News::Gossip(gossip) => return record_gossip(entry, from, gossip),
         News::Leaving(servers) => {
