Wait for the next holder of an account's tokens after a failure, too

Suspected, not shown, since the fleet's logs were gone: a live instance was starved for longer than the list's expiry and had to continue as a new incarnation.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -35,7 +35,7 @@
 const NO_HOLDER_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Reserves `cost` tokens. Waits for a short refill, and until `deadline` for a shard that is
-/// handed over to another holder.
+/// expected to have another holder by then.
 ///
 /// # Errors
 ///
@@ -65,11 +65,12 @@
             Ok(reservation) => return Ok(reservation),
             Err(shortage) => shortage,
         };
-        let is_handover = shortage == Shortage::Handover || is_handed_over(entry, account, shards);
-        let may_be_handover = is_handover || is_view_behind(entry, arrived_at);
+        let expects_holder = shortage == Shortage::Handover
+            || expects_holder(entry, account, shards, deadline)
+            || is_view_behind(entry, arrived_at);
         match shortage {
             Shortage::Handover | Shortage::NoHolder
-                if may_be_handover && entry.node.now() + poll_interval < deadline =>
+                if expects_holder && entry.node.now() + poll_interval < deadline =>
             {
                 entry.node.kernel.clock.sleep(poll_interval).await;
                 poll_interval = MAX_CLAIM_POLL_INTERVAL.min(poll_interval * 2);
@@ -119,11 +120,15 @@
     with_pool(entry, account, |pool| pool.reserve(now, cost)).ok_or(shortage)
 }
 
-/// Returns whether a shard of the account is handed over to another holder. Replacing a holder that
-/// failed takes longer.
-fn is_handed_over(entry: &Entry, account: &Name, shards: u64) -> bool {
+/// Returns whether a shard of the account is expected to have another holder before `deadline`: it is
+/// handed over, or taken over from a holder that failed.
+fn expects_holder(entry: &Entry, account: &Name, shards: u64, deadline: Moment) -> bool {
     entry.node.with_participant(|participant| {
-        (0..shards).any(|index| participant.is_handed_over(&share::resource(account, index)))
+        (0..shards).any(|index| {
+            let resource = share::resource(account, index);
+            participant.is_handed_over(&resource)
+                || participant.takeover_at(&resource).is_some_and(|at| at < deadline)
+        })
     })
 }
 
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -327,6 +327,14 @@
         lease.is_none_or(|lease| lease.released.is_some() || self.leaving.contains(&lease.holder))
     }
 
+    /// Returns the time by which another process may hold `resource` if its holder has failed: its
+    /// absence from the list, and the wait of the claimant.
+    pub fn takeover_at(&self, resource: &str) -> Option<Moment> {
+        let lease = self.table.lease(resource)?;
+        let absent_since = self.absent_since.get(&lease.holder)?;
+        Some(*absent_since + self.rules.takeover * 2)
+    }
+
     /// Returns whether the log was read to its tail by a read that was requested after `moment`.
     pub fn has_read_log_since(&self, moment: Moment) -> bool {
         self.last_log_read.is_some_and(|read| moment <= read)
--- a/crates/fleet/tests/lease_outages.rs
+++ b/crates/fleet/tests/lease_outages.rs
@@ -212,6 +212,19 @@
     );
 }
 
+#[test]
+fn tells_when_a_failed_holder_is_replaced() {
+    let mut observer = observer();
+
+    observer.on_list_read(seconds(1), seconds(1), &listing());
+    let while_listed = observer.takeover_at(&resource());
+    observer.on_list_read(seconds(2), seconds(2), &Listing::default());
+    observer.on_list_read(seconds(3), seconds(3), &Listing::default());
+    let after_failure = observer.takeover_at(&resource());
+
+    assert_eq!((while_listed, after_failure), (None, Some(seconds(2) + RULES.takeover * 2)));
+}
+
 #[test]
 fn lease_is_in_force_until_its_release_is_read() {
     let mut participant = participant_with_lease();
