--- a/crates/gateway/src/mesh/gossip.rs
+++ b/crates/gateway/src/mesh/gossip.rs
@@ -219,7 +219,8 @@
     }
 }
 
-/// Applies news of an instance, whoever passed it on. Returns whether it is the first gossip of this start of it.
+/// Applies news of an instance, whoever passed it on. Returns whether it is the first gossip since
+/// the instance started.
 fn apply(entry: &Arc<Entry>, from: SocketAddr, news: &News) -> bool {
     match news {
         News::Gossip(gossip) => return record_gossip(entry, from, gossip),
@@ -241,7 +242,7 @@
 fn record_gossip(entry: &Arc<Entry>, from: SocketAddr, gossip: &Gossip) -> bool {
     let now = entry.now();
     if !entry.limiter.lock().record_report(now, from, &gossip.usage) {
-        // It was overtaken by a later one on another way.
+        // A later one arrived first.
         return false;
     }
     let incarnation = gossip.usage.incarnation;
--- a/crates/gateway/src/mesh/peers.rs
+++ b/crates/gateway/src/mesh/peers.rs
@@ -1,10 +1,9 @@
 //! The other entry instances, and which of them get a message directly.
 //!
 //! A message goes directly to the instances of the own availability zone, and to two instances of
-//! each other zone, which pass it on in theirs. Each sender ranks them differently, so that all of a
-//! zone bear a part of this. In a zone with no more than that, all get it
-//! directly. A zone in which nobody is heard gets it directly, too, as do instances whose zone is not
-//! known yet.
+//! each other zone, which pass it on in theirs. Each sender ranks the instances of a zone
+//! differently, so that all of them bear a part of this. A zone of one or two instances gets it
+//! directly, and so do a zone in which nobody is heard and instances whose zone is not known yet.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -128,8 +127,8 @@
     }
 }
 
-/// Returns the instances that pass a message of `sender` on in their zone; none if the zone is so small that all
-/// get it directly, or if nobody there is heard.
+/// Returns the instances that pass a message of `sender` on in their zone; none if the zone is so
+/// small that all get it directly, or if nobody there is heard.
 fn relays(
     sender: &SocketAddr,
     peers: &[(&SocketAddr, &Peer)],
