Log the parts of the prompt that a request is sent with

No line told what requests that end servers have in common: their fingerprints differ, and the parts of their prompts were not decoded.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -234,7 +234,7 @@
         let request = self.build_request(entry, server, remaining);
         log::info!(
             event = Event::Sent, request = &*self.meta.id, server = &*server.id,
-            fingerprint:% = self.fingerprint.short(),
+            fingerprint:% = self.fingerprint.short(), parts = self.meta.prompt_parts.join(" "),
             left_ms = remaining.as_millis() as u64, tokens_ahead, sends = self.attempts,
             account = self.account_name(), units = self.charge.map_or(0, |(units, _)| units);
             "sending the request to a server"
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -84,6 +84,8 @@
     pub model: Option<Model>,
     /// Number of prompt tokens, and the maximum number of generated ones.
     pub tokens: Option<(u64, u64)>,
+    /// Parts of the prompt that other requests may share, in order.
+    pub prompt_parts: PromptParts,
 }
 
 /// A base model or one of its adapters.
@@ -204,5 +206,8 @@
     pub order: Arc<SendOrder>,
 }
 
+/// Ids of parts of a prompt; a few are stored inline.
+pub type PromptParts = SmallVec<[Name; 4]>;
+
 /// Names of servers; a few are stored inline.
 pub type ServerNames = SmallVec<[Name; 4]>;
