Fit suspects into datagrams, end trials of attributes early, trace what a request is rejected for

A record of a suspect can have 740 bytes, so twelve of them did not fit into a datagram and were dropped with a warning; they are batched by size, as gossip that is passed on (test batches_of_suspects_fit_into_datagrams_when_they_are_passed_on). A trial of attributes alone lasts two seconds at most, so that others with them do not wait for the end of a long stream. The line `quarantine` names the attributes that are to blame, and `trace` shows the crashes under them.

--- a/crates/fleet/src/suspect/list.rs
+++ b/crates/fleet/src/suspect/list.rs
@@ -228,6 +228,16 @@
         trial
     }
 
+    /// Returns those suspects that a request is or has for which it is rejected.
+    pub fn rejected(&mut self, now: Moment, request: &Identity) -> Suspects {
+        let suspects: Suspects = request.digests().copied().collect();
+        let is_rejected = |suspect: &&Digest| {
+            let decision = self.decide_suspect(now, &request.account, suspect, &suspects);
+            matches!(decision, Decision::Reject(_))
+        };
+        suspects.iter().filter(is_rejected).copied().collect()
+    }
+
     /// Returns what changed lately at this instance, for its peers.
     pub fn changes(&self, now: Moment) -> Vec<Record> {
         let changed = self.suspects.iter();
--- a/crates/gateway/src/job/rejection.rs
+++ b/crates/gateway/src/job/rejection.rs
@@ -69,10 +69,11 @@
 
     /// Returns the rejection of a request that crashed the servers that ran it.
     pub fn quarantine_rejection(&self, retry_after: Duration) -> Rejection {
+        let blamed = self.entry.rejected_suspects(&self.identity);
         log::info!(
             event = Event::Quarantine, request = &*self.meta.id,
             fingerprint:% = self.identity.fingerprint.short(),
-            attributes = self.identity.attribute_names(),
+            attributes = self.identity.suspect_names(&blamed),
             retry_after_ms = retry_after.as_millis() as u64;
             "rejecting a request that, or attributes of which, crashed the servers that ran it"
         );
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -23,6 +23,7 @@
     message::{MAX_BYTES, Message},
 };
 
+pub use gossip::batches;
 pub use peers::{Peer, Peers, Recipients, rank};
 pub use traffic::log_regularly;
 
--- a/crates/gateway/src/mesh/gossip.rs
+++ b/crates/gateway/src/mesh/gossip.rs
@@ -11,6 +11,7 @@
 use async_net::UdpSocket;
 
 use fleet::suspect::Record;
+use serde::Serialize;
 use serving::{Moment, Name, directory::Listing, rate_limit};
 
 use crate::{
@@ -29,16 +30,14 @@
 const RELAY_INTERVAL: Duration = Duration::from_millis(100);
 /// Senders whose gossip waits to be passed on; that of others is dropped, since they repeat it.
 const MAX_COLLECTED: usize = 4096;
-/// Size of a message that passes gossip on, in bytes, without its last element.
-const RELAYED_BYTES: usize = MAX_BYTES / 2;
+/// Size of a message with several elements, in bytes, without its last element.
+const BATCH_BYTES: usize = MAX_BYTES / 2;
 /// What is gone is forgotten once in this many intervals.
 const CLEANUP_ROUNDS: u64 = 100;
 /// Number of leaving servers in a message, so that it fits into a datagram.
 const MAX_LEAVING_SERVERS: usize = 100;
 /// Number of limits in a message, so that it fits into a datagram.
 const MAX_LIMIT_REPORTS: usize = 50;
-/// Number of suspects in a message, so that it fits into a datagram.
-const MAX_SUSPECT_RECORDS: usize = 12;
 /// All suspects in quarantine are sent once in this many intervals.
 const QUARANTINE_ROUNDS: u64 = 20;
 /// Time for which a server that leaves is named in each round, since datagrams may be lost.
@@ -86,7 +85,8 @@
             continue;
         }
         let members = entry.peers.lock().in_zone(&entry.settings.zone, entry.now(), 1);
-        for message in pack(collected) {
+        for batch in batches(collected) {
+            let message = Message::Relayed(batch);
             for member in &members {
                 send(&socket, *member, &message).await;
             }
@@ -120,7 +120,7 @@
 /// Sends the suspects that are in quarantine.
 async fn send_quarantined(entry: &Entry, socket: &UdpSocket, recipients: &Recipients) {
     let records = entry.quarantine.list.lock().quarantined(entry.now());
-    send_records(socket, &records, recipients).await;
+    send_records(socket, records, recipients).await;
 }
 
 fn recipients(entry: &Entry, round: u64) -> Recipients {
@@ -190,22 +190,22 @@
     }
 }
 
-/// Packs news into messages that fit into datagrams.
-fn pack(collected: impl IntoIterator<Item = (SocketAddr, News)>) -> Vec<Message> {
-    let mut messages = Vec::new();
+/// Splits elements into batches, each of which fits into a datagram.
+pub fn batches<T: Serialize>(elements: impl IntoIterator<Item = T>) -> Vec<Vec<T>> {
+    let mut batches = Vec::new();
     let (mut batch, mut bytes) = (Vec::new(), 0);
-    for element in collected {
+    for element in elements {
         bytes += postcard::experimental::serialized_size(&element).unwrap_or(0);
         batch.push(element);
-        if RELAYED_BYTES < bytes {
-            messages.push(Message::Relayed(std::mem::take(&mut batch)));
+        if BATCH_BYTES < bytes {
+            batches.push(std::mem::take(&mut batch));
             bytes = 0;
         }
     }
     if !batch.is_empty() {
-        messages.push(Message::Relayed(batch));
+        batches.push(batch);
     }
-    messages
+    batches
 }
 
 /// Applies news that came from its sender directly, and tells one that has just started what is in
@@ -288,12 +288,12 @@
 /// Sends what changed lately about suspects to peers.
 async fn send_suspects(entry: &Entry, socket: &UdpSocket, recipients: &Recipients) {
     let changes = entry.quarantine.list.lock().changes(entry.now());
-    send_records(socket, &changes, recipients).await;
+    send_records(socket, changes, recipients).await;
 }
 
-async fn send_records(socket: &UdpSocket, records: &[Record], recipients: &Recipients) {
-    for records in records.chunks(MAX_SUSPECT_RECORDS) {
-        send_news(socket, &News::Suspects(records.to_vec()), recipients).await;
+async fn send_records(socket: &UdpSocket, records: Vec<Record>, recipients: &Recipients) {
+    for batch in batches(records) {
+        send_news(socket, &News::Suspects(batch), recipients).await;
     }
 }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -138,6 +138,11 @@
         self.judge(|list, now| list.decide_suspects(now, account, suspects))
     }
 
+    /// Returns those suspects that a request is or has for which it is rejected.
+    pub fn rejected_suspects(&self, request: &Identity) -> Suspects {
+        self.quarantine.list.lock().rejected(self.now(), request)
+    }
+
     fn judge(&self, decide: impl FnOnce(&mut List, Moment) -> Decision) -> Decision {
         let mut list = self.quarantine.list.lock();
         if list.is_empty() {
--- a/crates/gateway/src/quarantine/trial.rs
+++ b/crates/gateway/src/quarantine/trial.rs
@@ -20,6 +20,10 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
 /// Longest trial.
 const MAX_TRIAL_TIME: Duration = Duration::from_secs(60);
+/// Longest trial of attributes alone: others with them must not wait for the end of a long stream.
+const MAX_ATTRIBUTE_TRIAL_TIME: Duration = Duration::from_secs(2);
+/// Limit on the suspects that a request for a trial tells of, so that it fits into a datagram.
+const MAX_EVIDENCE: usize = 6;
 /// Requests for a trial after which this instance grants it itself. An innocent request must not
 /// depend on one peer.
 const MAX_TRIAL_REQUESTS: usize = 2;
@@ -45,13 +49,16 @@
         suspects: Suspects,
         is_exclusive: bool,
     ) -> Option<HeldTrial> {
+        let has_request = suspects.contains(&job.identity.fingerprint);
+        let max_lifetime = if has_request { MAX_TRIAL_TIME } else { MAX_ATTRIBUTE_TRIAL_TIME };
+        let lifetime = job.remaining(self).min(max_lifetime);
         let request = TrialRequest {
             id: rand::random(),
             account: job.identity.account.clone(),
             evidence: self.records(&suspects),
             server: server.id.clone(),
             is_exclusive,
-            lifetime: job.remaining(self),
+            lifetime,
         };
         let granted_by = self.request_trial(&server.service, &request).await?;
         log::info!(
@@ -67,7 +74,7 @@
             id: request.id,
             suspects,
             server: request.server,
-            ends_at: self.now() + request.lifetime.min(MAX_TRIAL_TIME),
+            ends_at: self.now() + lifetime,
             granted_by,
         })
     }
@@ -114,7 +121,7 @@
 
     fn records(&self, suspects: &Suspects) -> SmallVec<[Record; 1]> {
         let (now, list) = (self.now(), self.quarantine.list.lock());
-        suspects.iter().filter_map(|suspect| list.get(now, suspect)).collect()
+        suspects.iter().filter_map(|suspect| list.get(now, suspect)).take(MAX_EVIDENCE).collect()
     }
 
     fn grant_trial(&self, holder: Option<SocketAddr>, request: &TrialRequest) -> bool {
--- /dev/null
+++ b/crates/gateway/tests/batches.rs
@@ -0,0 +1,53 @@
+//! Guards against news that never arrives since it does not fit into a datagram.
+
+use std::time::Duration;
+
+use fleet::{
+    digest::Digest,
+    suspect::{Kind, Quarantine, Record, Run},
+};
+use gateway::{
+    mesh::batches,
+    message::{MAX_BYTES, Message, News},
+};
+
+/// Most runs that are kept of a suspect.
+const RUNS: usize = 16;
+
+/// Returns a record with as many and as long values as there can be.
+fn largest_record(number: usize) -> Record {
+    let run = Run {
+        crash: u64::MAX,
+        request: u64::MAX,
+        account: u64::MAX,
+        age: Duration::new(u64::from(u32::MAX), 999_999_999),
+        is_trial: true,
+        is_cleared: true,
+    };
+    let age = Duration::from_secs(u64::from(u32::MAX));
+    Record {
+        digest: Digest::of(number.to_string()),
+        kind: Kind::Attribute,
+        account: "council-of-a-long-name".into(),
+        service: "service-of-a-long-name".into(),
+        runs: vec![run; RUNS],
+        completed_age: Some(age),
+        quarantine: Some(Quarantine { count: u32::MAX, remaining: age }),
+    }
+}
+
+#[test]
+fn batches_of_suspects_fit_into_datagrams_when_they_are_passed_on() {
+    let records: Vec<Record> = (0..64).map(largest_record).collect();
+
+    let batches = batches(records.clone());
+
+    let joined: Vec<Record> = batches.iter().flatten().cloned().collect();
+    assert_eq!(joined, records);
+    for batch in batches {
+        let origin = "10.255.255.255:65535".parse().unwrap();
+        let message = Message::Relayed(vec![(origin, News::Suspects(batch))]);
+        let bytes = postcard::to_stdvec(&message).unwrap().len();
+        assert!(bytes <= MAX_BYTES, "{bytes} bytes");
+    }
+}
--- a/crates/operator/src/logs.rs
+++ b/crates/operator/src/logs.rs
@@ -71,7 +71,7 @@
 
 /// Returns the lines of a request from all processes, marked with `*`, in time order, together with
 /// the context events that concern its servers or no particular server, and what speaks against all
-/// requests with the same fingerprint. The text is empty if no line has the request.
+/// requests with the same fingerprint, or with an attribute for which it was rejected. The text is empty if no line has the request.
 pub fn trace(lines: &[Line], request: &str) -> String {
     let request_lines: Vec<&Line> =
         lines.iter().filter(|line| line.field("request") == request).collect();
@@ -98,9 +98,14 @@
         .map(|line| line.field("fingerprint"))
         .filter(|fingerprint| !fingerprint.is_empty())
         .collect();
+    // A request may be rejected for attributes that it has in common with others.
+    let rejections = request_lines.iter().filter(|line| line.is_one_of(&[Event::Quarantine]));
+    let blamed: BTreeSet<&str> = rejections.flat_map(|line| line.words("attributes")).collect();
     let is_evidence = |line: &Line| {
-        let mut named = line.field("fingerprints").split(' ').chain([line.field("fingerprint")]);
-        line.is_one_of(&EVIDENCE_EVENTS) && named.any(|name| fingerprints.contains(name))
+        let mut named = line.words("fingerprints").chain([line.field("fingerprint")]);
+        let is_named = named.any(|name| fingerprints.contains(name));
+        let is_blamed = line.words("attributes").any(|name| blamed.contains(name));
+        line.is_one_of(&EVIDENCE_EVENTS) && (is_named || is_blamed)
     };
     let is_selected =
         |line: &&Line| line.field("request") == request || is_context(line) || is_evidence(line);
@@ -143,6 +148,10 @@
         text_field(&self.fields, name)
     }
 
+    fn words(&self, name: &str) -> impl Iterator<Item = &str> {
+        self.field(name).split(' ').filter(|word| !word.is_empty())
+    }
+
     fn is_one_of(&self, events: &[Event]) -> bool {
         events.iter().any(|event| event.name() == self.field("event"))
     }
--- a/crates/operator/tests/logs.rs
+++ b/crates/operator/tests/logs.rs
@@ -78,3 +78,22 @@
     assert!(lines[2].contains("server=s2"), "{text}");
     assert!(lines[3].starts_with('*'), "{text}");
 }
+
+// Guards against a rejected request that cannot be traced to the crashes of others like it.
+#[test]
+fn trace_of_a_request_shows_the_crashes_under_the_attribute_it_is_rejected_for() {
+    const LOGS: &str = r#"
+entry-1 {"timestamp":"2026-12-04T12:00:00Z","message":"broke","kvs":{"event":"suspect","request":"r1","server":"s1","fingerprint":"ab","attributes":"part:a1 part:dead"}}
+entry-1 {"timestamp":"2026-12-04T12:00:01Z","message":"crashed","kvs":{"event":"crash","server":"s1","evidence":"refused","fingerprints":"cd ab","attributes":"part:a1 part:dead part:e2"}}
+entry-2 {"timestamp":"2026-12-04T12:00:02Z","message":"crashed","kvs":{"event":"crash","server":"s2","evidence":"refused","fingerprints":"ef","attributes":"part:a1 part:e2"}}
+entry-2 {"timestamp":"2026-12-04T12:09:00Z","message":"sending","kvs":{"event":"sent","request":"r4","fingerprint":"ff","attributes":"part:a1"}}
+entry-2 {"timestamp":"2026-12-04T12:09:00Z","message":"rejecting","kvs":{"event":"quarantine","request":"r3","fingerprint":"00","attributes":"part:dead"}}
+"#;
+
+    let text = logs::trace(&logs::parse(LOGS), "r3");
+
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 3, "{text}");
+    assert!(lines[0].contains("request=r1") && lines[1].contains("server=s1"), "{text}");
+    assert!(lines[2].starts_with('*'), "{text}");
+}
