--- a/crates/fleet/src/suspect/list/evidence.rs
+++ b/crates/fleet/src/suspect/list/evidence.rs
@@ -40,7 +40,7 @@
 /// Further crashes that it takes if the suspect completed shortly before the first one.
 const COMPLETED_EXTRA_CRASHES: usize = 2;
 /// Further crashes that it takes for an attribute if servers of the service crash without it, too.
-const OTHER_EXTRA_CRASHES: usize = 2;
+const OTHER_EXTRA_CRASHES: usize = 3;
 /// Time between two crashes that may have a common cause other than a request.
 const CROWD_PERIOD: Duration = Duration::from_secs(2);
 
