Limit the completions that are kept of one client account

Callers name the parts of their prompts, so one account could fill the list of completions with parts of its own: those of others were not recorded, their parts ran one at a time after a crash, and three crashes sufficed against them. The test fails before: the first part of all prompts is tried.

--- a/crates/fleet/src/suspect/list.rs
+++ b/crates/fleet/src/suspect/list.rs
@@ -1,5 +1,6 @@
 //! The suspects known to one instance, and the decision on each.
 
+mod completions;
 mod evidence;
 mod state;
 
@@ -16,14 +17,15 @@
     lease::Moment,
     suspect::{
         Attribute, Decision, Identity, Kind, Quarantine, Record, Report, Suspects,
-        list::state::{COMPLETION_PERIOD, Run, Suspect, account_key},
+        list::{
+            completions::Completions,
+            state::{Run, Suspect, account_key},
+        },
     },
 };
 
 /// Time between two removals of expired entries.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
-/// Limit on the completions that are kept.
-const MAX_COMPLETIONS: usize = 65_536;
 /// Time after a crash in which the reports of other instances arrive.
 const REPORT_PERIOD: Duration = Duration::from_millis(300);
 /// Time for which a changed suspect is in the reports to peers, since datagrams may be lost.
@@ -44,8 +46,7 @@
     retention: Duration,
     suspects: BTreeMap<Digest, Suspect>,
     crashes: HashMap<u64, Crash>,
-    /// Time at which a request, or one with an attribute, last completed at this instance.
-    completions: HashMap<Digest, Moment>,
+    completions: Completions,
     /// Time at which a request of a service that was no suspect last completed at this instance.
     served: HashMap<Name, Moment>,
     /// Suspects whose quarantine started or ended, until this is taken.
@@ -127,12 +128,11 @@
     /// its attributes of one. Returns the suspects that were cleared of any.
     pub fn complete(&mut self, now: Moment, request: &Identity, service: &Name) -> Suspects {
         let mut cleared = Suspects::new();
-        if self.complete_suspect(now, &request.fingerprint) {
-            cleared.push(request.fingerprint);
-        }
-        for attribute in &request.attributes {
-            if self.complete_suspect(now, &attribute.digest) {
-                cleared.push(attribute.digest);
+        let account = account_key(&request.account);
+        for digest in request.digests() {
+            self.completions.record(now, digest, account);
+            if self.clear(now, digest) {
+                cleared.push(*digest);
             }
         }
         if cleared.is_empty() {
@@ -293,16 +293,13 @@
             is_kept
         });
         self.crashes.retain(|_, crash| now < crash.at + retention);
-        self.completions.retain(|_, completed_at| now < *completed_at + COMPLETION_PERIOD);
+        self.completions.expire(now);
         self.served.retain(|_, served_at| now < *served_at + retention);
     }
 
-    /// Records that a request, or one with an attribute, has completed. Returns whether this clears
-    /// it of a crash.
-    fn complete_suspect(&mut self, now: Moment, digest: &Digest) -> bool {
-        if self.completions.len() < MAX_COMPLETIONS || self.completions.contains_key(digest) {
-            self.completions.insert(*digest, now);
-        }
+    /// Clears a suspect that has completed: a request of all its crashes, an attribute of one.
+    /// Returns whether there were any.
+    fn clear(&mut self, now: Moment, digest: &Digest) -> bool {
         let Some(suspect) = self.suspects.get_mut(digest) else { return false };
         let is_cleared = match suspect.kind {
             Kind::Request => suspect.clear_all(),
@@ -343,7 +340,7 @@
         (account, service): (&Name, &Name),
         reported: Run,
     ) -> bool {
-        let completed_at = self.completions.get(&digest).copied();
+        let completed_at = self.completions.last(&digest);
         let has_completed = completed_at.is_some_and(|completed_at| reported.at <= completed_at);
         let is_refuted = self.add_crash(service, &reported);
         let is_cleared = reported.is_cleared || has_completed || is_refuted;
--- a/crates/fleet/tests/attributes.rs
+++ b/crates/fleet/tests/attributes.rs
@@ -15,6 +15,8 @@
 const RETENTION: Duration = Duration::from_secs(600);
 /// Length of the first quarantine while nothing else completes.
 const UNCONFIRMED: Duration = Duration::from_secs(10);
+/// Number of requests of a flood, each with a part of its own.
+const FLOOD: usize = 70_000;
 /// Account of most requests.
 const COUNCIL: &str = "council";
 
@@ -99,6 +101,21 @@
     assert_eq!(decide(&mut list, 1.1, &["first"]), Decision::Allow);
 }
 
+// Guards against an account that invents parts until nothing is known of those of others.
+#[test]
+fn flood_of_one_account_does_not_displace_the_completions_of_another() {
+    let mut list = List::new(RETENTION);
+    for number in 0..FLOOD {
+        let flood = request("flood", 10_000 + number, &[&format!("{number:x}")]);
+        list.complete(seconds(0.5), &flood, &service());
+    }
+
+    complete(&mut list, 0.6, &["first"]);
+    list.record(seconds(1.0), &report(request(COUNCIL, 1, &["first"]), 1));
+
+    assert_eq!(decide(&mut list, 1.1, &["first"]), Decision::Allow);
+}
+
 // Guards against parts that are blamed for servers that crash all at once.
 #[test]
 fn counts_crashes_at_the_same_time_once() {
