Give each suspect of a trial its own time, and name all of them in the request for it

Found by reading. A trial of a request held its attributes for as long, up to a minute, so sound requests with them waited; and an attribute whose two seconds were over still counted as on trial, so that servers which crash at the same time counted for more than one crash. A request for a trial named six suspects at most, so further ones ran beside each other. The test trial_of_an_attribute_ends_before_that_of_its_request cannot be written against the old type, which has one time for all.

--- a/crates/fleet/src/suspect/trial.rs
+++ b/crates/fleet/src/suspect/trial.rs
@@ -2,30 +2,40 @@
 //! suspect.
 //!
 //! One instance grants the trials of a service to all others. A trial ends when its instance says
-//! so, or else when its time is over. A suspect that has crashed two servers or more runs on a
-//! server without any other trial.
+//! so, or else when its time is over, for each suspect by itself. A suspect that has crashed two
+//! servers or more runs on a server without any other trial.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::{Name, lease::Moment, suspect::Suspects};
+use crate::{Name, digest::Digest, lease::Moment, suspect::Suspects};
 
 /// Limit on the trials at once.
 const MAX_TRIALS: usize = 4096;
 
-/// Request for a trial.
+/// How long a run is the trial of a suspect at most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Span {
+    pub suspect: Digest,
+    pub lifetime: Duration,
+}
+
+/// Spans of the suspects of one trial; a few are stored inline.
+pub type Spans = SmallVec<[Span; 2]>;
+
+/// Run of a request that is the trial of one suspect or more.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Trial {
     /// Id of the trial.
     pub id: u64,
-    pub suspects: Suspects,
+    pub spans: Spans,
+    pub started_at: Moment,
     pub server: Name,
     pub is_exclusive: bool,
     /// Address of the instance that runs it, or `None` for the one that grants it.
     pub holder: Option<SocketAddr>,
-    /// Time at which it ends at the latest.
-    pub ends_at: Moment,
 }
 
 /// The trials that are running.
@@ -34,15 +44,30 @@
     running: SmallVec<[Trial; 4]>,
 }
 
+impl Trial {
+    /// Returns the suspects of which it still is the trial.
+    pub fn suspects(&self, now: Moment) -> Suspects {
+        let running = self.spans.iter().filter(|span| now < self.started_at + span.lifetime);
+        running.map(|span| span.suspect).collect()
+    }
+
+    /// Returns whether it is on this server and still the trial of all these suspects.
+    pub fn covers(&self, server: &Name, suspects: &Suspects, now: Moment) -> bool {
+        let running = self.suspects(now);
+        self.server == *server && suspects.iter().all(|suspect| running.contains(suspect))
+    }
+}
+
 impl Trials {
-    /// Starts a trial, unless one of its suspects or a trial that excludes it is running. A trial that was
-    /// started before, whose grant was lost, is granted again.
+    /// Starts a trial, unless a trial of one of its suspects, or one that excludes it, is running. A
+    /// trial that was started before, whose grant was lost, is granted again.
     pub fn start(&mut self, now: Moment, trial: Trial) -> bool {
-        self.running.retain(|running| now < running.ends_at && running.id != trial.id);
+        self.running.retain(|running| running.id != trial.id && !running.suspects(now).is_empty());
         let excludes = |running: &Trial| {
+            let has_same_suspect =
+                running.suspects(now).iter().any(|suspect| trial.suspects(now).contains(suspect));
             let is_same_server = running.server == trial.server;
-            running.suspects.iter().any(|suspect| trial.suspects.contains(suspect))
-                || is_same_server && (running.is_exclusive || trial.is_exclusive)
+            has_same_suspect || is_same_server && (running.is_exclusive || trial.is_exclusive)
         };
         if MAX_TRIALS <= self.running.len() || self.running.iter().any(excludes) {
             return false;
--- a/crates/fleet/tests/poison_fleet/model.rs
+++ b/crates/fleet/tests/poison_fleet/model.rs
@@ -16,7 +16,7 @@
     lease::Moment,
     suspect::{
         Attribute, Decision, Identity, List, Record, Report, Suspects,
-        trial::{Trial, Trials},
+        trial::{Span, Trial, Trials},
     },
 };
 use seeds::Random;
@@ -28,6 +28,8 @@
 /// Intervals between two reports of all requests in quarantine.
 const QUARANTINE_ROUNDS: u64 = 20;
 const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
+/// Longest trial of an attribute.
+const ATTRIBUTE_TRIAL_TIME: Duration = Duration::from_secs(2);
 /// Requests for a trial after which an instance grants it itself.
 const MAX_TRIAL_REQUESTS: u32 = 2;
 /// Time after which instances are expected to know of a crash, and to be known after their start.
@@ -476,14 +478,21 @@
         server: usize,
         suspects: &Suspects,
     ) -> bool {
+        let state = &self.requests[request];
+        let fingerprint = state.identity().fingerprint;
+        let remaining = state.deadline.saturating_sub(self.now);
+        let spans = suspects.iter().map(|suspect| {
+            let longest = if *suspect == fingerprint { remaining } else { ATTRIBUTE_TRIAL_TIME };
+            Span { suspect: *suspect, lifetime: remaining.min(longest) }
+        });
         let trial = Trial {
             id,
-            suspects: suspects.clone(),
+            spans: spans.collect(),
+            started_at: self.now,
             server: Arc::from(server.to_string()),
             // Plain runs are short.
-            is_exclusive: self.requests[request].parts.is_empty(),
+            is_exclusive: state.parts.is_empty(),
             holder: None,
-            ends_at: self.requests[request].deadline,
         };
         self.instances[granter].trials.start(self.now, trial)
     }
--- a/crates/fleet/tests/suspect.rs
+++ b/crates/fleet/tests/suspect.rs
@@ -10,7 +10,7 @@
     lease::Moment,
     suspect::{
         Decision, Identity, List, Record, Report, Suspects,
-        trial::{Trial, Trials},
+        trial::{Span, Trial, Trials},
     },
 };
 
@@ -310,8 +310,9 @@
 }
 
 fn started(id: u64, fingerprint: Digest, server: &str, is_exclusive: bool) -> Trial {
-    let (server, ends_at) = (name(server), seconds(1.0));
-    Trial { id, suspects: smallvec![fingerprint], server, is_exclusive, holder: None, ends_at }
+    let spans = smallvec![Span { suspect: fingerprint, lifetime: seconds(1.0) }];
+    let (server, started_at) = (name(server), seconds(0.0));
+    Trial { id, spans, started_at, server, is_exclusive, holder: None }
 }
 
 // Guards against a suspect that nobody runs until the end of the trial of an instance that was killed.
@@ -348,6 +349,26 @@
     assert!(after_end && after_expiry);
 }
 
+// Guards against requests that wait for an attribute until the end of a long run, since the run is
+// the trial of a request as well.
+#[test]
+fn trial_of_an_attribute_ends_before_that_of_its_request() {
+    let mut trials = Trials::default();
+    let attribute = Digest::of("attribute");
+    let mut both = started(1, poison(), "s1", false);
+    both.spans.push(Span { suspect: attribute, lifetime: seconds(0.2) });
+    trials.start(seconds(0.0), both.clone());
+
+    let early = trials.start(seconds(0.1), started(2, attribute, "s2", false));
+    let late = trials.start(seconds(0.2), started(3, attribute, "s2", false));
+    let of_request = trials.start(seconds(0.2), started(4, poison(), "s2", false));
+
+    assert_eq!((early, late, of_request), (false, true, false));
+    assert_eq!(both.suspects(seconds(0.1))[..], [poison(), attribute]);
+    assert_eq!(both.suspects(seconds(0.2))[..], [poison()]);
+    assert!(!both.covers(&name("s1"), &smallvec![attribute], seconds(0.2)));
+}
+
 #[test]
 fn runs_an_exclusive_trial_without_others_on_the_server() {
     let mut trials = Trials::default();
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -26,6 +26,7 @@
     in_flight::LoadRequest,
     job::Job,
     ports::Model,
+    quarantine::HeldTrial,
     roster::{Roster, Server, StatusReport},
     serve::{DEFAULT_RETRY_AFTER, authorize},
 };
@@ -161,7 +162,8 @@
     /// Obtains a trial on a server if the request is or has a suspect and has none there.
     async fn obtain_trial(&mut self, entry: &Arc<Entry>, server: &Listing, decision: &Decision) {
         let Decision::Try { suspects, is_exclusive } = decision else { return };
-        if self.trial.as_ref().is_some_and(|trial| trial.is_for(server, suspects, entry.now())) {
+        let is_held = |held: &HeldTrial| held.trial.covers(&server.id, suspects, entry.now());
+        if self.trial.as_ref().is_some_and(is_held) {
             return;
         }
         self.trial = None;
--- a/crates/gateway/src/job/failure.rs
+++ b/crates/gateway/src/job/failure.rs
@@ -112,7 +112,8 @@
     /// Returns the current attempt as a suspect, with its trial.
     pub(super) fn take_attempt(&mut self) -> (Attempt, Option<HeldTrial>) {
         let trial = self.trial.take();
-        let on_trial = trial.as_ref().map(|trial| trial.suspects.clone()).unwrap_or_default();
+        let on_trial =
+            trial.as_ref().map(|held| held.trial.suspects(self.entry.now())).unwrap_or_default();
         (Attempt { request: self.identity.clone(), on_trial }, trial)
     }
 
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use fleet::suspect::Record;
+use fleet::suspect::{Record, trial::Spans};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -152,13 +152,13 @@
     pub id: u64,
     /// Client account of the request that is to run.
     pub account: Name,
-    /// What the sender knows of the suspects: the request, or attributes of it.
+    /// The suspects: the request, or attributes of it.
+    pub spans: Spans,
+    /// What the sender knows of the first few of them.
     pub evidence: SmallVec<[Record; 1]>,
     pub server: Name,
     /// Whether no other trial may run on the server.
     pub is_exclusive: bool,
-    /// Longest duration of the trial.
-    pub lifetime: Duration,
 }
 
 /// Response to a request for a trial.
@@ -167,7 +167,7 @@
     /// Id of the trial.
     pub id: u64,
     pub is_granted: bool,
-    /// What the sender knows of the suspects.
+    /// What the sender knows of the first few of the suspects.
     pub evidence: SmallVec<[Record; 1]>,
 }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -163,7 +163,7 @@
         trial: Option<&HeldTrial>,
     ) -> Option<Clearance> {
         let is_tried = |suspects: &Suspects| {
-            trial.is_some_and(|trial| trial.is_for(server, suspects, self.now()))
+            trial.is_some_and(|held| held.trial.covers(&server.id, suspects, self.now()))
         };
         match self.decide(request) {
             Decision::Allow => Some(Clearance(())),
--- a/crates/gateway/src/quarantine/trial.rs
+++ b/crates/gateway/src/quarantine/trial.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use fleet::suspect::{Decision, Record, Suspects, trial::Trial};
+use fleet::suspect::{
+    Decision, Record, Suspects,
+    trial::{Span, Trial},
+};
 use smallvec::SmallVec;
 
 use kernel::event::Event;
@@ -31,17 +34,14 @@
 /// Trial that was granted to a request. It ends when this is dropped.
 pub struct HeldTrial {
     entry: Arc<Entry>,
-    id: u64,
-    pub suspects: Suspects,
-    server: Name,
-    ends_at: Moment,
+    pub trial: Trial,
     /// Peer that granted it, or `None` for this instance.
     granted_by: Option<SocketAddr>,
 }
 
 impl Entry {
-    /// Obtains a trial of suspects on a server, which lasts until the deadline of the request at
-    /// most.
+    /// Obtains a trial of suspects on a server: of the request until its deadline at most, of
+    /// attributes for a shorter time.
     pub async fn obtain_trial(
         self: &Arc<Entry>,
         job: &Job,
@@ -49,17 +49,21 @@
         suspects: Suspects,
         is_exclusive: bool,
     ) -> Option<HeldTrial> {
-        let has_request = suspects.contains(&job.identity.fingerprint);
-        let max_lifetime = if has_request { MAX_TRIAL_TIME } else { MAX_ATTRIBUTE_TRIAL_TIME };
-        let lifetime = job.remaining(self).min(max_lifetime);
+        let remaining = job.remaining(self);
+        let spans = suspects.iter().map(|suspect| {
+            let is_request = *suspect == job.identity.fingerprint;
+            let longest = if is_request { MAX_TRIAL_TIME } else { MAX_ATTRIBUTE_TRIAL_TIME };
+            Span { suspect: *suspect, lifetime: remaining.min(longest) }
+        });
         let request = TrialRequest {
             id: rand::random(),
             account: job.identity.account.clone(),
+            spans: spans.collect(),
             evidence: self.records(&suspects),
             server: server.id.clone(),
             is_exclusive,
-            lifetime,
         };
+        let trial = request.to_trial(None, self.now());
         let granted_by = self.request_trial(&server.service, &request).await?;
         log::info!(
             event = Event::Trial, request = &*job.meta.id, server = &*server.id,
@@ -69,14 +73,7 @@
             "a suspect of a crash runs on trial"
         );
         metrics::counter!("chivelatch_trials_total").increment(1);
-        Some(HeldTrial {
-            entry: Arc::clone(self),
-            id: request.id,
-            suspects,
-            server: request.server,
-            ends_at: self.now() + lifetime,
-            granted_by,
-        })
+        Some(HeldTrial { entry: Arc::clone(self), trial, granted_by })
     }
 
     /// Requests a trial. Returns the peer that granted it, or `Some(None)` if this instance did.
@@ -104,7 +101,7 @@
     /// Returns the response to a peer's request for a trial.
     pub fn answer_trial_request(&self, from: SocketAddr, request: &TrialRequest) -> TrialReply {
         self.record_suspects(&request.evidence);
-        let suspects = request.suspects();
+        let suspects = request.spans.iter().map(|span| span.suspect).collect();
         let decision = self.decide_suspects(&request.account, &suspects);
         let may_try = matches!(decision, Decision::Try { .. } | Decision::Allow);
         let is_granted = may_try && self.grant_trial(Some(from), request);
@@ -127,37 +124,30 @@
     fn grant_trial(&self, holder: Option<SocketAddr>, request: &TrialRequest) -> bool {
         let now = self.now();
         let heard = self.limiter.lock().members(now).heard;
-        let trial = Trial {
-            id: request.id,
-            suspects: request.suspects(),
-            server: request.server.clone(),
-            is_exclusive: request.is_exclusive,
-            holder,
-            ends_at: now + request.lifetime.min(MAX_TRIAL_TIME),
-        };
+        let trial = request.to_trial(holder, now);
         let mut trials = self.quarantine.trials.lock();
         trials.retain_holders(|holder| heard.iter().any(|(address, _)| *address == holder));
         trials.start(now, trial)
     }
 }
 
-impl HeldTrial {
-    /// Returns whether the trial is on this server, of all these suspects, and not over.
-    pub fn is_for(&self, server: &Listing, suspects: &Suspects, now: Moment) -> bool {
-        let has_all = suspects.iter().all(|suspect| self.suspects.contains(suspect));
-        self.server == server.id && has_all && now < self.ends_at
-    }
-}
-
 impl TrialRequest {
-    fn suspects(&self) -> Suspects {
-        self.evidence.iter().map(|record| record.digest).collect()
+    fn to_trial(&self, holder: Option<SocketAddr>, started_at: Moment) -> Trial {
+        let limited = |span: &Span| Span { lifetime: span.lifetime.min(MAX_TRIAL_TIME), ..*span };
+        Trial {
+            id: self.id,
+            spans: self.spans.iter().map(limited).collect(),
+            started_at,
+            server: self.server.clone(),
+            is_exclusive: self.is_exclusive,
+            holder,
+        }
     }
 }
 
 impl Drop for HeldTrial {
     fn drop(&mut self) {
-        let (entry, id) = (Arc::clone(&self.entry), self.id);
+        let (entry, id) = (Arc::clone(&self.entry), self.trial.id);
         let Some(peer) = self.granted_by else { return entry.record_trial_end(id) };
         self.entry.kernel.spawn_detached(async move {
             if let Some(socket) = entry.mesh_socket.get() {
--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -4,11 +4,11 @@
 
 use fleet::{
     digest::Digest,
-    suspect::{Kind, Quarantine, Record, Run},
+    suspect::{Kind, Quarantine, Record, Run, trial::Span},
 };
 use gateway::{
     mesh::batches,
-    message::{MAX_BYTES, Message, News},
+    message::{MAX_BYTES, Message, News, TrialRequest},
 };
 
 /// Most runs that are kept of a suspect.
@@ -70,3 +70,25 @@
     println!("a suspect with one run: {bytes} bytes");
     assert!(bytes <= 150, "{bytes} bytes");
 }
+
+#[test]
+fn request_for_a_trial_of_many_suspects_fits_into_a_datagram() {
+    const SUSPECTS: usize = 34;
+    const EVIDENCE: usize = 6;
+    let span = |number: usize| Span {
+        suspect: Digest::of(number.to_string()),
+        lifetime: Duration::new(60, 999_999_999),
+    };
+    let request = TrialRequest {
+        id: u64::MAX,
+        account: "council-of-a-long-name".into(),
+        spans: (0..SUSPECTS).map(span).collect(),
+        evidence: (0..EVIDENCE).map(largest_record).collect(),
+        server: "server-of-a-long-name".into(),
+        is_exclusive: true,
+    };
+
+    let bytes = postcard::to_stdvec(&Message::TrialRequest(request)).unwrap().len();
+
+    assert!(bytes <= MAX_BYTES, "{bytes} bytes");
+}
