Ask about all parts of a prompt, however many there are

Found by reading: parts beyond the 32nd were not looked at. Further parts together are one attribute.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -32,10 +32,13 @@
 pub use trial::HeldTrial;
 
 /// Reason for the rejection of a request in quarantine.
-pub const REASON: &str = "the request, or others with the same prompt part or adapter, crashed the servers that ran it; \
-     do not send it again unchanged";
+pub const REASON: &str = "the request, or others with the same prompt part or adapter, crashed the \
+                          servers that ran it; do not send it again unchanged";
 /// Time for which a suspect is kept after its last crash, and length of the first quarantine.
 const RETENTION: Duration = Duration::from_secs(600);
+/// Limit on the parts of a prompt that are attributes by themselves. All further ones together are
+/// another attribute, so that none of them goes unseen.
+const MAX_PARTS: usize = 32;
 /// Time after its start for which an instance waits to learn which requests are in quarantine.
 pub const SETTLING_PERIOD: Duration = Duration::from_millis(300);
 
@@ -73,12 +76,15 @@
     let texts = [&*account, &*meta.host, parts.method.as_str(), path];
     let fingerprint = Digest::of_parts(texts.into_iter().map(str::as_bytes).chain([body]));
     let mut attributes: SmallVec<[Attribute; 4]> = SmallVec::new();
-    for part in &meta.prompt_parts {
+    for part in meta.prompt_parts.iter().take(MAX_PARTS) {
         let attribute = Attribute::new("part", part);
         if !attributes.contains(&attribute) {
             attributes.push(attribute);
         }
     }
+    if MAX_PARTS < meta.prompt_parts.len() {
+        attributes.push(Attribute::new("parts", "further"));
+    }
     if let Some(model) = &meta.model
         && let Some(adapter) = &model.adapter
     {
