Decide in one place what an error response speaks for; keep names in logs short

The platform's path cleared attributes only on success, the product's own path on any status: the rule is in List::complete now, and both pass the status (test error_clears_a_request_and_not_its_parts). What explains a crash stood twice in list::evidence. Names of attributes come from callers: without spaces, which separate them in log lines, and 48 characters at most.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -61,6 +61,11 @@
     pub(crate) tokens: Option<u64>,
 }
 
+/// Returns whether the status of an answer is one of success.
+pub(crate) fn is_success(status: u16) -> bool {
+    (200..300).contains(&status)
+}
+
 /// Streamed answer of which the first chunk was received.
 pub(crate) struct Stream {
     pub(crate) status: u16,
@@ -104,8 +109,9 @@
         };
         match send_attempt(entry, job, attempt, &choice, isolation).await {
             Ok(answer) => {
-                if let ServerAnswer::Buffered(_) = &answer {
-                    quarantine::record_completion(entry, job).await;
+                if let ServerAnswer::Buffered(buffered) = &answer {
+                    let has_succeeded = is_success(buffered.status);
+                    quarantine::record_completion(entry, job, has_succeeded).await;
                 }
                 return Ok(answer);
             }
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -64,10 +64,12 @@
 
 /// Records that the request has completed, and tells the other entry instances if it was a
 /// suspect.
-pub(crate) async fn record_completion(entry: &Arc<Entry>, job: &Job) {
+pub(crate) async fn record_completion(entry: &Arc<Entry>, job: &Job, has_succeeded: bool) {
     let now = entry.node.now();
     let (request, service) = (job.identity(), job.service());
-    if !entry.node.with_suspects(|list| list.complete(now, &request, &service)).is_empty() {
+    let cleared =
+        entry.node.with_suspects(|list| list.complete(now, &request, &service, has_succeeded));
+    if !cleared.is_empty() {
         tell_peers(entry, job).await;
     }
 }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -15,7 +15,7 @@
 use crate::{
     Entry,
     answer::{self, AdmittedJob},
-    attempt::{Failure, Frame, Stream},
+    attempt::{Failure, Frame, Stream, is_success},
     caller, quarantine,
     rejection::{Kind, Outcome, Rejection, add_standard_headers},
 };
@@ -56,10 +56,11 @@
 /// Relays a stream and settles its reservation. The reservation stays charged in full
 /// unless the stream is complete.
 async fn run(entry: &Arc<Entry>, admitted: AdmittedJob, stream: Stream, sender: Sender) {
+    let has_succeeded = is_success(stream.status);
     match relay(entry, &admitted, stream, &sender).await {
         End::Complete { tokens } => {
             let used = tokens.unwrap_or(admitted.job.cost);
-            quarantine::record_completion(entry, &admitted.job).await;
+            quarantine::record_completion(entry, &admitted.job, has_succeeded).await;
             answer::settle(entry, &admitted, used).await;
             sender.finish().await;
             answer::count(&admitted.job, Outcome::Completed);
--- a/crates/fleet/src/suspect.rs
+++ b/crates/fleet/src/suspect.rs
@@ -30,6 +30,9 @@
 
 pub use list::List;
 
+/// Limit on the characters of a value in the name of an attribute.
+const MAX_SHOWN_CHARS: usize = 48;
+
 /// Digests of suspects; a few are stored inline.
 pub type Suspects = SmallVec<[Digest; 2]>;
 
@@ -167,7 +170,10 @@
     /// Creates an attribute of a kind, such as `part`.
     pub fn new(kind: &str, value: &str) -> Attribute {
         let digest = Digest::of_parts([kind.as_bytes(), value.as_bytes()]);
-        Attribute { name: format!("{kind}:{value}").into(), digest }
+        // Names are separated by spaces in log lines.
+        let shown = value.chars().filter(|character| !character.is_whitespace());
+        let shown: String = shown.take(MAX_SHOWN_CHARS).collect();
+        Attribute { name: format!("{kind}:{shown}").into(), digest }
     }
 }
 
--- a/crates/fleet/src/suspect/list.rs
+++ b/crates/fleet/src/suspect/list.rs
@@ -125,17 +125,25 @@
     }
 
     /// Records that a request has completed, which clears it of all its crashes so far, and each of
-    /// its attributes of one. Returns the suspects that were cleared of any.
-    pub fn complete(&mut self, now: Moment, request: &Identity, service: &Name) -> Suspects {
+    /// its attributes of one if it succeeded: an error may come before what crashes a server. Returns
+    /// the suspects that were cleared of any.
+    pub fn complete(
+        &mut self,
+        now: Moment,
+        request: &Identity,
+        service: &Name,
+        has_succeeded: bool,
+    ) -> Suspects {
         let mut cleared = Suspects::new();
         let account = account_key(&request.account);
-        for digest in request.digests() {
+        let count = if has_succeeded { usize::MAX } else { 1 };
+        for digest in request.digests().take(count) {
             self.completions.record(now, digest, account);
             if self.clear(now, digest) {
                 cleared.push(*digest);
             }
         }
-        if cleared.is_empty() {
+        if has_succeeded && cleared.is_empty() {
             self.served.insert(service.clone(), now);
         }
         cleared
--- a/crates/fleet/src/suspect/list/evidence.rs
+++ b/crates/fleet/src/suspect/list/evidence.rs
@@ -167,12 +167,13 @@
     /// Returns whether something else explains a crash: another request ran there that is or was
     /// quarantined, or has an attribute that is.
     fn is_explained(&self, digest: &Digest, run: &Run) -> bool {
-        let mut quarantined = self.others(digest).filter(|other| 0 < other.quarantines);
-        quarantined.any(|other| {
-            other
-                .open_runs()
-                .any(|theirs| theirs.crash == run.crash && theirs.request != run.request)
-        })
+        self.quarantined_runs(digest, run.crash).any(|theirs| theirs.request != run.request)
+    }
+
+    /// Returns the runs at a crash of other suspects that are or were quarantined.
+    fn quarantined_runs(&self, digest: &Digest, crash: u64) -> impl Iterator<Item = &Run> {
+        let quarantined = self.others(digest).filter(|other| 0 < other.quarantines);
+        quarantined.flat_map(Suspect::open_runs).filter(move |run| run.crash == crash)
     }
 
     /// Returns whether another request was there at each crash of a request.
@@ -208,11 +209,8 @@
             !crash.is_refuted && crash.service == suspect.service && is_meant(crash)
         });
         crashes.any(|(id, _)| {
-            let has_explanation = || {
-                let mut quarantined = self.others(digest).filter(|other| 0 < other.quarantines);
-                quarantined.any(|other| other.open_runs().any(|run| run.crash == *id))
-            };
-            suspect.open_runs().all(|run| run.crash != *id) && !has_explanation()
+            let is_absent = suspect.open_runs().all(|run| run.crash != *id);
+            is_absent && self.quarantined_runs(digest, *id).next().is_none()
         })
     }
 
--- a/crates/fleet/tests/attributes.rs
+++ b/crates/fleet/tests/attributes.rs
@@ -66,7 +66,7 @@
 
 /// Completes a request with these parts.
 fn complete(list: &mut List, at: f64, parts: &[&str]) {
-    list.complete(seconds(at), &request(COUNCIL, 2000, parts), &service());
+    list.complete(seconds(at), &request(COUNCIL, 2000, parts), &service(), true);
 }
 
 // Guards against requests, no two alike, that share a part which crashes every server.
@@ -107,7 +107,7 @@
     let mut list = List::new(RETENTION);
     for number in 0..FLOOD {
         let flood = request("flood", 10_000 + number, &[&format!("{number:x}")]);
-        list.complete(seconds(0.5), &flood, &service());
+        list.complete(seconds(0.5), &flood, &service(), true);
     }
 
     complete(&mut list, 0.6, &["first"]);
@@ -137,6 +137,19 @@
     assert_eq!(decide(&mut list, 3.3, &["rare"]), Decision::Allow);
 }
 
+// Guards against a part that is cleared by an error, which may come before what crashes a server.
+#[test]
+fn error_clears_a_request_and_not_its_parts() {
+    let mut list = list_with_crashes(&["deadly"], &[0.0, 1.0]);
+
+    let failed = request(COUNCIL, 0, &["deadly"]);
+    let cleared = list.complete(seconds(1.5), &failed, &service(), false);
+    list.record(seconds(2.0), &report(request(COUNCIL, 2, &["deadly"]), 2));
+
+    assert_eq!(cleared[..], [failed.fingerprint]);
+    assert!(is_rejected(&mut list, 3.0, &["deadly"]));
+}
+
 // Guards against parts that are blamed for one poison request that is sent again and again.
 #[test]
 fn does_not_blame_the_parts_of_one_request() {
--- a/crates/fleet/tests/poison_fleet/model.rs
+++ b/crates/fleet/tests/poison_fleet/model.rs
@@ -577,7 +577,7 @@
         }
         let (instance, identity) = (self.requests[index].instance, self.requests[index].identity());
         let service = Arc::from("desk");
-        if !self.instances[instance].list.complete(self.now, &identity, &service).is_empty() {
+        if !self.instances[instance].list.complete(self.now, &identity, &service, true).is_empty() {
             self.tell_changes(instance);
         }
         self.release_trial(index);
--- a/crates/fleet/tests/suspect.rs
+++ b/crates/fleet/tests/suspect.rs
@@ -96,7 +96,7 @@
     let mut list = List::new(RETENTION);
     list.record(seconds(0.0), &report(innocent(), 1));
 
-    let cleared = list.complete(seconds(0.5), &request(innocent()), &name("desk"));
+    let cleared = list.complete(seconds(0.5), &request(innocent()), &name("desk"), true);
 
     assert_eq!(cleared[..], [innocent()]);
     assert_eq!(list.decide(seconds(1.0), &request(innocent())), Decision::Allow);
@@ -108,7 +108,7 @@
     let mut list = List::new(RETENTION);
     list.record(seconds(0.0), &report(innocent(), 1));
     let late = list.get(seconds(0.1), &innocent()).unwrap();
-    list.complete(seconds(0.2), &request(innocent()), &name("desk"));
+    list.complete(seconds(0.2), &request(innocent()), &name("desk"), true);
 
     list.merge(seconds(0.3), &late);
     list.record(seconds(0.4), &report(innocent(), 1));
@@ -125,7 +125,7 @@
 
     let settled = 1.0 + SETTLED;
     let ambiguous = [poison(), innocent()].map(|it| list.decide(seconds(settled), &request(it)));
-    list.complete(seconds(2.0), &request(innocent()), &name("desk"));
+    list.complete(seconds(2.0), &request(innocent()), &name("desk"), true);
     let resolved = [poison(), innocent()].map(|it| is_rejected(&mut list, 2.1, it));
 
     assert_eq!(ambiguous, [tried(poison(), true), tried(innocent(), true)]);
@@ -147,7 +147,7 @@
         list.record(seconds(at), &trial(innocent(), crash));
     }
     let beside_both = is_tried(&mut list, 14.0, innocent());
-    list.complete(seconds(14.1), &request(innocent()), &name("desk"));
+    list.complete(seconds(14.1), &request(innocent()), &name("desk"), true);
 
     assert!(beside_both);
     assert_eq!(list.decide(seconds(14.2), &request(innocent())), Decision::Allow);
@@ -203,7 +203,7 @@
     let after_first = list.decide(seconds(63.0), &request(poison()));
     list.record(seconds(64.0), &trial(poison(), 3));
     let second = list.decide(seconds(65.0), &request(poison()));
-    mended.complete(seconds(64.0), &request(poison()), &name("desk"));
+    mended.complete(seconds(64.0), &request(poison()), &name("desk"), true);
 
     assert_eq!(first, Decision::Reject(RETENTION));
     assert_eq!(after_first, tried(poison(), true));
@@ -388,7 +388,7 @@
 fn answers_a_peer_that_still_suspects_a_cleared_request() {
     let mut peer = list_with_poison();
     let mut list = peer.clone();
-    list.complete(seconds(1.1), &request(poison()), &name("desk"));
+    list.complete(seconds(1.1), &request(poison()), &name("desk"), true);
     assert!(is_rejected(&mut peer, 2.0, poison()));
     assert_eq!(peer.take_unsaved(), [poison()]);
     let wrong = peer.get(seconds(25.0), &poison()).unwrap();
@@ -410,7 +410,7 @@
 #[test]
 fn completion_clears_earlier_crashes_that_are_reported_later() {
     let mut list = List::new(RETENTION);
-    list.complete(seconds(100.0), &request(innocent()), &name("desk"));
+    list.complete(seconds(100.0), &request(innocent()), &name("desk"), true);
     let mut peer = list_with_poison();
     peer.record(seconds(90.0), &report(innocent(), 1));
     let late = peer.get(seconds(101.0), &innocent()).unwrap();
@@ -428,7 +428,7 @@
 #[test]
 fn completion_from_before_the_start_of_an_instance_is_not_recent() {
     let mut peer = List::new(RETENTION);
-    peer.complete(seconds(100.0), &request(poison()), &name("desk"));
+    peer.complete(seconds(100.0), &request(poison()), &name("desk"), true);
     peer.record(seconds(105.0), &report(poison(), 1));
     let mut record = peer.get(seconds(105.0), &poison()).unwrap();
     record.completed_age = Some(Duration::from_secs(3600));
--- a/crates/gateway/src/job/failure.rs
+++ b/crates/gateway/src/job/failure.rs
@@ -3,7 +3,6 @@
 
 use std::sync::Arc;
 
-use fleet::suspect::Identity;
 use hyper::StatusCode;
 use kernel::event::Event;
 use serving::{breakage::Attempt, directory::Listing};
@@ -117,18 +116,11 @@
         (Attempt { request: self.identity.clone(), on_trial }, trial)
     }
 
-    /// Records that a server completed a run of this request. An error response speaks for the
-    /// request, but not for what it has in common with others.
+    /// Records that a server completed a run of this request.
     pub fn record_completion(&mut self, entry: &Entry, status: StatusCode) {
         let server = self.server.take();
         let service = server.map(|server| server.service).unwrap_or_default();
-        let Identity { fingerprint, account, .. } = &self.identity;
-        let request = if status.is_success() {
-            self.identity.clone()
-        } else {
-            Identity::of_request(*fingerprint, account.clone())
-        };
-        entry.record_completion(&request, &service);
+        entry.record_completion(&self.identity, &service, status.is_success());
         self.trial = None;
     }
 
--- a/crates/gateway/src/quarantine/evidence.rs
+++ b/crates/gateway/src/quarantine/evidence.rs
@@ -159,13 +159,15 @@
     }
 
     /// Records that a request of a service has completed, so it is no poison request.
-    pub fn record_completion(&self, request: &Identity, service: &Name) {
+    pub fn record_completion(&self, request: &Identity, service: &Name, has_succeeded: bool) {
         let mut breakage = self.quarantine.breakage.lock();
         if !breakage.is_empty() {
             breakage.forget(&request.fingerprint);
         }
         drop(breakage);
-        let cleared = self.quarantine.list.lock().complete(self.now(), request, service);
+        let mut list = self.quarantine.list.lock();
+        let cleared = list.complete(self.now(), request, service, has_succeeded);
+        drop(list);
         if cleared.is_empty() {
             return;
         }
