--- a/crates/fleet/tests/poison_fleet/main.rs
+++ b/crates/fleet/tests/poison_fleet/main.rs
@@ -5,6 +5,7 @@
 //! repeats at all instances, lost and late reports, crashes of other causes, and instances that are
 //! killed or partitioned.
 
+mod day;
 mod model;
 
 use std::{
@@ -12,7 +13,8 @@
     time::Duration,
 };
 
-use model::{Deadly, Fleet, Plan, milliseconds};
+use day::{Deadly, Plan};
+use model::{Fleet, milliseconds};
 
 /// A calm day with one poison request.
 fn plan(instances: usize) -> Plan {
--- a/crates/fleet/tests/poison_fleet/model.rs
+++ b/crates/fleet/tests/poison_fleet/model.rs
@@ -1,6 +1,9 @@
 //! The simulated fleet: instances with the real decisions, servers that crash, and the datagrams in
 //! between.
 
+mod exchange;
+mod trials;
+
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap},
@@ -14,28 +17,14 @@
 use fleet::{
     digest::Digest,
     lease::Moment,
-    suspect::{
-        Attribute, Decision, Identity, List, Record, Report, Suspects,
-        trial::{Span, Trial, Trials},
-    },
+    suspect::{Attribute, Identity, List, Record, Report, Suspects, trial::Trials},
 };
 use seeds::Random;
 
+use crate::day::{CONTACT_PERIOD, DAY, Outcome, Plan};
+
 const RETENTION: Duration = Duration::from_secs(600);
-/// Time for which requests are sent.
-const DAY: Duration = Duration::from_secs(20);
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(150);
-/// Intervals between two reports of all requests in quarantine.
-const QUARANTINE_ROUNDS: u64 = 20;
-const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
-/// Longest trial of an attribute.
-const ATTRIBUTE_TRIAL_TIME: Duration = Duration::from_secs(2);
-/// Requests for a trial after which an instance grants it itself.
-const MAX_TRIAL_REQUESTS: u32 = 2;
-/// Time after which instances are expected to know of a crash, and to be known after their start.
-const CONTACT_PERIOD: Duration = Duration::from_secs(3);
-/// Time after its start for which an instance waits for what its peers know.
-const SETTLING_PERIOD: Duration = Duration::from_millis(300);
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time from a crash until an instance knows of it by its broken connection.
 const DETECTION_DELAY: Duration = Duration::from_millis(2);
@@ -53,41 +42,6 @@
 const DEADLY_PART: usize = 1;
 const SESSION_PARTS: Range<usize> = 2..42;
 
-/// What a day is made of.
-#[derive(Clone, Copy, Debug)]
-pub struct Plan {
-    pub instances: usize,
-    pub servers: usize,
-    pub poisons: usize,
-    /// Time between two repeats of one poison request.
-    pub repeat_interval: Duration,
-    /// Copies of a poison request that arrive at once.
-    pub copies: usize,
-    /// Share of datagrams that are lost; as many arrive twice.
-    pub loss: f64,
-    /// Time between two crashes without a poison request, if there are any.
-    pub crash_interval: Option<Duration>,
-    /// Time between two kills of an instance, if there are any.
-    pub kill_interval: Option<Duration>,
-    /// Requests with prompts, some of which have a part that crashes servers.
-    pub deadly: Option<Deadly>,
-}
-
-/// Requests with prompts, all of which have the same first part.
-#[derive(Clone, Copy, Debug)]
-pub struct Deadly {
-    /// Time between two requests with the part that crashes servers.
-    pub interval: Duration,
-    /// Time between two sound requests.
-    pub sound_interval: Duration,
-    /// Servers to which a request is sent.
-    pub attempts: u32,
-    /// Whether all requests with the part have the same session, as few sound ones do.
-    pub shares_session: bool,
-    /// Time from which the part crashes servers; requests with it complete before.
-    pub starts_after: Duration,
-}
-
 /// A request of a caller.
 #[derive(Clone, Debug)]
 struct Request {
@@ -161,43 +115,6 @@
     KillAny,
 }
 
-/// Result of a day.
-#[derive(Debug, Default)]
-pub struct Outcome {
-    /// Times at which each poison request crashed a server.
-    pub crashes: Vec<Vec<Moment>>,
-    /// Times at which each was sent, by instances that had run for [`CONTACT_PERIOD`].
-    pub sent: Vec<Vec<Moment>>,
-    /// Rejections of innocent requests that are due to a quarantine, by content.
-    pub wrongful: HashMap<usize, usize>,
-    /// Innocent requests, and those that were answered.
-    pub innocents: usize,
-    pub answered: usize,
-    /// Times at which requests with the deadly part crashed a server, and were sent.
-    pub part_crashes: Vec<Moment>,
-    pub part_sent: Vec<Moment>,
-    /// Sound requests with parts, those that were answered, and those rejected for a quarantine.
-    pub sound: usize,
-    pub sound_answered: usize,
-    pub sound_rejected: usize,
-}
-
-impl Outcome {
-    /// Returns how often requests with the deadly part were sent later than [`CONTACT_PERIOD`] after
-    /// the fifth crash.
-    pub fn late_part_sends(&self) -> usize {
-        let Some(fifth) = self.part_crashes.get(4) else { return 0 };
-        self.part_sent.iter().filter(|at| *fifth + CONTACT_PERIOD < **at).count()
-    }
-
-    /// Returns how often a poison request was sent later than [`CONTACT_PERIOD`] after its third
-    /// crash.
-    pub fn late_sends(&self, poison: usize) -> usize {
-        let Some(third) = self.crashes[poison].get(2) else { return 0 };
-        self.sent[poison].iter().filter(|at| *third + CONTACT_PERIOD < **at).count()
-    }
-}
-
 pub struct Fleet<'a> {
     plan: Plan,
     random: &'a mut Random,
@@ -395,142 +312,6 @@
         !request.has_ended && self.now < request.deadline && instance.life == request.life
     }
 
-    fn evaluate(&mut self, index: usize) {
-        if !self.is_live(index) {
-            return self.release_trial(index);
-        }
-        let Request { content, instance, .. } = self.requests[index];
-        let state = &self.instances[instance];
-        if !state.is_informed && self.now < state.started + SETTLING_PERIOD {
-            return self.schedule(milliseconds(1), Event::Evaluate { request: index });
-        }
-        let up = (0..self.servers.len()).filter(|server| self.servers[*server].is_up);
-        let up: Vec<usize> = up.collect();
-        let identity = self.requests[index].identity();
-        match self.instances[instance].list.decide(self.now, &identity) {
-            Decision::Reject(_) => {
-                self.requests[index].has_ended = true;
-                self.release_trial(index);
-                if !self.requests[index].parts.is_empty() {
-                    let is_sound = !self.requests[index].is_deadly();
-                    self.outcome.sound_rejected += usize::from(is_sound);
-                } else if self.plan.poisons <= content {
-                    *self.outcome.wrongful.entry(content).or_default() += 1;
-                }
-            }
-            Decision::Hold(wait) => self.schedule(wait, Event::Evaluate { request: index }),
-            _ if up.is_empty() => self.schedule(RETRY_DELAY, Event::Evaluate { request: index }),
-            Decision::Allow => {
-                self.release_trial(index);
-                let server = up[self.random.random_range(0..up.len())];
-                self.send(index, server);
-            }
-            Decision::Try { suspects, .. } => {
-                let trial = self.requests[index].trial.as_ref();
-                let is_for = |trial: &&Grant| {
-                    up.contains(&trial.server)
-                        && suspects.iter().all(|suspect| trial.suspects.contains(suspect))
-                };
-                match trial.filter(is_for).map(|trial| trial.server) {
-                    Some(server) => self.send(index, server),
-                    None => {
-                        self.release_trial(index);
-                        let server = up[self.random.random_range(0..up.len())];
-                        self.ask(index, server, &suspects);
-                    }
-                }
-            }
-        }
-    }
-
-    fn ask(&mut self, index: usize, server: usize, suspects: &Suspects) {
-        let Request { instance, unanswered, .. } = self.requests[index];
-        let records = self.records(instance, suspects);
-        // The oldest instances know of each other; a killed one is not heard for a while.
-        let granter = self.granter();
-        let id = self.new_id();
-        if granter == instance || MAX_TRIAL_REQUESTS <= unanswered {
-            let is_granted = self.grant(instance, index, id, server, suspects);
-            let granted = is_granted.then(|| suspects.clone());
-            return self.conclude(index, id, server, instance, granted);
-        }
-        self.requests[index].asked = Some(id);
-        let message = Message::Ask { id, request: index, records, server };
-        self.transmit(instance, granter, message);
-        self.schedule(REPLY_TIMEOUT, Event::Timeout { request: index, id });
-    }
-
-    fn records(&self, instance: usize, suspects: &Suspects) -> Vec<Record> {
-        let list = &self.instances[instance].list;
-        suspects.iter().filter_map(|suspect| list.get(self.now, suspect)).collect()
-    }
-
-    fn granter(&self) -> usize {
-        let oldest = self.instances.iter().enumerate();
-        oldest.min_by_key(|(index, it)| (it.started, *index)).map_or(0, |(index, _)| index)
-    }
-
-    fn grant(
-        &mut self,
-        granter: usize,
-        request: usize,
-        id: u64,
-        server: usize,
-        suspects: &Suspects,
-    ) -> bool {
-        let state = &self.requests[request];
-        let fingerprint = state.identity().fingerprint;
-        let remaining = state.deadline.saturating_sub(self.now);
-        let spans = suspects.iter().map(|suspect| {
-            let longest = if *suspect == fingerprint { remaining } else { ATTRIBUTE_TRIAL_TIME };
-            Span { suspect: *suspect, lifetime: remaining.min(longest) }
-        });
-        let trial = Trial {
-            id,
-            spans: spans.collect(),
-            started_at: self.now,
-            server: Arc::from(server.to_string()),
-            // Plain runs are short.
-            is_exclusive: state.parts.is_empty(),
-            holder: None,
-        };
-        self.instances[granter].trials.start(self.now, trial)
-    }
-
-    fn conclude(
-        &mut self,
-        index: usize,
-        id: u64,
-        server: usize,
-        by: usize,
-        granted: Option<Suspects>,
-    ) {
-        let request = &mut self.requests[index];
-        (request.asked, request.unanswered) = (None, 0);
-        if let Some(suspects) = granted {
-            request.trial = Some(Grant { id, suspects, server, granted_by: by });
-            return self.evaluate(index);
-        }
-        self.schedule(RETRY_DELAY, Event::Evaluate { request: index });
-    }
-
-    fn time_out(&mut self, index: usize, id: u64) {
-        if self.requests[index].asked == Some(id) {
-            self.requests[index].asked = None;
-            self.requests[index].unanswered += 1;
-            self.evaluate(index);
-        }
-    }
-
-    fn release_trial(&mut self, index: usize) {
-        let Some(trial) = self.requests[index].trial.take() else { return };
-        let instance = self.requests[index].instance;
-        if trial.granted_by == instance {
-            return self.instances[instance].trials.end(trial.id);
-        }
-        self.transmit(instance, trial.granted_by, Message::TrialEnd { id: trial.id });
-    }
-
     fn send(&mut self, index: usize, server: usize) {
         let request = &self.requests[index];
         let on_trial = request.trial.as_ref().map(|trial| trial.suspects.clone());
@@ -628,87 +409,4 @@
             self.requests[index].has_ended = true;
         }
     }
-
-    fn tell_changes(&mut self, from: usize) {
-        let records = self.instances[from].list.changes(self.now);
-        self.tell(from, records);
-    }
-
-    fn tell(&mut self, from: usize, records: Vec<Record>) {
-        if records.is_empty() {
-            return;
-        }
-        for to in (0..self.instances.len()).filter(|to| *to != from) {
-            self.transmit(from, to, Message::Records(records.clone()));
-        }
-    }
-
-    fn transmit(&mut self, from: usize, to: usize, message: Message) {
-        let copies = match self.random.random::<f64>() {
-            draw if draw < self.plan.loss => 0,
-            draw if draw < 2.0 * self.plan.loss => 2,
-            _ => 1,
-        };
-        for _ in 0..copies {
-            let delay = self.random.random_range(milliseconds(1)..milliseconds(4));
-            self.schedule(delay, Event::Deliver { from, to, message: message.clone() });
-        }
-    }
-
-    fn deliver(&mut self, from: usize, to: usize, message: Message) {
-        let instance = &mut self.instances[to];
-        match message {
-            Message::Gossip { life } => {
-                if instance.heard.insert(from, life) != Some(life) {
-                    let records = instance.list.quarantined(self.now);
-                    self.transmit(to, from, Message::Records(records));
-                }
-            }
-            Message::Records(records) => {
-                instance.is_informed = true;
-                for record in &records {
-                    instance.list.merge(self.now, record);
-                }
-            }
-            Message::TrialEnd { id } => instance.trials.end(id),
-            Message::Ask { id, request, records, server } => {
-                let suspects: Suspects = records.iter().map(|record| record.digest).collect();
-                for record in &records {
-                    instance.list.merge(self.now, record);
-                }
-                let account = Arc::from("council");
-                let decision = instance.list.decide_suspects(self.now, &account, &suspects);
-                let may_try = matches!(decision, Decision::Try { .. } | Decision::Allow);
-                let is_granted = may_try && self.grant(to, request, id, server, &suspects);
-                let records = self.records(to, &suspects);
-                let reply = Message::Reply { id, request, server, is_granted, records };
-                self.transmit(to, from, reply);
-            }
-            Message::Reply { id, request, server, is_granted, records } => {
-                for record in &records {
-                    instance.list.merge(self.now, record);
-                }
-                if self.requests[request].asked == Some(id) {
-                    let suspects = records.iter().map(|record| record.digest).collect();
-                    self.conclude(request, id, server, from, is_granted.then_some(suspects));
-                }
-            }
-        }
-    }
-
-    fn tick(&mut self, index: usize, life: u32) {
-        if self.instances[index].life != life || DAY + TIME_BUDGET < self.now {
-            return;
-        }
-        self.instances[index].round += 1;
-        for to in (0..self.instances.len()).filter(|to| *to != index) {
-            self.transmit(index, to, Message::Gossip { life });
-        }
-        self.tell_changes(index);
-        if self.instances[index].round.is_multiple_of(QUARANTINE_ROUNDS) {
-            let records = self.instances[index].list.quarantined(self.now);
-            self.tell(index, records);
-        }
-        self.schedule(GOSSIP_INTERVAL, Event::Tick { instance: index, life });
-    }
 }
