Quarantine attributes that crashes do not tell apart, too, so that restarted instances know of them

Found by a test of the store: while a part and another one had always come together, requests with both were rejected by what each instance had seen, and nothing was kept or told: an instance that started later, or all of them anew, lost three servers again. They are in quarantine now; a request with only some of them is tried, as before.

--- a/crates/fleet/src/suspect/list.rs
+++ b/crates/fleet/src/suspect/list.rs
@@ -211,8 +211,11 @@
         if is_attribute && !suspect.concerns(account) {
             return if suspect.completed_before() { Decision::Allow } else { trial };
         }
+        let companions = self.companions(digest, suspect);
+        let has_companions = companions.iter().all(|companion| suspects.contains(companion));
         if now < suspect.quarantined_until {
-            return Decision::Reject(suspect.quarantined_until - now);
+            let remaining = suspect.quarantined_until - now;
+            return if has_companions { Decision::Reject(remaining) } else { trial };
         }
         let is_sufficient = self.is_sufficient(digest, suspect);
         let reported_at = last_crash_at + REPORT_PERIOD;
@@ -220,15 +223,8 @@
         if now < reported_at && awaits_reports {
             return Decision::Hold(reported_at - now);
         }
-        if is_sufficient {
-            let companions = self.companions(digest, suspect);
-            if companions.is_empty() {
-                return Decision::Reject(self.quarantine(now, digest));
-            }
-            // One of them is to blame, or all together.
-            if companions.iter().all(|companion| suspects.contains(companion)) {
-                return Decision::Reject(suspect.expires_at(self.retention) - now);
-            }
+        if is_sufficient && has_companions {
+            return Decision::Reject(self.quarantine(now, digest));
         }
         if is_attribute && self.runs_freely(digest, suspect) {
             return Decision::Allow;
--- a/crates/fleet/src/suspect/list/evidence.rs
+++ b/crates/fleet/src/suspect/list/evidence.rs
@@ -119,7 +119,11 @@
     /// not tell them apart. Beyond a number of crashes, there are none.
     pub(super) fn companions(&self, digest: &Digest, suspect: &Suspect) -> Suspects {
         let is_request = suspect.kind == Kind::Request;
-        if is_request || MAX_ATTRIBUTE_CRASHES <= self.attribute_crashes(digest, suspect) {
+        let has_few_crashes = suspect.open_runs().count() < MIN_ATTRIBUTE_CRASHES;
+        if is_request
+            || has_few_crashes && suspect.quarantines == 0
+            || MAX_ATTRIBUTE_CRASHES <= self.attribute_crashes(digest, suspect)
+        {
             return Suspects::new();
         }
         let companions = self.suspects.iter().filter(|(known, other)| {
