Log the version of a server, and what a stream goes on from

What told apart the hypotheses was missing: no line named the version of a server's software, whether a caller takes a stream up, or which attempt began it. The version is decoded from a server's record and kept in its listing, and `sent`, `resume` and the lines of servers' records name it. The copies that instances pass to each other hold it, so their path names another format. Nothing is decided by it yet.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -249,6 +249,10 @@
         );
     }
     let is_server = matches!(record.change, Change::Server(_) | Change::ServerRemoved(_));
+    let version = match &record.change {
+        Change::Server(listing) => Name::clone(&listing.version),
+        _ => Name::default(),
+    };
     let outcome = if verdict == Verdict::ApplyRestored {
         mirror.apply_restored(now, record.change)
     } else {
@@ -274,7 +278,8 @@
         Outcome::Server(Effect::Same) => {}
         Outcome::Server(effect) if is_server => {
             log::info!(
-                event = Event::Server, server = key, effect:? = effect, position, era;
+                event = Event::Server, server = key, version = &*version, effect:? = effect, position,
+                era;
                 "read a record of a server"
             );
         }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -7,7 +7,7 @@
 mod failure;
 mod rejection;
 
-use std::{sync::Arc, time::Duration};
+use std::{borrow::Cow, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use front::body::Body;
@@ -234,6 +234,8 @@
         let request = self.build_request(entry, server, remaining);
         log::info!(
             event = Event::Sent, request = &*self.meta.id, server = &*server.id,
+            version = &*server.version, resumes = self.meta.first_attempt.as_deref().unwrap_or(""),
+            last_event = &*self.last_event_name(),
             fingerprint:% = self.identity.fingerprint.short(),
             attributes = self.identity.attribute_names(),
             left_ms = remaining.as_millis() as u64, tokens_ahead, sends = self.attempts,
@@ -385,6 +387,12 @@
         );
     }
 
+    /// Returns the id of the last event that the caller has, for logs; empty before the first one.
+    fn last_event_name(&self) -> Cow<'_, str> {
+        let id = self.last_event_id.as_ref().or(self.meta.last_event_id.as_ref());
+        id.map_or(Cow::Borrowed(""), |id| String::from_utf8_lossy(id))
+    }
+
     fn account_name(&self) -> &str {
         self.grant.account.as_ref().map_or("", |account| &account.name)
     }
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -18,7 +18,7 @@
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
 /// Path of the copy of the mirror for peers.
-pub const PEER_COPY_PATH: &str = "/copy/3";
+pub const PEER_COPY_PATH: &str = "/copy/4";
 
 /// Opens the listeners and starts the tasks that serve them.
 ///
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -86,6 +86,10 @@
     pub tokens: Option<(u64, u64)>,
     /// Parts of the prompt that other requests may share, in order.
     pub prompt_parts: PromptParts,
+    /// Id of the last event that the caller has of a stream that it wants to go on.
+    pub last_event_id: Option<Bytes>,
+    /// Id of the caller's attempt that brought the first event of that stream.
+    pub first_attempt: Option<Name>,
 }
 
 /// A base model or one of its adapters.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -196,7 +196,7 @@
         self.job.last_event_id = events.last_id.clone().or(self.job.last_event_id.take());
         log::info!(
             event = Event::Resume, request = &*self.job.meta.id,
-            server = &*self.source.server.id, reason;
+            server = &*self.source.server.id, version = &*self.source.server.version, reason;
             "resuming the stream on another server"
         );
         self.entry.record_failure(&self.source.server.id);
--- a/crates/gateway/tests/status_report.rs
+++ b/crates/gateway/tests/status_report.rs
@@ -19,6 +19,7 @@
         service: Arc::from("models"),
         address: "10.0.0.1:9000".parse().unwrap(),
         zone: Arc::from("a"),
+        version: Arc::from("v1"),
         slots: 4,
         phase,
         born_ms,
--- a/crates/serving/src/directory.rs
+++ b/crates/serving/src/directory.rs
@@ -31,6 +31,8 @@
     pub service: Name,
     pub address: SocketAddr,
     pub zone: Name,
+    /// Version of the server's software. Versions have no order; empty if the listing states none.
+    pub version: Name,
     /// Requests that the server runs at once.
     pub slots: u32,
     pub phase: Phase,
--- a/crates/serving/tests/breakage.rs
+++ b/crates/serving/tests/breakage.rs
@@ -18,6 +18,7 @@
         service: Arc::from("desk"),
         address: "10.0.0.1:9000".parse().unwrap(),
         zone: Arc::from("a"),
+        version: Arc::from("v1"),
         slots: 4,
         phase,
         born_ms,
--- a/crates/serving/tests/support/mod.rs
+++ b/crates/serving/tests/support/mod.rs
@@ -11,6 +11,7 @@
         service: Arc::from("models"),
         address: "127.0.0.1:9000".parse().unwrap(),
         zone: Arc::from("a"),
+        version: Arc::from("v1"),
         slots: 4,
         phase,
         born_ms,
