Let a stream go on only at the software version that began it

Cause: the successor of a server, or of an instance, went on with a stream under an assumption that only its predecessor could check. Relay::resume chose any server; a caller's Last-Event-Id was forwarded to any server, and nobody knew which one had begun the stream.

Now the version that sent the first event (serving::origin::Progress) decides: the gate admits a request only with a proof that the server is of that version, so no path goes around it. A caller's take-up is looked up by its account and the attempt that it names; the instance that sent the first event has told two side processes and another instance before, and tells those who take their place. What nobody knows, or what contradicts itself, is rejected at once.

--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -34,6 +34,12 @@
         text
     }
 
+    /// Returns the first sixteen bytes as a number, for use as a key that others cannot forge.
+    pub fn wide_prefix(&self) -> u128 {
+        let (prefix, _) = self.0.split_first_chunk().expect("a digest has 32 bytes");
+        u128::from_le_bytes(*prefix)
+    }
+
     /// Returns the first eight bytes as a number, for use as a seed or a short key.
     pub fn prefix(&self) -> u64 {
         let [a, b, c, d, e, f, g, h, ..] = self.0;
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -14,6 +14,7 @@
     Moment, Name,
     directory::Listing,
     manifest::EngineConfig,
+    origin::Progress,
     rejection,
     residency::SlotUsage,
     selection::{self, AdapterState, Candidate, Choice},
@@ -43,6 +44,9 @@
 const DEFAULT_MODEL_LOAD_TIME: Duration = Duration::from_millis(1500);
 /// Longest time until a waiting request is evaluated again.
 const MAX_RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which a stream that has begun waits if earlier attempts have ruled out all servers of its
+/// version.
+const EXCLUSION_PERIOD: Duration = Duration::from_millis(200);
 /// Time by which a permit may start later than expected.
 const PERMIT_TOLERANCE: Duration = Duration::from_millis(50);
 /// Time between two requests for a permit.
@@ -64,6 +68,8 @@
         server: Listing,
         wait: Duration,
     },
+    /// To wait until the servers that earlier attempts have ruled out may be tried again.
+    AwaitExcluded,
     Reject {
         retry_after: Duration,
         reason: &'static str,
@@ -129,7 +135,10 @@
                     self.obtain_trial(entry, &server, &decision).await;
                     let trial = self.trial.as_ref();
                     let clearance = entry.clear_to_run(&self.identity, &server, trial);
-                    let pass = clearance.and_then(|it| entry.admit(&server, it, &mut held));
+                    let compatible = self.progress.admit(&server);
+                    let pass = clearance.zip(compatible).and_then(|(clearance, compatible)| {
+                        entry.admit(&server, clearance, compatible, &mut held)
+                    });
                     if let Some(pass) = pass {
                         return Ok((server, tokens_ahead, pass));
                     }
@@ -144,6 +153,12 @@
                     return Err(self.final_rejection(reason, retry_after));
                 }
                 Selection::AwaitModel => load_request = None,
+                Selection::AwaitExcluded => {
+                    load_request = None;
+                    entry.kernel.clock.sleep(self.remaining(entry).min(EXCLUSION_PERIOD)).await;
+                    self.excluded.clear();
+                    continue;
+                }
                 Selection::AwaitServer { wait, .. } => {
                     load_request = None;
                     limit = limit.min(wait);
@@ -202,7 +217,7 @@
             };
         }
         let draw = placement::rendezvous::hash(&self.meta.id);
-        let Some(service) = self.grant.route.target(draw) else {
+        let Some(service) = self.target_service(draw) else {
             return Selection::Reject {
                 retry_after: DEFAULT_RETRY_AFTER,
                 reason: "the route has no service",
@@ -210,13 +225,12 @@
         };
         let roster = entry.roster();
         let servers = roster.servers(service);
-        let eligible = servers.iter().filter(|server| !self.excluded.contains(&server.id));
-        let eligible: Vec<&Listing> = eligible.collect();
+        let compatible = servers.iter().filter(|server| self.progress.admit(server).is_some());
+        let compatible: Vec<&Listing> = compatible.collect();
+        let eligible = compatible.iter().filter(|server| !self.excluded.contains(&server.id));
+        let eligible: Vec<&Listing> = eligible.copied().collect();
         if eligible.is_empty() {
-            return Selection::Reject {
-                retry_after: DEFAULT_RETRY_AFTER,
-                reason: "no server is left",
-            };
+            return self.without_eligible(&compatible);
         }
         let context = Context {
             entry,
@@ -233,6 +247,31 @@
         }
     }
 
+    /// Returns the service that runs the request. A stream that has begun stays with its service
+    /// while the route may use it.
+    fn target_service(&self, draw: u64) -> Option<&Name> {
+        let route = &self.grant.route;
+        match &self.progress {
+            Progress::Begun(origin) => route.has_target(&origin.service).then_some(&origin.service),
+            _ => route.target(draw),
+        }
+    }
+
+    /// Returns the selection if earlier attempts have ruled out all servers that the request may
+    /// run on. A stream that has begun may go on at no others, so it waits for them.
+    fn without_eligible(&self, compatible: &[&Listing]) -> Selection {
+        match (self.progress.has_begun(), compatible.is_empty()) {
+            (true, false) => Selection::AwaitExcluded,
+            (true, true) => Selection::Reject {
+                retry_after: DEFAULT_RETRY_AFTER,
+                reason: "no server of the version that began the stream is left",
+            },
+            _ => {
+                Selection::Reject { retry_after: DEFAULT_RETRY_AFTER, reason: "no server is left" }
+            }
+        }
+    }
+
     fn select_engine(
         &self,
         context: &Context<'_>,
@@ -246,10 +285,12 @@
         let route = &self.grant.route;
         let remaining = self.remaining(context.entry);
         let limit = match awaited_server {
-            None => rejection::first_event_limit(route, route.urgency, remaining),
-            // A request that already waits is rejected only if the first event is not expected
+            None if !self.progress.has_begun() => {
+                rejection::first_event_limit(route, route.urgency, remaining)
+            }
+            // A request that already waits, or a stream that has begun, is rejected only if the first event is not expected
             // within the time that the callers of the route wait for it.
-            Some(_) => rejection::first_event_budget(route, remaining + context.waited),
+            _ => rejection::first_event_budget(route, remaining + context.waited),
         };
         let expected = choice.expected + context.waited;
         if limit < expected {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -40,6 +40,7 @@
     listen, mesh,
     mesh::Peers,
     message::{LeavingServer, News},
+    origin::Origins,
     ports::{Dialect, Model, Reloader, ResponseMeta, Settings, Store, Tunable},
     quarantine::{self, Quarantine},
     reload,
@@ -81,6 +82,7 @@
     pub announced: event_listener::Event,
     pub gate: Gate,
     pub quarantine: Quarantine,
+    pub origins: Origins,
     /// Socket for datagrams, once it is open.
     pub mesh_socket: OnceLock<Arc<UdpSocket>>,
     /// Notified when a request starts to wait for an adapter.
@@ -188,6 +190,7 @@
             announced: event_listener::Event::new(),
             gate: Gate::default(),
             quarantine: Quarantine::default(),
+            origins: Origins::default(),
             mesh_socket: OnceLock::new(),
             load_requested: event_listener::Event::new(),
             servers: shard::Map::default(),
@@ -283,7 +286,8 @@
         if mirror.generation() == generation {
             return result;
         }
-        let roster = Roster::new(&mirror.directory);
+        let roster =
+            Roster::new(&mirror.directory).with_side_hosts(&mirror, self.settings.mesh.port());
         drop(mirror);
         *self.roster.write() = Arc::new(roster);
         self.state_changed.notify(usize::MAX);
@@ -459,6 +463,13 @@
         report.filter(|report| report.is_about(listing))
     }
 
+    /// Returns whether a server's process is the listed one, as far as its side process tells: a
+    /// server may have started again under its name, and its new listing come late.
+    pub fn is_listed_process(&self, listing: &Listing) -> bool {
+        let report = self.status_report(listing);
+        report.is_none_or(|report| report.status.born_ms == listing.born_ms)
+    }
+
     /// Returns the address of a server's side process.
     pub fn side_address(&self, listing: &Listing) -> SocketAddr {
         SocketAddr::new(listing.address.ip(), self.settings.mesh.port())
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -4,7 +4,8 @@
 //! limit, each request needs a permit of the instance that issues them (`serving::limit`).
 //!
 //! Architecture Invariant: a request is sent only with a [`Pass`], and only the gate hands them
-//! out.
+//! out, for the proofs that the request may run ([`Clearance`]) and that the server is of the
+//! version at which it must go on ([`Compatible`]).
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -16,6 +17,7 @@
     Moment, Name,
     directory::Listing,
     limit::{self, Limits, Permit, Statement},
+    origin::Compatible,
     rate_limit::Members,
 };
 
@@ -74,6 +76,7 @@
         self: &Arc<Entry>,
         server: &Listing,
         _clearance: Clearance,
+        _compatible: Compatible,
         held: &mut Option<HeldPermit>,
     ) -> Option<Pass> {
         let now = self.now();
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -6,6 +6,7 @@
 
 mod failure;
 mod rejection;
+mod take_up;
 
 use std::{borrow::Cow, sync::Arc, time::Duration};
 
@@ -24,7 +25,7 @@
     body::{self, Tail},
     pool::Connection,
 };
-use serving::{Moment, Name, directory::Listing, manifest::Grant, selection};
+use serving::{Moment, Name, directory::Listing, manifest::Grant, origin::Progress, selection};
 
 use crate::{
     answer::{self, Rejection, check_head, end_to_end},
@@ -62,6 +63,10 @@
     pub grant: Grant,
     pub arrived: Moment,
     pub deadline: Moment,
+    /// Time until which the caller may send further attempts.
+    pub caller_deadline: Moment,
+    /// How far a resumable stream has come, over all attempts of its caller.
+    pub progress: Progress,
     /// Units charged to the account, and the time of the charge.
     pub charge: Option<(u64, Moment)>,
     /// Servers that the request is not sent to again.
@@ -99,8 +104,10 @@
         body: Bytes,
         grant: Grant,
         arrived: Moment,
-        deadline: Moment,
+        time_budget: Duration,
     ) -> Job {
+        let limit = grant.route.timeout.map_or(time_budget, |timeout| timeout.min(time_budget));
+        let (deadline, caller_deadline) = (arrived + limit, arrived + time_budget);
         let identity = quarantine::identity(&grant, &meta, &parts, &body);
         Job {
             entry: Arc::clone(entry),
@@ -112,6 +119,8 @@
             grant,
             arrived,
             deadline,
+            caller_deadline,
+            progress: Progress::NotBegun,
             charge: None,
             excluded: ServerNames::new(),
             runs: 0,
--- /dev/null
+++ b/crates/gateway/src/job/take_up.rs
@@ -0,0 +1,95 @@
+//! Streams that a caller takes up in another attempt, and the origins of streams that begin.
+
+use std::{sync::Arc, time::Duration};
+
+use hyper::StatusCode;
+
+use kernel::event::Event;
+use serving::{
+    directory::Listing,
+    origin::{Answer, Key, Origin, Progress, Record},
+};
+
+use crate::{answer::Rejection, entry::Entry, job::Job, serve::DEFAULT_RETRY_AFTER};
+
+/// Share of a caller's remaining time in which the holders of a stream's origin may answer.
+const LOOKUP_SHARE: f64 = 0.2;
+/// Longest time in which they may answer.
+const MAX_LOOKUP_TIME: Duration = Duration::from_millis(800);
+
+impl Job {
+    /// Finds out at which version a stream must go on, if the caller takes one up.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rejection if it cannot go on.
+    pub async fn resolve_take_up(&mut self, entry: &Arc<Entry>) -> Result<(), Rejection> {
+        if self.meta.last_event_id.is_none() || !self.grant.route.retry_policy.is_stream() {
+            return Ok(());
+        }
+        if !self.can_rerun() {
+            log_take_up(self, "not_resumable", None);
+            let reason = "streams of this route cannot be resumed; begin a new one";
+            return Err(Rejection::plain(StatusCode::BAD_REQUEST, reason));
+        }
+        let Some(first_attempt) = self.meta.first_attempt.clone() else {
+            log_take_up(self, "unnamed", None);
+            let reason = "the attempt that began the stream is not named; begin a new one";
+            return Err(Rejection::later(reason, DEFAULT_RETRY_AFTER));
+        };
+        let key = self.stream_key(&first_attempt);
+        let limit = self.remaining(entry).mul_f64(LOOKUP_SHARE).min(MAX_LOOKUP_TIME);
+        match entry.find_origin(&key, limit).await {
+            Answer::Known(origin) => {
+                log_take_up(self, "known", Some(&origin));
+                self.progress = Progress::Begun(origin.clone());
+                let remaining = self.remaining(entry);
+                entry.announce_origin(Record { key, origin, remaining }).await;
+                Ok(())
+            }
+            Answer::Unknown => {
+                log_take_up(self, "unknown", None);
+                let reason = "nobody knows which version began the stream; begin a new one";
+                Err(Rejection::later(reason, DEFAULT_RETRY_AFTER))
+            }
+            Answer::Contradictory => {
+                log_take_up(self, "contradictory", None);
+                let reason = "the stream's id was used for two streams; begin a new one";
+                Err(Rejection::later(reason, DEFAULT_RETRY_AFTER))
+            }
+        }
+    }
+
+    /// Records that the first event of a resumable stream goes to the caller, from this server. The
+    /// stream then goes on only at the server's version.
+    pub async fn begin_stream(&mut self, entry: &Arc<Entry>, server: &Listing) {
+        if self.progress.has_begun() {
+            return;
+        }
+        if !entry.is_listed_process(server) {
+            self.progress = Progress::Unknown;
+            return;
+        }
+        let (service, version) = (server.service.clone(), server.version.clone());
+        let origin = Origin { service, version };
+        self.progress = Progress::Begun(origin.clone());
+        let key = self.stream_key(&self.meta.id);
+        let remaining = self.caller_deadline.saturating_sub(entry.now());
+        entry.announce_origin(Record { key, origin, remaining }).await;
+    }
+
+    fn stream_key(&self, first_attempt: &str) -> Key {
+        let account = self.grant.account.as_ref().map(|account| account.name.clone());
+        Key::new(&account.unwrap_or_default(), first_attempt)
+    }
+}
+
+fn log_take_up(job: &Job, outcome: &'static str, origin: Option<&Origin>) {
+    metrics::counter!("chivelatch_take_ups_total", "outcome" => outcome).increment(1);
+    log::info!(
+        event = Event::TakeUp, request = &*job.meta.id, outcome,
+        resumes = job.meta.first_attempt.as_deref().unwrap_or(""),
+        version = origin.map_or("", |origin| &origin.version);
+        "the caller takes a stream up"
+    );
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod listen;
 pub mod mesh;
 pub mod message;
+pub mod origin;
 pub mod ports;
 pub mod quarantine;
 pub mod relay;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -20,7 +20,8 @@
 
 use crate::{
     entry::Entry,
-    message::{MAX_BYTES, Message},
+    message::{MAX_BYTES, Message, OriginReply},
+    origin,
 };
 
 pub use gossip::batches;
@@ -40,6 +41,7 @@
     kernel.spawn_detached(demand::run(Arc::clone(entry), Arc::clone(&socket)));
     kernel.spawn_detached(gossip::relay(Arc::clone(entry), Arc::clone(&socket)));
     kernel.spawn_detached(gossip::run(Arc::clone(entry), socket));
+    kernel.spawn_detached(origin::run(Arc::clone(entry)));
     kernel.spawn_detached(log_regularly(kernel.clone()));
     Ok(())
 }
@@ -98,6 +100,16 @@
             }
             Message::TrialReply(reply) => entry.record_trial_reply(reply),
             Message::TrialEnd { id } => entry.record_trial_end(id),
+            Message::OriginNotice(notice) => {
+                entry.record_origins(&notice);
+                send(&socket, from, &Message::OriginReceipt { id: notice.id }).await;
+            }
+            Message::OriginReceipt { id } => entry.record_origin_receipt(id),
+            Message::OriginRequest { id, key } => {
+                let reply = OriginReply { id, answer: entry.known_origin(&key) };
+                send(&socket, from, &Message::OriginReply(reply)).await;
+            }
+            Message::OriginReply(reply) => entry.record_origin_reply(from, reply),
             Message::Demand(_)
             | Message::EarlierGossip
             | Message::EarlierLeaving
--- a/crates/gateway/src/mesh/peers.rs
+++ b/crates/gateway/src/mesh/peers.rs
@@ -89,6 +89,14 @@
         peers
     }
 
+    /// Returns the peers that were heard within `period`.
+    pub fn heard(&self, now: Moment, period: Duration) -> Vec<SocketAddr> {
+        let heard = self.known.iter().filter(|(_, peer)| {
+            peer.last_seen.is_some_and(|last_seen| now.saturating_sub(last_seen) < period)
+        });
+        heard.map(|(address, _)| *address).collect()
+    }
+
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
         self.known.keys().copied()
     }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 
 use serving::{
-    Name, limit, mirror::Positions, rate_limit::UsageReport, reader, residency::SlotUsage,
+    Name, limit, mirror::Positions, origin, rate_limit::UsageReport, reader, residency::SlotUsage,
 };
 
 /// Maximum size of a datagram, in bytes.
@@ -59,6 +59,19 @@
     TrialRequest(TrialRequest),
     /// The response to it.
     TrialReply(TrialReply),
+    /// From an entry instance to the holders of its streams' origins.
+    OriginNotice(OriginNotice),
+    /// Confirms a notice.
+    OriginReceipt {
+        id: u64,
+    },
+    /// From an entry instance that gets a take-up to those who may hold the stream's origin.
+    OriginRequest {
+        id: u64,
+        key: origin::Key,
+    },
+    /// The response to it.
+    OriginReply(OriginReply),
 }
 
 /// What processes tell the entry instances.
@@ -107,6 +120,7 @@
     Relayed = "relayed",
     Permit = "permit",
     Trial = "trial",
+    Origin = "origin",
     Earlier = "earlier",
 }
 
@@ -122,6 +136,10 @@
             Message::TrialRequest(_) | Message::TrialReply(_) | Message::TrialEnd { .. } => {
                 Kind::Trial
             }
+            Message::OriginNotice(_)
+            | Message::OriginReceipt { .. }
+            | Message::OriginRequest { .. }
+            | Message::OriginReply(_) => Kind::Origin,
             Message::EarlierGossip
             | Message::EarlierLeaving
             | Message::EarlierUsage
@@ -171,6 +189,22 @@
     pub evidence: SmallVec<[Record; 1]>,
 }
 
+/// Origins of streams.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginNotice {
+    /// Number that the receipt names.
+    pub id: u64,
+    pub records: Vec<origin::Record>,
+}
+
+/// Response to the question for the origin of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginReply {
+    /// Id of the question.
+    pub id: u64,
+    pub answer: origin::Answer,
+}
+
 /// Request for a permit to send one request to a server.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PermitRequest {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,7 +17,7 @@
     event_stream::{self, Splitter},
     pool::Connection,
 };
-use serving::directory::Listing;
+use serving::{directory::Listing, origin::Progress};
 
 use crate::{
     end::End,
@@ -113,6 +113,9 @@
             };
             match step {
                 Step::Chunk(chunk) => {
+                    if self.events.is_some() {
+                        self.job.begin_stream(&self.entry, &self.source.server).await;
+                    }
                     self.forwarded_bytes += chunk.len() as u64;
                     return Some(Ok(chunk));
                 }
@@ -189,7 +192,7 @@
     /// not possible.
     async fn resume(&mut self, reason: &'static str) -> bool {
         let Some(events) = &mut self.events else { return false };
-        if !self.job.can_retry() {
+        if !self.job.can_retry() || self.job.progress == Progress::Unknown {
             return false;
         }
         events.splitter = Splitter::default();
@@ -201,7 +204,18 @@
         );
         self.entry.record_failure(&self.source.server.id);
         self.source.in_flight.end();
-        let Ok((upstream, first)) = self.job.open_stream(&self.entry).await else { return false };
+        let (upstream, first) = match self.job.open_stream(&self.entry).await {
+            Ok(opened) => opened,
+            Err(rejection) => {
+                log::info!(
+                    event = Event::Resume, request = &*self.job.meta.id,
+                    version = self.job.progress.version().map_or("", |it| &**it),
+                    reason = rejection.reason;
+                    "the stream cannot be resumed"
+                );
+                return false;
+            }
+        };
         if !upstream.head.status.is_success() {
             return false;
         }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -3,7 +3,7 @@
 //! The roster is a copy of the directory with precomputed hashes for placement.
 //! It is replaced when the directory changes.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use kernel::shard;
 use placement::rendezvous;
@@ -11,6 +11,7 @@
     Moment, Name,
     backlog::Backlog,
     directory::{Directory, Listing, Phase},
+    mirror::Mirror,
     pause::Pause,
 };
 
@@ -27,6 +28,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     services: HashMap<Name, Service>,
+    /// Addresses of the side processes of model engines.
+    side_hosts: Vec<SocketAddr>,
 }
 
 /// Servers of one service.
@@ -55,9 +58,22 @@
         let services = services.into_iter();
         Roster {
             services: services.map(|(name, listings)| (name, build_service(listings))).collect(),
+            side_hosts: Vec::new(),
         }
     }
 
+    /// Adds the side processes of the model engines. `mesh_port` is the port of all processes for
+    /// datagrams.
+    pub fn with_side_hosts(self, mirror: &Mirror, mesh_port: u16) -> Roster {
+        Roster { side_hosts: side_hosts(mirror, mesh_port), ..self }
+    }
+
+    /// Returns the addresses of the side processes of all model engines that do not leave, or of all
+    /// if each of them leaves.
+    pub fn side_hosts(&self) -> impl Iterator<Item = SocketAddr> {
+        self.side_hosts.iter().copied()
+    }
+
     /// Returns the servers of a service, ordered by id.
     pub fn servers(&self, service: &str) -> Arc<Vec<Listing>> {
         self.services.get(service).map(|service| Arc::clone(&service.listings)).unwrap_or_default()
@@ -91,6 +107,24 @@
     }
 }
 
+fn side_hosts(mirror: &Mirror, mesh_port: u16) -> Vec<SocketAddr> {
+    let Some(manifest) = &mirror.manifest else { return Vec::new() };
+    let has_engine = |listing: &&Listing| {
+        manifest.services.get(&listing.service).is_some_and(|service| service.engine.is_some())
+    };
+    let engines: Vec<&Listing> = mirror.directory.iter().filter(has_engine).collect();
+    let staying = engines.iter().filter(|listing| listing.phase == Phase::Ready).copied();
+    let mut hosts: Vec<&Listing> = staying.collect();
+    if hosts.is_empty() {
+        hosts = engines;
+    }
+    let addresses = hosts.iter().map(|it| SocketAddr::new(it.address.ip(), mesh_port));
+    let mut addresses: Vec<SocketAddr> = addresses.collect();
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses
+}
+
 fn build_service(mut listings: Vec<Listing>) -> Service {
     listings.sort_by(|a, b| a.id.cmp(&b.id));
     let mut service = Service::default();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -81,8 +81,7 @@
         reject(Rejection::plain(status, "the body was not taken"))
     })?;
     let time_budget = time_budget(&meta);
-    let limit = grant.route.timeout.map_or(time_budget, |timeout| timeout.min(time_budget));
-    Ok(Job::new(entry, meta, parts, body, grant, arrived, arrived + limit))
+    Ok(Job::new(entry, meta, parts, body, grant, arrived, time_budget))
 }
 
 /// Returns the time that the caller waits for the response.
@@ -112,6 +111,9 @@
     if let Err(rejection) = job.charge(entry) {
         return job.reject(entry, &rejection);
     }
+    if let Err(rejection) = job.resolve_take_up(entry).await {
+        return job.reject(entry, &rejection);
+    }
     if job.grant.route.retry_policy.is_stream() {
         return match job.open_stream(entry).await {
             Ok((upstream, first)) => stream_response(entry, job, upstream, first).await,
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -25,6 +25,7 @@
 use crate::{
     listen, mesh,
     message::{Demand, LeavingServer, Message, News, Status, Work},
+    origin::Holder,
     ports::{Engine, OrderResponse, Settings},
 };
 
@@ -41,6 +42,8 @@
     socket: UdpSocket,
     start: Instant,
     state: Mutex<State>,
+    /// Origins of streams, which outlast the entry instances here.
+    origins: Holder,
     /// Notified when the engine's state should be read at once.
     poll_requested: event_listener::Event,
 }
@@ -99,9 +102,10 @@
         engine,
         socket,
         state: Mutex::default(),
+        origins: Holder::new(kernel.clock.now()),
         poll_requested: event_listener::Event::new(),
     });
-    kernel.spawn_detached(receive_demands(Arc::clone(&side)));
+    kernel.spawn_detached(receive(Arc::clone(&side)));
     kernel.spawn_detached(manage_engine(side));
     kernel.spawn_detached(mesh::log_regularly(kernel.clone()));
     // A side process reloads no settings, but SIGHUP must not end it.
@@ -118,13 +122,20 @@
     }
 }
 
-/// Receives the demand reports of entry instances, and the limits that they know.
-async fn receive_demands(side: Arc<Side>) {
+/// Receives what entry instances send: their demand reports, the limits that they know, and the
+/// origins of streams.
+async fn receive(side: Arc<Side>) {
     loop {
-        match mesh::next(&side.socket).await {
-            Some((from, Message::Demand(demand))) => record_demand(&side, from, demand),
-            Some((_, Message::News(News::Limits(reports)))) => record_limits(&side, &reports),
-            _ => {}
+        let Some((from, message)) = mesh::next(&side.socket).await else { continue };
+        match message {
+            Message::Demand(demand) => record_demand(&side, from, demand),
+            Message::News(News::Limits(reports)) => record_limits(&side, &reports),
+            message => {
+                let response = side.origins.respond(side.kernel.clock.now(), message);
+                if let Some(response) = response {
+                    mesh::send(&side.socket, from, &response).await;
+                }
+            }
         }
     }
 }
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -95,6 +95,8 @@
     ServerError = "server_error",
     /// A stream resumes on another server.
     Resume = "resume",
+    /// A caller takes up a stream that began in an earlier attempt.
+    TakeUp = "take_up",
     /// A request was answered by a server.
     Ended = "ended",
     /// The caller disconnected before its answer was complete.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod limit;
 pub mod manifest;
 pub mod mirror;
+pub mod origin;
 pub mod pause;
 pub mod rate_limit;
 pub mod reader;
--- a/crates/serving/src/manifest.rs
+++ b/crates/serving/src/manifest.rs
@@ -168,14 +168,14 @@
             .filter(|route| path.starts_with(&*route.prefix))
             .max_by_key(|route| route.prefix.len())
     }
-
-    /// Returns whether `service` is a target of `route` with a weight above 0.
-    pub fn is_target(&self, route: &Route, service: &str) -> bool {
-        route.targets.iter().any(|(target, weight)| &**target == service && 0 < *weight)
-    }
 }
 
 impl Route {
+    /// Returns whether requests of this route may go to a service.
+    pub fn has_target(&self, service: &str) -> bool {
+        self.targets.iter().any(|(target, weight)| &**target == service && 0 < *weight)
+    }
+
     /// Returns the service for a request. `draw` is a uniformly distributed number that selects
     /// one by weight.
     pub fn target(&self, draw: u64) -> Option<&Name> {
