Ask a server's process for its start before a stream goes on there

The question goes over the connection of the request itself, which ends with the process, so nothing can change between answer and request. It costs one round trip and one probe for each stream that goes on, none for others. A server that answers without its start is believed by its listing.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,6 +12,7 @@
 use kernel::Kernel;
 use services::{
     body::Body,
+    http::Error,
     pool::{Connection, Pool, SendError},
 };
 use serving::directory::Listing;
@@ -23,6 +24,16 @@
 /// Longest idle time of a connection that is reused; requests could be lost on an older one.
 const MAX_REUSE_IDLE: Duration = Duration::from_millis(2000);
 
+/// Admitted request to one server.
+pub struct Outbound<'a> {
+    pub pass: Pass,
+    pub check: Option<ProcessCheck>,
+    pub id: &'a str,
+    pub request: Request<Full<Bytes>>,
+    /// Longest time until the head of the response arrives.
+    pub limit: Duration,
+}
+
 /// Head of a response, with the body to be read.
 #[derive(Debug)]
 pub struct Reply {
@@ -52,6 +63,15 @@
     TimedOut,
 }
 
+/// Question that is asked on a request's own connection before it is sent: whether the process at
+/// the other end is the listed one. An id and an address may be those of an earlier process.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessCheck {
+    pub query: fn() -> Request<Full<Bytes>>,
+    /// Returns the start of the process from the answer, in milliseconds since the Unix epoch.
+    pub parse: fn(&[u8]) -> Option<u64>,
+}
+
 /// Reason why a server did not run a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotRunReason {
@@ -72,8 +92,9 @@
     }
 }
 
-/// Sends an admitted request and waits for the head of the response, at most for `limit`. `read_head`
-/// is called with each head that arrives, whether or not the response can be used.
+/// Sends an admitted request, after a check of the server's process if there is one, and waits for the
+/// head of the response. `read_head` is called with each head that arrives, whether or not the response
+/// can be used.
 ///
 /// # Errors
 ///
@@ -81,15 +102,13 @@
 pub async fn send(
     kernel: &Kernel,
     pool: &Pool,
-    mut pass: Pass,
-    request_id: &str,
-    request: Request<Full<Bytes>>,
-    limit: Duration,
+    outbound: Outbound<'_>,
     read_head: impl FnOnce(&response::Parts) -> ResponseMeta,
 ) -> Result<Reply, Failure> {
-    let server = &pass.server().clone();
+    let server = &outbound.pass.server().clone();
+    let (request_id, limit) = (outbound.id, outbound.limit);
     let mut is_sent = false;
-    let response = send_request(pool, &mut pass, request, limit, &mut is_sent);
+    let response = send_request(pool, outbound, &mut is_sent);
     let outcome = kernel.clock.timeout(limit, response).await;
     let (response, connection) = match outcome {
         Ok(outcome) => outcome?,
@@ -140,18 +159,28 @@
 /// that the caller can tell after a timeout.
 async fn send_request(
     pool: &Pool,
-    pass: &mut Pass,
-    request: Request<Full<Bytes>>,
-    limit: Duration,
+    outbound: Outbound<'_>,
     is_sent: &mut bool,
 ) -> Result<(hyper::Response<Body>, Connection), Failure> {
+    let Outbound { mut pass, check, mut request, limit, .. } = outbound;
     let address = pass.server().address;
-    let mut request = request;
     loop {
         let mut connection = match pool.take(address, MAX_REUSE_IDLE) {
             Some(pooled) => pooled,
             None => connect(pool, address, limit).await?,
         };
+        if let Some(check) = check {
+            match identify(&mut connection, check, pass.server()).await {
+                Ok(Process::Listed | Process::NotStated) => {}
+                Ok(Process::Other) => {
+                    return Err(Failure::Unreachable {
+                        reason: "another process has its name and address".to_owned(),
+                    });
+                }
+                Err(_) if connection.is_reused => continue,
+                Err(error) => return Err(Failure::Unreachable { reason: error.to_string() }),
+            }
+        }
         *is_sent = true;
         pass.record_use();
         match connection.send(request).await {
@@ -173,6 +202,29 @@
     }
 }
 
+/// Process at the other end of a connection.
+enum Process {
+    Listed,
+    Other,
+    /// The server answered without stating its start.
+    NotStated,
+}
+
+/// Asks which process is at the other end of a connection. The connection ends with the process, so
+/// the answer holds for what is sent there later.
+async fn identify(
+    connection: &mut Connection,
+    check: ProcessCheck,
+    server: &Listing,
+) -> Result<Process, Error> {
+    let response = connection.fetch((check.query)()).await?;
+    Ok(match (check.parse)(response.body()) {
+        Some(born_ms) if born_ms == server.born_ms => Process::Listed,
+        Some(_) => Process::Other,
+        None => Process::NotStated,
+    })
+}
+
 async fn connect(pool: &Pool, address: SocketAddr, limit: Duration) -> Result<Connection, Failure> {
     let connected = pool.connect(address, limit.min(CONNECT_TIMEOUT)).await;
     connected.map_err(|error| Failure::Unreachable { reason: error.to_string() })
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -31,7 +31,7 @@
     answer::{self, Rejection, check_head, end_to_end},
     end::End,
     entry::Entry,
-    exchange::{self, Failure, Reply},
+    exchange::{self, Failure, Outbound, Reply},
     gate::Pass,
     in_flight::InFlight,
     ports::{self, RequestMeta, ResponseMeta, ServerNames},
@@ -254,20 +254,21 @@
         metrics::counter!("chivelatch_sends_total").increment(1);
         self.attempts += 1;
         self.server = Some(server.clone());
-        let Reply { head, meta, mut body, connection } = exchange::send(
-            &entry.kernel,
-            &entry.pool,
+        let outbound = Outbound {
             pass,
-            &self.meta.id,
+            check: self.process_check(entry, server),
+            id: &self.meta.id,
             request,
-            self.attempt_timeout(entry, self.runs + 1),
-            |head| entry.read_head(server, &self.meta.id, sent_at, head),
-        )
-        .await
-        .map_err(|failure| match failure {
-            Failure::TimedOut => self.timeout_failure(entry),
-            failure => failure,
-        })?;
+            limit: self.attempt_timeout(entry, self.runs + 1),
+        };
+        let read_head =
+            |head: &response::Parts| entry.read_head(server, &self.meta.id, sent_at, head);
+        let reply = exchange::send(&entry.kernel, &entry.pool, outbound, read_head);
+        let Reply { head, meta, mut body, connection } =
+            reply.await.map_err(|failure| match failure {
+                Failure::TimedOut => self.timeout_failure(entry),
+                failure => failure,
+            })?;
         entry.record_sign_of_life(server, entry.moment(connection.opened_at), sent_at);
         let server = server.clone();
         if self.grant.route.retry_policy.is_stream() && head.status.is_success() {
--- a/crates/gateway/src/job/take_up.rs
+++ b/crates/gateway/src/job/take_up.rs
@@ -10,7 +10,10 @@
     origin::{Answer, Key, Origin, Progress, Record},
 };
 
-use crate::{answer::Rejection, entry::Entry, job::Job, serve::DEFAULT_RETRY_AFTER};
+use crate::{
+    answer::Rejection, entry::Entry, exchange::ProcessCheck, job::Job, ports::Dialect,
+    serve::DEFAULT_RETRY_AFTER,
+};
 
 /// Share of a caller's remaining time in which the holders of a stream's origin may answer.
 const LOOKUP_SHARE: f64 = 0.2;
@@ -78,6 +81,20 @@
         entry.announce_origin(Record { key, origin, remaining }).await;
     }
 
+    /// Returns the check of a server's process before a stream goes on there, if the server can be
+    /// asked.
+    pub(super) fn process_check(&self, entry: &Entry, server: &Listing) -> Option<ProcessCheck> {
+        let is_engine = || {
+            let manifest = entry.manifest()?;
+            manifest.services.get(&server.service)?.engine.as_ref().map(|_| ())
+        };
+        if !self.progress.has_begun() || server.born_ms == 0 || is_engine().is_none() {
+            return None;
+        }
+        let Dialect { process_query: query, parse_process: parse, .. } = entry.dialect;
+        Some(ProcessCheck { query, parse })
+    }
+
     fn stream_key(&self, first_attempt: &str) -> Key {
         let account = self.grant.account.as_ref().map(|account| account.name.clone());
         Key::new(&account.unwrap_or_default(), first_attempt)
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -7,8 +7,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use http_body_util::Full;
 use hyper::{
-    HeaderMap,
+    HeaderMap, Request,
     header::HeaderName,
     http::{request, response},
 };
@@ -70,6 +71,10 @@
     pub request_headers: fn(&request::Parts, &Attempt) -> HeaderMap,
     /// Returns the metadata of a backend server's response.
     pub parse_response: fn(&response::Parts) -> ResponseMeta,
+    /// Returns the question to a model engine which process it is.
+    pub process_query: fn() -> Request<Full<Bytes>>,
+    /// Returns the start of the process from the answer, in milliseconds since the Unix epoch.
+    pub parse_process: fn(&[u8]) -> Option<u64>,
 }
 
 /// Metadata of a caller's request, from its headers.
--- a/crates/services/src/pool.rs
+++ b/crates/services/src/pool.rs
@@ -198,6 +198,26 @@
 }
 
 impl Connection {
+    /// Sends a request and returns the whole response; the connection can be used again afterwards
+    /// if its framing was explicit.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Exchange`] or [`Error::Unreadable`]; the request may have taken effect.
+    pub async fn fetch(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, Error> {
+        http::set_host(&mut request, self.address);
+        let response = self.send(request).await.map_err(SendError::into_error)?;
+        if !response.body().framing().is_explicit() {
+            return Err(Error::Unreadable {
+                reason: "the response ends with its connection".to_owned(),
+            });
+        }
+        http::collect_body(response).await
+    }
+
     /// Sends a request and returns the response as soon as its head has arrived.
     ///
     /// # Errors
