Send no further request on a connection that carried a refusal

A faulty server wrote an earlier refusal once more on a kept connection, before the response to the next request: of 40 orders, 3 ran twice and 13 callers were told 'not run' of one that ran. The id tells nothing where it is missing, or where the same request is sent again on the same connection.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,7 @@
 //! One attempt of a request at one backend server, up to the head of the response.
 //!
-//! Architecture Invariant: each failure states whether the request may have run.
+//! Architecture Invariant: each failure states whether the request may have run. A refusal is believed
+//! only as the first one on its connection, which carries no further request.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -126,9 +127,9 @@
         return Err(mismatched_response(server, &meta, head.status));
     }
     if meta.is_not_run {
-        let failure = not_run_failure(server, &meta, head.status);
-        drain_and_release(kernel, pool, Reply { head, meta, body, connection });
-        return Err(failure);
+        // The connection is dropped: a faulty server may write the refusal once more, before the
+        // response to a later request there.
+        return Err(not_run_failure(server, &meta, head.status));
     }
     Ok(Reply { head, meta, body, connection })
 }
@@ -229,18 +230,3 @@
     let connected = pool.connect(address, limit.min(CONNECT_TIMEOUT)).await;
     connected.map_err(|error| Failure::Unreachable { reason: error.to_string() })
 }
-
-/// Reads the body of an unused response to its end, so that the connection can be reused.
-fn drain_and_release(kernel: &Kernel, pool: &Pool, reply: Reply) {
-    let (clock, pool) = (kernel.clock.clone(), pool.clone());
-    kernel.spawn_detached(async move {
-        const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
-        let Reply { meta, body, connection, .. } = reply;
-        let rest = http_body_util::BodyExt::collect(body);
-        if let Ok(Ok(_)) = clock.timeout(DRAIN_TIMEOUT, rest).await
-            && !meta.closes_connection
-        {
-            pool.release(connection, meta.keep_alive);
-        }
-    });
-}
