Register the software versions that have served in the store

A take-up whose origin nobody knows any more was rejected though only one version had ever served: after all entry instances had lost power where no side process holds origins, 40 of 40. Each version of a service is one record of the instances' topic, written once when it is first listed; while there is only one, any stream began there. A take-up that needs this reads the register from the store, at most one read in 100 ms, so a version that others have just registered counts. New streams go to registered versions where there are any.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -226,7 +226,7 @@
         let roster = entry.roster();
         let servers = roster.servers(service);
         let compatible = servers.iter().filter(|server| self.progress.admit(server).is_some());
-        let compatible: Vec<&Listing> = compatible.collect();
+        let compatible = self.registered_first(entry, compatible.collect());
         let eligible = compatible.iter().filter(|server| !self.excluded.contains(&server.id));
         let eligible: Vec<&Listing> = eligible.copied().collect();
         if eligible.is_empty() {
@@ -247,6 +247,18 @@
         }
     }
 
+    /// Returns the servers whose versions are in the register if a resumable stream begins, unless
+    /// there is none: what is not in the register is forgotten when all processes lose power.
+    fn registered_first<'a>(&self, entry: &Entry, servers: Vec<&'a Listing>) -> Vec<&'a Listing> {
+        if self.progress.has_begun() || !self.grant.route.retry_policy.is_resumable() {
+            return servers;
+        }
+        let is_registered =
+            |server: &&&Listing| entry.is_registered(&server.service, &server.version);
+        let registered: Vec<&Listing> = servers.iter().filter(is_registered).copied().collect();
+        if registered.is_empty() { servers } else { registered }
+    }
+
     /// Returns the service that runs the request. A stream that has begun stays with its service
     /// while the route may use it.
     fn target_service(&self, draw: u64) -> Option<&Name> {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -45,6 +45,7 @@
     quarantine::{self, Quarantine},
     reload,
     roster::{self, Roster, Server, StatusReport},
+    software,
 };
 
 /// Time after a stop signal in which new connections are still accepted, since the load balancer
@@ -83,6 +84,7 @@
     pub gate: Gate,
     pub quarantine: Quarantine,
     pub origins: Origins,
+    pub software_reads: software::Reads,
     /// Socket for datagrams, once it is open.
     pub mesh_socket: OnceLock<Arc<UdpSocket>>,
     /// Notified when a request starts to wait for an adapter.
@@ -191,6 +193,7 @@
             gate: Gate::default(),
             quarantine: Quarantine::default(),
             origins: Origins::default(),
+            software_reads: software::Reads::default(),
             mesh_socket: OnceLock::new(),
             load_requested: event_listener::Event::new(),
             servers: shard::Map::default(),
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -25,6 +25,7 @@
     listen::PEER_COPY_PATH,
     ports::{Record, Snapshot, Tail},
     quarantine::archive,
+    software,
 };
 
 /// Time that a read of a log waits for the first new record.
@@ -56,6 +57,8 @@
     entry.kernel.spawn_detached(announce(Arc::clone(entry)));
     entry.kernel.spawn_detached(follow_peers(Arc::clone(entry)));
     entry.kernel.spawn_detached(archive::run(Arc::clone(entry)));
+    entry.kernel.spawn_detached(software::write_listed(Arc::clone(entry)));
+    entry.kernel.spawn_detached(software::read_on_request(Arc::clone(entry)));
 }
 
 /// Reads one log for as long as the process runs, except while another instance reads it for this
@@ -205,6 +208,11 @@
 fn apply(entry: &Entry, topic: Topic, records: Vec<Record>, next: Position, verdict: Verdict) {
     if topic == Topic::Instances {
         for record in records {
+            if software::is_key(&record.key) {
+                let origin = software::decode(&record.key, &record.value);
+                entry.update_mirror(|_, mirror| mirror.register_software(origin));
+                continue;
+            }
             if archive::is_key(&record.key) {
                 archive::read(entry, &record.key, &record.value);
                 continue;
--- a/crates/gateway/src/job/take_up.rs
+++ b/crates/gateway/src/job/take_up.rs
@@ -20,6 +20,40 @@
 /// Longest time in which they may answer.
 const MAX_LOOKUP_TIME: Duration = Duration::from_millis(800);
 
+/// Why a stream that a caller takes up cannot go on.
+#[derive(Clone, Copy, Debug)]
+enum UnknownOrigin {
+    /// The caller does not name the attempt that began it.
+    Unnamed,
+    Unknown,
+    Contradictory,
+}
+
+impl UnknownOrigin {
+    fn name(self) -> &'static str {
+        match self {
+            UnknownOrigin::Unnamed => "unnamed",
+            UnknownOrigin::Unknown => "unknown",
+            UnknownOrigin::Contradictory => "contradictory",
+        }
+    }
+
+    /// Returns the reason that the caller gets.
+    fn reason(self) -> &'static str {
+        match self {
+            UnknownOrigin::Unnamed => {
+                "the attempt that began the stream is not named; begin a new one"
+            }
+            UnknownOrigin::Unknown => {
+                "nobody knows which version began the stream; begin a new one"
+            }
+            UnknownOrigin::Contradictory => {
+                "the stream's id was used for two streams; begin a new one"
+            }
+        }
+    }
+}
+
 impl Job {
     /// Finds out at which version a stream must go on, if the caller takes one up.
     ///
@@ -35,32 +69,49 @@
             let reason = "streams of this route cannot be resumed; begin a new one";
             return Err(Rejection::plain(StatusCode::BAD_REQUEST, reason));
         }
-        let Some(first_attempt) = self.meta.first_attempt.clone() else {
-            log_take_up(self, "unnamed", None);
-            let reason = "the attempt that began the stream is not named; begin a new one";
-            return Err(Rejection::later(reason, DEFAULT_RETRY_AFTER));
-        };
-        let key = self.stream_key(&first_attempt);
-        let limit = self.remaining(entry).mul_f64(LOOKUP_SHARE).min(MAX_LOOKUP_TIME);
-        match entry.find_origin(&key, limit).await {
-            Answer::Known(origin) => {
-                log_take_up(self, "known", Some(&origin));
-                self.progress = Progress::Begun(origin.clone());
-                let remaining = self.remaining(entry);
-                entry.announce_origin(Record { key, origin, remaining }).await;
+        match self.find_origin(entry).await {
+            Ok((origin, source)) => {
+                log_take_up(self, source, Some(&origin));
+                self.progress = Progress::Begun(origin);
                 Ok(())
             }
-            Answer::Unknown => {
-                log_take_up(self, "unknown", None);
-                let reason = "nobody knows which version began the stream; begin a new one";
-                Err(Rejection::later(reason, DEFAULT_RETRY_AFTER))
+            Err(unknown) => {
+                log_take_up(self, unknown.name(), None);
+                Err(Rejection::later(unknown.reason(), DEFAULT_RETRY_AFTER))
             }
-            Answer::Contradictory => {
-                log_take_up(self, "contradictory", None);
-                let reason = "the stream's id was used for two streams; begin a new one";
-                Err(Rejection::later(reason, DEFAULT_RETRY_AFTER))
+        }
+    }
+
+    /// Finds the origin of the stream that the caller takes up, and how it is known.
+    async fn find_origin(
+        &self,
+        entry: &Arc<Entry>,
+    ) -> Result<(Origin, &'static str), UnknownOrigin> {
+        let limit = self.remaining(entry).mul_f64(LOOKUP_SHARE).min(MAX_LOOKUP_TIME);
+        let unknown = match &self.meta.first_attempt {
+            None => UnknownOrigin::Unnamed,
+            Some(first_attempt) => {
+                let key = self.stream_key(first_attempt);
+                match entry.find_origin(&key, limit).await {
+                    Answer::Known(origin) => {
+                        let remaining = self.remaining(entry);
+                        let record = Record { key, origin: origin.clone(), remaining };
+                        entry.announce_origin(record).await;
+                        return Ok((origin, "told"));
+                    }
+                    Answer::Unknown => UnknownOrigin::Unknown,
+                    Answer::Contradictory => return Err(UnknownOrigin::Contradictory),
+                }
             }
+        };
+        let draw = placement::rendezvous::hash(&self.meta.id);
+        let Some(service) = self.grant.route.target(draw) else { return Err(unknown) };
+        if 1 < self.grant.route.targets.len() {
+            // The stream may have begun at another service of the route.
+            return Err(unknown);
         }
+        let origin = entry.sole_version(service, limit).await;
+        origin.map(|origin| (origin, "sole_version")).ok_or(unknown)
     }
 
     /// Records that the first event of a resumable stream goes to the caller, from this server. The
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod roster;
 pub mod serve;
 pub mod side;
+pub mod software;
--- /dev/null
+++ b/crates/gateway/src/software.rs
@@ -0,0 +1,200 @@
+//! Register of the software versions that have ever served, in the platform's store. Each version of
+//! a service is one record of the instances' topic, written once and never dropped.
+//!
+//! While the register has one version of a service, any stream of the service began there, whoever has
+//! forgotten about it: after a loss of power of all processes, too. New streams go to registered
+//! versions where there are any, so that a version is in the register before it begins streams.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use fleet::digest::Digest;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+use kernel::event::Event;
+use serving::{Moment, Name, directory::Phase, mirror::Topic, origin::Origin};
+
+use crate::{entry::Entry, gate::Issuer, ports::Record};
+
+/// Start of the keys of the register. Other keys of the topic are of other kinds.
+const KEY_PREFIX: &str = "software.";
+/// Start of those with records of this format; others are ignored.
+const FORMAT_PREFIX: &str = "software.1.";
+/// Time until a failed write is tried again.
+const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Time for which an instance leaves a write to the one that is elected for it.
+const ELECTION_DELAY: Duration = Duration::from_millis(600);
+/// Shortest time between two reads of the register for take-ups.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Version of a service in the register.
+#[derive(Debug, Serialize, Deserialize)]
+struct Registered {
+    service: Name,
+    version: Name,
+}
+
+/// Reads of the register for take-ups whose origin nobody knows. Take-ups share a read that starts
+/// after each of them has arrived.
+#[derive(Default)]
+pub struct Reads {
+    /// Start of the latest successful read, and what it found.
+    latest: Mutex<Option<(Moment, BTreeSet<Origin>)>>,
+    requested: event_listener::Event,
+    finished: event_listener::Event,
+}
+
+/// Returns whether a key of the instances' topic is one of the register.
+pub fn is_key(key: &str) -> bool {
+    key.starts_with(KEY_PREFIX)
+}
+
+/// Decodes a record of the register.
+pub fn decode(key: &str, value: &[u8]) -> Option<Origin> {
+    if !key.starts_with(FORMAT_PREFIX) {
+        return None;
+    }
+    let Registered { service, version } = postcard::from_bytes(value).ok()?;
+    Some(Origin { service, version })
+}
+
+impl Entry {
+    /// Returns the version that began all streams of a service, if only one has ever served. It is
+    /// read from the store, within `limit`, unless this instance knows of two.
+    pub async fn sole_version(&self, service: &Name, limit: Duration) -> Option<Origin> {
+        let is_possible = |versions: &BTreeSet<Origin>| sole(versions, service).is_some();
+        if !self.with_mirror(|mirror| is_possible(&mirror.software)) {
+            return None;
+        }
+        let (asked_at, deadline) = (self.now(), self.now() + limit);
+        loop {
+            let finished = self.software_reads.finished.listen();
+            let latest = self.software_reads.latest.lock().clone();
+            if let Some((_, versions)) = latest.filter(|(started_at, _)| asked_at <= *started_at) {
+                let is_listed_alone = self.roster().servers(service).iter().all(|listing| {
+                    sole(&versions, service).is_some_and(|it| it.version == listing.version)
+                });
+                return sole(&versions, service).filter(|_| is_listed_alone);
+            }
+            self.software_reads.requested.notify(usize::MAX);
+            let remaining = deadline.saturating_sub(self.now());
+            self.kernel.clock.timeout(remaining, finished).await.ok()?;
+        }
+    }
+
+    /// Returns whether the register has a server's version.
+    pub fn is_registered(&self, service: &Name, version: &Name) -> bool {
+        let origin = Origin { service: service.clone(), version: version.clone() };
+        self.with_mirror(|mirror| mirror.software.contains(&origin))
+    }
+}
+
+/// Returns the only version of a service among these.
+fn sole(versions: &BTreeSet<Origin>, service: &Name) -> Option<Origin> {
+    let mut versions = versions.iter().filter(|origin| origin.service == *service);
+    let first = versions.next()?;
+    versions.next().is_none().then(|| first.clone())
+}
+
+/// Reads the register when take-ups need it.
+pub async fn read_on_request(entry: Arc<Entry>) {
+    loop {
+        let requested = entry.software_reads.requested.listen();
+        requested.await;
+        let started_at = entry.now();
+        match (entry.store.snapshot)(Topic::Instances).await {
+            Ok(snapshot) => {
+                let versions: BTreeSet<Origin> =
+                    snapshot.records.iter().filter_map(decode_record).collect();
+                entry.update_mirror(|_, mirror| mirror.register_software(versions.clone()));
+                *entry.software_reads.latest.lock() = Some((started_at, versions));
+                entry.software_reads.finished.notify(usize::MAX);
+            }
+            Err(error) => entry.record_store_failure(Topic::Instances, &error),
+        }
+        entry.kernel.clock.sleep(MIN_READ_INTERVAL).await;
+    }
+}
+
+fn decode_record(record: &Record) -> Option<Origin> {
+    decode(&record.key, &record.value)
+}
+
+/// Writes the versions of listed servers to the register, and all of it again after each restore of the
+/// store.
+pub async fn write_listed(entry: Arc<Entry>) {
+    let mut unconfirmed = BTreeSet::new();
+    loop {
+        let (changed, restored) = (entry.state_changed.listen(), entry.store_restored.listen());
+        unconfirmed.extend(unregistered(&entry));
+        if !unconfirmed.is_empty() {
+            write(&entry, &mut unconfirmed).await;
+            continue;
+        }
+        let is_restored = futures_lite::future::or(
+            async {
+                changed.await;
+                false
+            },
+            async {
+                restored.await;
+                true
+            },
+        );
+        if is_restored.await {
+            unconfirmed = entry.with_mirror(|mirror| mirror.software.clone());
+        }
+    }
+}
+
+/// Returns the versions of servers that take requests and are not in the register.
+fn unregistered(entry: &Entry) -> BTreeSet<Origin> {
+    entry.with_mirror(|mirror| {
+        let Some(manifest) = &mirror.manifest else { return BTreeSet::new() };
+        let ready = mirror.directory.iter().filter(|listing| listing.phase == Phase::Ready);
+        let ready = ready.filter(|listing| manifest.services.contains_key(&listing.service));
+        let origins = ready.map(|listing| Origin {
+            service: listing.service.clone(),
+            version: listing.version.clone(),
+        });
+        origins.filter(|origin| !mirror.software.contains(origin)).collect()
+    })
+}
+
+/// Writes the first of these versions, unless another instance does.
+async fn write(entry: &Entry, unconfirmed: &mut BTreeSet<Origin>) {
+    let Some(origin) = unconfirmed.pop_first() else { return };
+    let is_new = || !entry.is_registered(&origin.service, &origin.version);
+    let (key, value) = encode(&origin);
+    if entry.elect(&key.as_str().into()) != Some(Issuer::Local) {
+        entry.kernel.clock.sleep(ELECTION_DELAY).await;
+        if !is_new() {
+            return;
+        }
+    }
+    match (entry.store.announce)(&key, value).await {
+        Ok(()) => {
+            log::info!(
+                event = Event::Software, service = &*origin.service, version = &*origin.version;
+                "registered a software version that serves"
+            );
+            entry.update_mirror(|_, mirror| mirror.register_software([origin]));
+        }
+        Err(error) => {
+            log::warn!(
+                event = Event::Announce;
+                "cannot register a software version in the store; retrying: {error}"
+            );
+            unconfirmed.insert(origin);
+            entry.kernel.clock.sleep(RETRY_DELAY).await;
+        }
+    }
+}
+
+fn encode(origin: &Origin) -> (String, Bytes) {
+    let Origin { service, version } = origin.clone();
+    let digest = Digest::of_parts([service.as_bytes(), version.as_bytes()]);
+    let value = postcard::to_stdvec(&Registered { service, version });
+    (format!("{FORMAT_PREFIX}{digest}"), value.map(Bytes::from).unwrap_or_default())
+}
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -47,6 +47,8 @@
     Configuration = "configuration",
     /// A new version of an adapter was received.
     Version = "version",
+    /// A software version that serves was written to the store.
+    Software = "software",
     /// The list of backend servers changed.
     Server = "server",
     /// A server did not reappear in the list after an outage of the store.
--- a/crates/serving/src/manifest.rs
+++ b/crates/serving/src/manifest.rs
@@ -137,6 +137,11 @@
         matches!(self, RetryPolicy::Stream | RetryPolicy::ResumableStream)
     }
 
+    /// Returns whether a stream may go on after its connection broke.
+    pub fn is_resumable(self) -> bool {
+        self == RetryPolicy::ResumableStream
+    }
+
     /// Returns whether a request may be retried after an attempt that may have run it.
     pub fn can_rerun(self) -> bool {
         matches!(self, RetryPolicy::Idempotent | RetryPolicy::ResumableStream)
--- a/crates/serving/src/mirror.rs
+++ b/crates/serving/src/mirror.rs
@@ -1,12 +1,12 @@
 //! Local mirror of the platform's store: the configuration, the announced adapter
-//! versions and the backend servers, with the positions up to which the logs were
+//! versions, the software versions that serve and the backend servers, with the positions up to which the logs were
 //! read.
 //!
 //! Invariant: the mirror never goes back to an older state, whether an update
 //! comes from the store or from a peer.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     sync::Arc,
 };
 
@@ -17,6 +17,7 @@
     cursor::Position,
     directory::{Directory, Effect, Listing},
     manifest::Manifest,
+    origin::Origin,
 };
 
 /// A decoded record of the store.
@@ -69,6 +70,7 @@
     /// Base model, adapter and version.
     pub versions: Vec<(Name, Name, u64)>,
     pub servers: Vec<Listing>,
+    pub software: BTreeSet<Origin>,
 }
 
 /// Local mirror of the platform's store.
@@ -77,9 +79,11 @@
     pub manifest: Option<Arc<Manifest>>,
     pub directory: Directory,
     pub positions: Positions,
+    /// Software versions of services that have ever served, as the store has them.
+    pub software: BTreeSet<Origin>,
     /// Newest announced version by base model and adapter.
     versions: HashMap<(Name, Name), u64>,
-    /// Number of changes of the manifest and the versions.
+    /// Number of changes of the manifest, the versions and the software.
     generation: u64,
 }
 
@@ -128,7 +132,14 @@
         }
     }
 
-    /// Returns a number that grows with each change of the manifest, the versions or the
+    /// Adds software versions that have served. None is ever dropped.
+    pub fn register_software(&mut self, versions: impl IntoIterator<Item = Origin>) {
+        let known = self.software.len();
+        self.software.extend(versions);
+        self.generation += (self.software.len() - known) as u64;
+    }
+
+    /// Returns a number that grows with each change of the manifest, the versions, the software or the
     /// servers, but not of the positions.
     pub fn generation(&self) -> u64 {
         self.generation + self.directory.generation()
@@ -156,6 +167,7 @@
                 .map(|((model, adapter), version)| (model.clone(), adapter.clone(), *version))
                 .collect(),
             servers: self.directory.iter().cloned().collect(),
+            software: self.software.clone(),
         }
     }
 
@@ -176,6 +188,7 @@
             let change = Change::Version { model, adapter, version };
             is_newer |= self.apply(now, change) == Outcome::NewVersion;
         }
+        self.register_software(copy.software);
         self.positions.operator = self.positions.operator.max(copy.positions.operator);
         if self.positions.servers <= copy.positions.servers {
             is_newer |= self.positions.servers < copy.positions.servers;
--- a/crates/serving/tests/mirror.rs
+++ b/crates/serving/tests/mirror.rs
@@ -4,7 +4,11 @@
 
 mod support;
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use rand::{RngExt as _, seq::SliceRandom as _};
 
@@ -46,6 +50,7 @@
                 mirror.apply(NOW, Change::Manifest(manifest(revision)));
             } else {
                 let copy = PeerCopy {
+                    software: BTreeSet::new(),
                     manifest: Some(manifest(revision)),
                     ..Mirror::default().to_peer_copy()
                 };
@@ -76,6 +81,7 @@
     mirror.apply(NOW, Change::Server(ready("s1")));
     mirror.positions = positions(5);
     let older = PeerCopy {
+        software: BTreeSet::new(),
         generation: 0,
         positions: positions(4),
         manifest: None,
@@ -102,6 +108,7 @@
     mirror.apply(NOW, Change::Server(ready("s1")));
     mirror.positions = positions(5);
     let copy = PeerCopy {
+        software: BTreeSet::new(),
         generation: 0,
         positions: positions(5),
         manifest: None,
