Await that a connection takes the next request after the check of the process

A stream that went on over a new connection was refused there as 'closed before the request was sent': the connection was not ready a moment after the answer to the check, and the repeat that this spent was lost.

--- a/crates/gateway/src/job/take_up.rs
+++ b/crates/gateway/src/job/take_up.rs
@@ -6,6 +6,7 @@
 
 use kernel::event::Event;
 use serving::{
+    Name,
     directory::Listing,
     origin::{Answer, Key, Origin, Progress, Record},
 };
@@ -19,6 +20,8 @@
 const LOOKUP_SHARE: f64 = 0.2;
 /// Longest time in which they may answer.
 const MAX_LOOKUP_TIME: Duration = Duration::from_millis(800);
+/// The same where the store may tell the version, too.
+const SHORT_LOOKUP_TIME: Duration = Duration::from_millis(150);
 
 /// Why a stream that a caller takes up cannot go on.
 #[derive(Clone, Copy, Debug)]
@@ -88,10 +91,13 @@
         entry: &Arc<Entry>,
     ) -> Result<(Origin, &'static str), UnknownOrigin> {
         let limit = self.remaining(entry).mul_f64(LOOKUP_SHARE).min(MAX_LOOKUP_TIME);
+        let sole_service = self.sole_service().filter(|it| entry.may_have_sole_version(it));
         let unknown = match &self.meta.first_attempt {
             None => UnknownOrigin::Unnamed,
             Some(first_attempt) => {
                 let key = self.stream_key(first_attempt);
+                let limit =
+                    if sole_service.is_some() { limit.min(SHORT_LOOKUP_TIME) } else { limit };
                 match entry.find_origin(&key, limit).await {
                     Answer::Known(origin) => {
                         let remaining = self.remaining(entry);
@@ -104,16 +110,20 @@
                 }
             }
         };
-        let draw = placement::rendezvous::hash(&self.meta.id);
-        let Some(service) = self.grant.route.target(draw) else { return Err(unknown) };
-        if 1 < self.grant.route.targets.len() {
-            // The stream may have begun at another service of the route.
-            return Err(unknown);
-        }
+        let Some(service) = sole_service else { return Err(unknown) };
         let origin = entry.sole_version(service, limit).await;
         origin.map(|origin| (origin, "sole_version")).ok_or(unknown)
     }
 
+    /// Returns the service of the route, if it has only one: a stream that nobody knows may have begun
+    /// at any of them.
+    fn sole_service(&self) -> Option<&Name> {
+        match &self.grant.route.targets[..] {
+            [(service, _)] => Some(service),
+            _ => None,
+        }
+    }
+
     /// Records that the first event of a resumable stream goes to the caller, from this server. The
     /// stream then goes on only at the server's version.
     pub async fn begin_stream(&mut self, entry: &Arc<Entry>, server: &Listing) {
--- a/crates/gateway/src/software.rs
+++ b/crates/gateway/src/software.rs
@@ -5,7 +5,14 @@
 //! forgotten about it: after a loss of power of all processes, too. New streams go to registered
 //! versions where there are any, so that a version is in the register before it begins streams.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use fleet::digest::Digest;
@@ -15,7 +22,7 @@
 use kernel::event::Event;
 use serving::{Moment, Name, directory::Phase, mirror::Topic, origin::Origin};
 
-use crate::{entry::Entry, gate::Issuer, ports::Record};
+use crate::{entry::Entry, ports::Record};
 
 /// Start of the keys of the register. Other keys of the topic are of other kinds.
 const KEY_PREFIX: &str = "software.";
@@ -23,8 +30,8 @@
 const FORMAT_PREFIX: &str = "software.1.";
 /// Time until a failed write is tried again.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Time for which an instance leaves a write to the one that is elected for it.
-const ELECTION_DELAY: Duration = Duration::from_millis(600);
+/// Longest time for which an instance leaves a write to others; each one waits for another time.
+const MAX_WRITE_DELAY: Duration = Duration::from_millis(300);
 /// Shortest time between two reads of the register for take-ups.
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -41,6 +48,8 @@
 pub struct Reads {
     /// Start of the latest successful read, and what it found.
     latest: Mutex<Option<(Moment, BTreeSet<Origin>)>>,
+    /// Whether a take-up waits for a read that has not started.
+    is_requested: AtomicBool,
     requested: event_listener::Event,
     finished: event_listener::Event,
 }
@@ -60,13 +69,18 @@
 }
 
 impl Entry {
-    /// Returns the version that began all streams of a service, if only one has ever served. It is
-    /// read from the store, within `limit`, unless this instance knows of two.
+    /// Returns whether at most one version of a service has ever served, as far as this instance
+    /// knows.
+    pub fn may_have_sole_version(&self, service: &Name) -> bool {
+        self.with_mirror(|mirror| {
+            let versions = mirror.software.iter().filter(|origin| origin.service == *service);
+            versions.count() <= 1
+        })
+    }
+
+    /// Returns the version that began all streams of a service, if only one has ever served, as the
+    /// store tells within `limit`.
     pub async fn sole_version(&self, service: &Name, limit: Duration) -> Option<Origin> {
-        let is_possible = |versions: &BTreeSet<Origin>| sole(versions, service).is_some();
-        if !self.with_mirror(|mirror| is_possible(&mirror.software)) {
-            return None;
-        }
         let (asked_at, deadline) = (self.now(), self.now() + limit);
         loop {
             let finished = self.software_reads.finished.listen();
@@ -77,6 +91,7 @@
                 });
                 return sole(&versions, service).filter(|_| is_listed_alone);
             }
+            self.software_reads.is_requested.store(true, Ordering::Relaxed);
             self.software_reads.requested.notify(usize::MAX);
             let remaining = deadline.saturating_sub(self.now());
             self.kernel.clock.timeout(remaining, finished).await.ok()?;
@@ -101,7 +116,10 @@
 pub async fn read_on_request(entry: Arc<Entry>) {
     loop {
         let requested = entry.software_reads.requested.listen();
-        requested.await;
+        if !entry.software_reads.is_requested.swap(false, Ordering::Relaxed) {
+            requested.await;
+            continue;
+        }
         let started_at = entry.now();
         match (entry.store.snapshot)(Topic::Instances).await {
             Ok(snapshot) => {
@@ -111,7 +129,10 @@
                 *entry.software_reads.latest.lock() = Some((started_at, versions));
                 entry.software_reads.finished.notify(usize::MAX);
             }
-            Err(error) => entry.record_store_failure(Topic::Instances, &error),
+            Err(error) => {
+                entry.record_store_failure(Topic::Instances, &error);
+                entry.software_reads.is_requested.store(true, Ordering::Relaxed);
+            }
         }
         entry.kernel.clock.sleep(MIN_READ_INTERVAL).await;
     }
@@ -162,17 +183,16 @@
     })
 }
 
-/// Writes the first of these versions, unless another instance does.
+/// Writes the first of these versions, unless another instance has.
 async fn write(entry: &Entry, unconfirmed: &mut BTreeSet<Origin>) {
     let Some(origin) = unconfirmed.pop_first() else { return };
-    let is_new = || !entry.is_registered(&origin.service, &origin.version);
-    let (key, value) = encode(&origin);
-    if entry.elect(&key.as_str().into()) != Some(Issuer::Local) {
-        entry.kernel.clock.sleep(ELECTION_DELAY).await;
-        if !is_new() {
-            return;
-        }
+    let was_registered = entry.is_registered(&origin.service, &origin.version);
+    let delay = MAX_WRITE_DELAY.mul_f64(rand::random());
+    entry.kernel.clock.sleep(delay).await;
+    if !was_registered && entry.is_registered(&origin.service, &origin.version) {
+        return;
     }
+    let (key, value) = encode(&origin);
     match (entry.store.announce)(&key, value).await {
         Ok(()) => {
             log::info!(
--- a/crates/services/src/pool.rs
+++ b/crates/services/src/pool.rs
@@ -215,7 +215,10 @@
                 reason: "the response ends with its connection".to_owned(),
             });
         }
-        http::collect_body(response).await
+        let response = http::collect_body(response).await?;
+        // The connection takes the next request a moment after the end of this response.
+        self.sender.ready().await.context(ExchangeSnafu)?;
+        Ok(response)
     }
 
     /// Sends a request and returns the response as soon as its head has arrived.
