Review case 2: streams joined after a replica came back with another version

Rule: ORDER (software versions), at most two streams may hold events of two software versions.

Cause, as far as known: the origin of a stream is the version in the listing with which its server was chosen. A plain replica that starts again in place with another version is not told from its earlier process until the store's entry is read, and the origin is not corrected afterwards.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -12,6 +12,7 @@
 mod store;
 
 mod refusal;
+mod upgrade;
 
 use std::{env, fs, path::PathBuf, process::exit, sync::mpsc, thread, time::Duration};
 
@@ -53,6 +54,7 @@
     };
     let play: fn(&Stage) -> Verdict = match case.as_str() {
         "refusal" => refusal::play,
+        "upgrade" => upgrade::play,
         _ => {
             eprintln!("unknown case {case}");
             exit(2);
