Review case 3: an engine's endless state answer fills an entry instance

Rule: LOST, more than three requests of kept channels that sound replicas ran end without an answer; the process exceeds its memory and is killed.

Cause, as far as known: before a stream goes on, the instance reads the engine's state and keeps up to 64 MB of it for each request that asks, with no limit over all of them.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -11,6 +11,7 @@
 mod replica;
 mod store;
 
+mod endless;
 mod refusal;
 mod upgrade;
 
@@ -55,6 +56,7 @@
     let play: fn(&Stage) -> Verdict = match case.as_str() {
         "refusal" => refusal::play,
         "upgrade" => upgrade::play,
+        "endless" => endless::play,
         _ => {
             eprintln!("unknown case {case}");
             exit(2);
