Review case 4: no stream goes on after all processes were killed

Rule: LOST (software versions), streams that clients take up go on half as often as new ones begin, or more.

Cause, as far as known: which version began a stream is kept in memory only. Once two versions have served, nothing tells it after all processes are gone.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -12,6 +12,7 @@
 mod store;
 
 mod endless;
+mod forgotten;
 mod refusal;
 mod upgrade;
 
@@ -56,6 +57,7 @@
     let play: fn(&Stage) -> Verdict = match case.as_str() {
         "refusal" => refusal::play,
         "upgrade" => upgrade::play,
+        "forgotten" => forgotten::play,
         "endless" => endless::play,
         _ => {
             eprintln!("unknown case {case}");
