Review case 5: a leaving replica gets requests after the zone's reader was cut off

Rule: DRAIN, a request reaches a replica later than drain_ms after the store acknowledged that it is gone.

Cause, as far as known: an instance takes the first answer after its own failed call for the return of the store, and keeps servers whose entries are removed for 2.2 s from then. The instances that follow it take this over, though nothing has happened to them, and list servers again that they had removed.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod fleet;
 mod http;
+mod link;
 mod record;
 mod replica;
 mod store;
@@ -14,6 +15,7 @@
 mod endless;
 mod forgotten;
 mod refusal;
+mod revived;
 mod upgrade;
 
 use std::{env, fs, path::PathBuf, process::exit, sync::mpsc, thread, time::Duration};
@@ -56,6 +58,7 @@
     };
     let play: fn(&Stage) -> Verdict = match case.as_str() {
         "refusal" => refusal::play,
+        "revived" => revived::play,
         "upgrade" => upgrade::play,
         "forgotten" => forgotten::play,
         "endless" => endless::play,
