Let requests wait for the rate of their account at an instance that has just started

Cause: an instance that has just started withholds the rate of each peer that it has not heard, as it may be serving behind a partition. While 32 instances start within 0.6 s, nearly the whole rate is withheld, and a low level was taken for a used-up account.

Change: such a request waits for its charge as long as requests may wait at a starting instance already (rejection::startup_wait), and is tried again each 40 ms. What is admitted is bounded as before.

Limiter::acquire became admit; its callers in tests were changed with it.

--- a/crates/gateway/src/job/rejection.rs
+++ b/crates/gateway/src/job/rejection.rs
@@ -6,6 +6,7 @@
 use hyper::{Response, StatusCode};
 
 use kernel::event::Event;
+use serving::{Moment, manifest::Account, rate_limit::Admission};
 
 use crate::{
     answer::{self, Rejection},
@@ -15,35 +16,45 @@
 };
 
 impl Job {
-    /// Charges the request to the client account.
+    /// Charges the request to the client account. At an instance that has just started, the request
+    /// may wait for that until `wait_until`.
     ///
     /// # Errors
     ///
     /// Returns the rejection if the account's rate limit is exceeded.
-    pub fn charge(&mut self, entry: &Entry) -> Result<(), Rejection> {
-        let Some(account) = &self.grant.account else { return Ok(()) };
+    pub async fn charge(&mut self, entry: &Entry, wait_until: Moment) -> Result<(), Rejection> {
+        let Some(account) = self.grant.account.clone() else { return Ok(()) };
         let units = account.units(self.meta.tokens.map(|(prompt, output)| prompt + output));
-        let now = entry.now();
-        match entry.limiter.lock().acquire(now, account, units) {
-            Ok(()) => {
-                self.charge = Some((units, now));
-                Ok(())
-            }
-            Err(retry_after) => {
-                log::info!(
-                    event = Event::OverRate, request = &*self.meta.id,
-                    account = &*account.name, units, rate = account.rate, burst = account.burst;
-                    "the client account's rate is used up"
-                );
-                Err(Rejection {
-                    status: StatusCode::TOO_MANY_REQUESTS,
-                    reason: "the client account's rate is used up",
-                    retry_after: Some(retry_after),
-                })
+        loop {
+            let now = entry.now();
+            let admission = entry.limiter.lock().admit(now, &account, units, wait_until);
+            match admission {
+                Admission::Granted => {
+                    self.charge = Some((units, now));
+                    return Ok(());
+                }
+                Admission::Wait(pause) => entry.kernel.clock.sleep(pause).await,
+                Admission::Rejected(retry_after) => {
+                    return Err(self.over_rate(&account, units, retry_after));
+                }
             }
         }
     }
 
+    /// Returns the rejection of a request beyond the account's rate limit.
+    fn over_rate(&self, account: &Account, units: u64, retry_after: Duration) -> Rejection {
+        log::info!(
+            event = Event::OverRate, request = &*self.meta.id,
+            account = &*account.name, units, rate = account.rate, burst = account.burst;
+            "the client account's rate is used up"
+        );
+        Rejection {
+            status: StatusCode::TOO_MANY_REQUESTS,
+            reason: "the client account's rate is used up",
+            retry_after: Some(retry_after),
+        }
+    }
+
     /// Returns the rejection after the last attempt. It invites a retry only if the request did not
     /// run anywhere.
     pub fn final_rejection(&self, reason: &'static str, retry_after: Duration) -> Rejection {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -112,7 +112,9 @@
 
 /// Runs an authorized request up to its whole response, or to the first chunk of its stream.
 async fn run(entry: &Arc<Entry>, mut job: Job) -> Response<Body> {
-    if let Err(rejection) = job.charge(entry) {
+    let budget = job.caller_deadline.saturating_sub(job.arrived);
+    let wait_until = job.arrived + rejection::startup_wait(job.arrived, budget);
+    if let Err(rejection) = job.charge(entry, wait_until).await {
         return job.reject(entry, &rejection);
     }
     if let Err(rejection) = job.resolve_take_up(entry).await {
--- a/crates/serving/src/rate_limit.rs
+++ b/crates/serving/src/rate_limit.rs
@@ -53,6 +53,19 @@
 const ADMISSION_DIVISOR: u64 = 10;
 /// Rejected requests whose retries are tracked for one account.
 const MAX_TRACKED_RETRIES: usize = 256;
+/// Time after which a waiting request is tried again.
+const WAIT_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Whether a request is within the rate limit of its client account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// The request was charged.
+    Granted,
+    /// The request should be tried again after this time.
+    Wait(Duration),
+    /// The request should be rejected, and may be sent again after this time.
+    Rejected(Duration),
+}
 
 /// Report of one instance to its peers.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -140,28 +153,34 @@
 }
 
 impl Limiter {
-    /// Charges `units` to an account.
-    ///
-    /// # Errors
-    ///
-    /// Returns the time after which the request should be retried, if the bucket level is too
-    /// low.
-    pub fn acquire(&mut self, now: Moment, account: &Account, units: u64) -> Result<(), Duration> {
+    /// Charges `units` to an account if its bucket level is high enough. If not, the request may wait
+    /// until `wait_until`: an instance that has just started withholds the rate of the peers that it has
+    /// not heard yet, so a low level does not show that the account has used up its rate.
+    pub fn admit(
+        &mut self,
+        now: Moment,
+        account: &Account,
+        units: u64,
+        wait_until: Moment,
+    ) -> Admission {
         if account.rate == 0 {
-            return Ok(());
+            return Admission::Granted;
         }
         let bucket = self.bucket(now, account);
-        let share = bucket.share();
-        let needed = units.min(share.capacity / ADMISSION_DIVISOR);
+        let needed = units.min(bucket.share().capacity / ADMISSION_DIVISOR);
         if needed <= bucket.level(now) {
             bucket.charge(now, units);
             *self.admitted.entry(account.name.clone()).or_default() += units;
-            return Ok(());
+            return Admission::Granted;
+        }
+        let remaining = wait_until.saturating_sub(now);
+        if !remaining.is_zero() {
+            return Admission::Wait(remaining.min(WAIT_INTERVAL));
         }
         let ahead = self.retries.entry(account.name.clone()).or_default().pending_units(now);
         let wait = self.bucket(now, account).time_until(now, needed + ahead);
         self.retries.entry(account.name.clone()).or_default().push(now + wait, units);
-        Err(wait)
+        Admission::Rejected(wait)
     }
 
     /// Refunds the units of a request that did not run; they were charged at `charged_at`.
--- a/crates/serving/tests/rate_limit.rs
+++ b/crates/serving/tests/rate_limit.rs
@@ -12,7 +12,8 @@
 use serving::{
     Moment,
     manifest::Account,
-    rate_limit::{self, Limiter, Usage, UsageReport},
+    rate_limit::{self, Admission, Limiter, Usage, UsageReport},
+    rejection,
 };
 
 const STEP: Duration = Duration::from_millis(10);
@@ -42,6 +43,15 @@
     is_relayed: bool,
 }
 
+/// A request that waits at an instance.
+struct Waiting {
+    /// Time of the next try.
+    at: Moment,
+    index: usize,
+    units: u64,
+    until: Moment,
+}
+
 struct Fleet {
     instances: Vec<Instance>,
     account: Arc<Account>,
@@ -50,6 +60,7 @@
     /// reports on; with one zone, all hear each other directly.
     zones: usize,
     in_transit: Vec<Delivery>,
+    waiting: Vec<Waiting>,
     admitted: Vec<(Moment, u64)>,
     rejected: u64,
     /// Tokens to be sent that are not in a request yet.
@@ -70,6 +81,13 @@
     })
 }
 
+fn retry_after(admission: Admission) -> Duration {
+    match admission {
+        Admission::Rejected(retry_after) => retry_after,
+        other => panic!("not rejected: {other:?}"),
+    }
+}
+
 fn address(index: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, index as u8], 7600))
 }
@@ -95,6 +113,7 @@
             now: Moment::ZERO,
             zones: 1,
             in_transit: Vec::new(),
+            waiting: Vec::new(),
             admitted: Vec::new(),
             rejected: 0,
             unsent: 0.0,
@@ -124,9 +143,31 @@
     fn request(&mut self, index: usize, units: u64) {
         let instance = &mut self.instances[index];
         let age = self.now - instance.started;
-        match instance.limiter.acquire(age, &self.account, units) {
-            Ok(()) => self.admitted.push((self.now, units)),
-            Err(_) => self.rejected += 1,
+        match instance.limiter.admit(age, &self.account, units, Moment::ZERO) {
+            Admission::Granted => self.admitted.push((self.now, units)),
+            Admission::Wait(_) | Admission::Rejected(_) => self.rejected += 1,
+        }
+    }
+
+    /// Tries the requests again that wait at their instances.
+    fn retry_waiting(&mut self) {
+        let now = self.now;
+        for due in self.waiting.extract_if(.., |waiting| waiting.at <= now).collect::<Vec<_>>() {
+            self.request_that_may_wait(due.index, due.units, due.until);
+        }
+    }
+
+    /// Sends a request to an instance, which may let it wait until a time after the start of the fleet.
+    fn request_that_may_wait(&mut self, index: usize, units: u64, until: Moment) {
+        let instance = &mut self.instances[index];
+        let age = self.now - instance.started;
+        let wait_until = until.saturating_sub(instance.started);
+        match instance.limiter.admit(age, &self.account, units, wait_until) {
+            Admission::Granted => self.admitted.push((self.now, units)),
+            Admission::Wait(pause) => {
+                self.waiting.push(Waiting { at: self.now + pause, index, units, until });
+            }
+            Admission::Rejected(_) => self.rejected += 1,
         }
     }
 
@@ -324,6 +365,48 @@
     });
 }
 
+/// Guards against rejecting requests of accounts that are far within their rates in the second after
+/// all instances have started again, while these have not heard each other yet.
+#[test]
+fn rejects_no_request_within_the_rate_after_all_instances_restart() {
+    for instances in [4, 32, 68] {
+        seeds::run(3, |random| assert_waiting_requests_are_admitted(instances, random));
+    }
+}
+
+fn assert_waiting_requests_are_admitted(instances: usize, random: &mut Random) {
+    const TIME_BUDGET: Duration = Duration::from_secs(5);
+    const MEAN_UNITS: u64 = 3600;
+    let mut fleet = Fleet { zones: 4, ..Fleet::new(instances, 120_000) };
+    for _ in 0..1000 {
+        fleet.now += STEP;
+        fleet.exchange(random);
+    }
+    let restarted_at = fleet.now;
+    let starts: Vec<u64> = (0..instances).map(|_| random.random_range(0..60)).collect();
+
+    for step in 0..400 {
+        fleet.now += STEP;
+        (0..instances)
+            .filter(|index| starts[*index] == step)
+            .for_each(|index| fleet.restart(index));
+        fleet.exchange(random);
+        fleet.retry_waiting();
+        let index = random.random_range(0..instances);
+        let is_started = starts[index] <= step;
+        // Half of the rate.
+        if is_started && random.random_bool(60_000.0 / MEAN_UNITS as f64 * STEP.as_secs_f64()) {
+            let age = fleet.now - fleet.instances[index].started;
+            let until = fleet.now + rejection::startup_wait(age, TIME_BUDGET);
+            fleet.request_that_may_wait(index, random.random_range(200..7000), until);
+        }
+    }
+
+    assert_eq!(fleet.rejected, 0, "{instances} instances");
+    assert!(restarted_at < fleet.now && 30 < fleet.admitted.len(), "{}", fleet.admitted.len());
+    assert!(fleet.peak_usage() <= 1.0, "{}", fleet.peak_usage());
+}
+
 #[test]
 fn admits_at_least_90_percent_of_the_rate_under_overload() {
     seeds::run(5, |random| {
@@ -345,10 +428,10 @@
     let mut limiter = Limiter::default();
     let now = Duration::from_secs(10);
     limiter.set_accounts(now, std::slice::from_ref(&account));
-    limiter.acquire(now, &account, 1000).unwrap();
+    assert_eq!(limiter.admit(now, &account, 1000, Moment::ZERO), Admission::Granted);
 
     let waits: Vec<Duration> =
-        (0..3).map(|_| limiter.acquire(now, &account, 1000).unwrap_err()).collect();
+        (0..3).map(|_| retry_after(limiter.admit(now, &account, 1000, Moment::ZERO))).collect();
 
     assert!(waits.is_sorted());
     assert!(waits[0] + Duration::from_millis(900) <= waits[2]);
