Ask plain servers which process they are before a stream goes on there

A plain server that came back in place with another version is listed at the version of the process before until its first record. They state their start when asked for their state, as all servers do: so the check on the request's own connection, which model engines get, is made of each server whose listing states a start. The connection ends with the process, so the answer holds for the request.

--- a/crates/gateway/src/job/take_up.rs
+++ b/crates/gateway/src/job/take_up.rs
@@ -163,18 +163,10 @@
         }
     }
 
-    /// Returns the check of a server's process before a stream goes on there, if the server can be
-    /// asked.
+    /// Returns the check of a server's process before a stream goes on there, unless its listing states no
+    /// start of it.
     pub(super) fn process_check(&self, entry: &Entry, server: &Listing) -> Option<ProcessCheck> {
-        let is_engine = || {
-            let manifest = entry.manifest()?;
-            manifest.services.get(&server.service)?.engine.as_ref().map(|_| ())
-        };
-        if !self.progress.has_begun() || server.born_ms == 0 || is_engine().is_none() {
-            return None;
-        }
-        let Dialect { process_query: query, parse_process: parse, .. } = entry.dialect;
-        Some(ProcessCheck { query, parse })
+        (self.progress.has_begun() && server.born_ms != 0).then(|| check(entry))
     }
 
     fn stream_key(&self, first_attempt: &str) -> Key {
@@ -183,6 +175,12 @@
     }
 }
 
+/// Returns the question which process a server is.
+fn check(entry: &Entry) -> ProcessCheck {
+    let Dialect { process_query: query, parse_process: parse, .. } = entry.dialect;
+    ProcessCheck { query, parse }
+}
+
 fn log_take_up(job: &Job, outcome: &'static str, origin: Option<&Origin>) {
     metrics::counter!("chivelatch_take_ups_total", "outcome" => outcome).increment(1);
     log::info!(
