Believe the origin of a stream only if the listed process still answers after its first event

A plain server that came back in place with another version, began streams, and ended before the store listed it (or is never listed) was taken for the process before: callers got events of two versions in one answer (ORDER).

A server without status reports of a side process is asked which process it is, on a new connection, once its first event has arrived (gateway::origin::evidence). If the listed process answers, it was alive before and after the event, so it wrote it. Until then nobody is told an origin; without the answer, or if another process answers, the holders get two origins that contradict each other. An engine whose side process tells of another process is handled alike: before, its streams had no record, and could go on at the only version in the register.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -245,6 +245,23 @@
     }
 }
 
+/// Asks on a new connection whether the listed process of a server answers.
+///
+/// # Errors
+///
+/// Returns the error if there is no answer.
+pub async fn ask(
+    kernel: &Kernel,
+    pool: &Pool,
+    server: &Listing,
+    check: ProcessCheck,
+) -> Result<bool, Error> {
+    let mut connection = pool.connect(server.address, CONNECT_TIMEOUT).await?;
+    let buffer = kernel.memory.buffer(MAX_STATE_BYTES);
+    let process = identify(&mut connection, check, server, buffer).await?;
+    Ok(matches!(process, Process::Listed))
+}
+
 /// Process at the other end of a connection.
 enum Process {
     Listed,
--- a/crates/gateway/src/job/take_up.rs
+++ b/crates/gateway/src/job/take_up.rs
@@ -138,25 +138,31 @@
         if self.progress.has_begun() {
             return;
         }
-        if !entry.is_listed_process(server) {
-            self.progress = Progress::Unknown;
-            return;
-        }
         let (service, version) = (server.service.clone(), server.version.clone());
         let origin = Origin { service, version };
-        self.progress = Progress::Begun(origin.clone());
         let key = self.stream_key(&self.meta.id);
         let remaining = self.caller_deadline.saturating_sub(entry.now());
+        let record = Record { key, origin: origin.clone(), remaining };
+        if !entry.is_listed_process(server) {
+            self.progress = Progress::Unknown;
+            entry.contradict_origin(record, server);
+            return;
+        }
+        self.progress = Progress::Begun(origin);
+        if entry.status_report(server).is_none() && server.born_ms != 0 {
+            entry.examine_origin(record, server, check(entry));
+            return;
+        }
         let source = Process { server: server.id.clone(), born_ms: server.born_ms };
-        entry.announce_origin(Record { key, origin, remaining }, Some(source)).await;
+        entry.announce_origin(record, Some(source)).await;
     }
 
     /// Checks before a stream goes on elsewhere whether the version that began it is still known.
     /// `is_broken_off` states that its server has ended it.
-    pub fn review_progress(&mut self, entry: &Entry, is_broken_off: bool) {
+    pub async fn review_progress(&mut self, entry: &Entry, is_broken_off: bool) {
         let Progress::Begun(_) = self.progress else { return };
         let key = self.stream_key(&self.meta.id);
-        if !entry.confirm_origin(&key) {
+        if !entry.confirm_origin(&key, self.remaining(entry)).await {
             self.progress = Progress::Unknown;
         } else if is_broken_off {
             entry.record_broken_off(&key);
--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -6,6 +6,7 @@
 //! a few more processes, since not all instances know the same ones, and then the store (`archive`).
 
 pub mod archive;
+mod evidence;
 
 use std::{
     collections::{BTreeSet, HashMap},
@@ -76,6 +77,9 @@
     /// Process that the origin is known from, until it has broken the stream off: what the store lists of
     /// it may be late.
     source: Option<Process>,
+    /// Whether the server was asked which process it is, and has not answered yet. Nobody is told the
+    /// origin until then.
+    is_awaited: bool,
     /// Origin that speaks against the recorded one.
     contradiction: Option<Origin>,
     expires_at: Moment,
@@ -123,14 +127,24 @@
             let records = vec![record.clone()];
             self.tell(Untold { holder: *holder, records, expires_at }).await;
         }
-        let own = Own { expires_at, told: holders, record, source, contradiction: None };
+        let own = Own {
+            expires_at,
+            told: holders,
+            record,
+            source,
+            is_awaited: false,
+            contradiction: None,
+        };
         self.origins.own.lock().insert(own.record.key.clone(), own);
     }
 
     /// Returns whether the origin of a stream that this instance began holds. It does not if the
-    /// store lists a later process of another version by now, while the stream had not been broken
-    /// off by its server.
-    pub fn confirm_origin(&self, key: &Key) -> bool {
+    /// server's answer names another process, or if the store lists a later process of another version
+    /// by now, while the stream had not been broken off by its server.
+    pub async fn confirm_origin(&self, key: &Key, limit: Duration) -> bool {
+        if !self.await_evidence(key, limit).await {
+            return false;
+        }
         let mut own = self.origins.own.lock();
         let Some(own) = own.get_mut(key) else { return true };
         self.review_source(own);
@@ -169,12 +183,15 @@
     /// Returns the origin of a stream, from this instance or from the holders, which have until
     /// `limit` to answer.
     pub async fn find_origin(&self, key: &Key, limit: Duration) -> Answer {
+        let deadline = self.now() + limit;
+        if !self.await_evidence(key, limit).await {
+            return Answer::Contradictory;
+        }
         let own = self.origins.registry.lock().get(self.now(), key);
         if own != Answer::Unknown {
             return own;
         }
         let Some(socket) = self.mesh_socket.get() else { return Answer::Unknown };
-        let deadline = self.now() + limit;
         let asked = self.holders(key, ASKED_SIDES, ASKED_PEERS);
         let Some(lookup) = self.origins.start_lookup(asked) else { return Answer::Unknown };
         loop {
@@ -276,7 +293,7 @@
     let mut own = entry.origins.own.lock();
     own.retain(|_, own| now < own.expires_at);
     let mut untold = Vec::new();
-    for own in own.values_mut() {
+    for own in own.values_mut().filter(|own| !own.is_awaited) {
         entry.review_source(own);
         for holder in entry.holders(&own.record.key, TOLD_SIDES, TOLD_PEERS) {
             if !own.told.contains(&holder) {
@@ -340,7 +357,7 @@
     /// Returns the origins of this instance's streams of some services that have not expired.
     fn own_records(&self, now: Moment, services: &BTreeSet<Name>) -> Vec<Record> {
         let own = self.own.lock();
-        let living = own.values().filter(|own| now < own.expires_at);
+        let living = own.values().filter(|own| now < own.expires_at && !own.is_awaited);
         let wanted = living.filter(|own| services.contains(&own.record.origin.service));
         let records = wanted.flat_map(|own| {
             let remaining = own.expires_at.saturating_sub(now);
--- /dev/null
+++ b/crates/gateway/src/origin/evidence.rs
@@ -0,0 +1,113 @@
+//! Which process of a server began a stream, by the server's own answer.
+//!
+//! The listing that a server was chosen by may be about an earlier process with its name and address. The
+//! side process of an engine tells of a new one; a server without a report is asked itself, once the
+//! first event has arrived: if the listed process answers then, it has begun the stream. The question
+//! holds no event back. Until it is answered, nobody is told an origin; without an answer
+//! the origin is contradicted, so that the stream goes on nowhere.
+
+use std::{sync::Arc, time::Duration};
+
+use kernel::event::Event;
+use serving::{
+    directory::Listing,
+    origin::{Key, Origin, Record},
+};
+
+use super::{Own, Process};
+use crate::{
+    entry::Entry,
+    exchange::{self, ProcessCheck},
+};
+
+/// Time in which a server may answer a question.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(300);
+/// Questions until a server is taken for silent.
+const MAX_QUESTIONS: usize = 2;
+
+impl Entry {
+    /// Records that a server began a stream, and asks it which process it is. Tells the stream's holders
+    /// the answer.
+    pub fn examine_origin(
+        self: &Arc<Entry>,
+        record: Record,
+        server: &Listing,
+        check: ProcessCheck,
+    ) {
+        let own = Own {
+            expires_at: self.now() + record.remaining,
+            told: Default::default(),
+            record: record.clone(),
+            source: None,
+            is_awaited: true,
+            contradiction: None,
+        };
+        self.origins.own.lock().insert(record.key.clone(), own);
+        let (entry, server) = (Arc::clone(self), server.clone());
+        self.kernel.spawn_detached(async move {
+            if entry.is_listed_process_at(&server, check).await {
+                let now = entry.now();
+                let expires_at = entry.origins.own.lock().get(&record.key).map(|it| it.expires_at);
+                let remaining = expires_at.unwrap_or(now).saturating_sub(now);
+                entry.announce_origin(Record { remaining, ..record }, None).await;
+            } else {
+                entry.contradict_origin(record, &server);
+            }
+            entry.origins.answered.notify(usize::MAX);
+        });
+    }
+
+    /// Records that it is not known which process began a stream. Its holders are told in the background.
+    pub fn contradict_origin(&self, record: Record, server: &Listing) {
+        let source = Process { server: server.id.clone(), born_ms: server.born_ms };
+        log::info!(
+            event = Event::OriginDoubted, server = &*source.server,
+            recorded = &*record.origin.version;
+            "a stream may have begun at another process than the listed one; it goes on nowhere"
+        );
+        let now = self.now();
+        let contradiction = Origin {
+            service: record.origin.service.clone(),
+            version: format!("not {}", record.origin.version).into(),
+        };
+        let own = Own {
+            expires_at: now + record.remaining,
+            told: Default::default(),
+            source: None,
+            is_awaited: false,
+            contradiction: Some(contradiction),
+            record,
+        };
+        let mut registry = self.origins.registry.lock();
+        own.records().iter().for_each(|record| registry.record(now, record));
+        drop(registry);
+        self.origins.own.lock().insert(own.record.key.clone(), own);
+    }
+
+    /// Waits until the process that began a stream has answered, if it was asked. Returns whether nothing
+    /// is awaited any more.
+    pub(super) async fn await_evidence(&self, key: &Key, limit: Duration) -> bool {
+        let deadline = self.now() + limit;
+        loop {
+            let answered = self.origins.answered.listen();
+            if !self.origins.own.lock().get(key).is_some_and(|own| own.is_awaited) {
+                return true;
+            }
+            let remaining = deadline.saturating_sub(self.now());
+            if self.kernel.clock.timeout(remaining, answered).await.is_err() {
+                return false;
+            }
+        }
+    }
+
+    /// Returns whether the listed process answers at a server's address.
+    async fn is_listed_process_at(&self, server: &Listing, check: ProcessCheck) -> bool {
+        for _ in 0..MAX_QUESTIONS {
+            let question = exchange::ask(&self.kernel, &self.pool, server, check);
+            if let Ok(Ok(is_listed)) = self.kernel.clock.timeout(QUESTION_TIMEOUT, question).await {
+                return is_listed;
+            }
+        }
+        false
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -130,7 +130,7 @@
                 }
                 Step::Broken(reason) | Step::Disconnected(reason) => {
                     let is_broken_off = matches!(step, Step::Disconnected(_));
-                    self.job.review_progress(&self.entry, is_broken_off);
+                    self.job.review_progress(&self.entry, is_broken_off).await;
                     if is_broken_off {
                         self.job.examine_break(&self.entry, &self.source.server).await;
                     }
