--- a/crates/gateway/src/job/take_up.rs
+++ b/crates/gateway/src/job/take_up.rs
@@ -138,43 +138,41 @@
         if self.progress.has_begun() {
             return;
         }
-        if !entry.is_listed_process(server) {
-            self.progress = Progress::Unknown;
-            return;
-        }
         let (service, version) = (server.service.clone(), server.version.clone());
         let origin = Origin { service, version };
-        self.progress = Progress::Begun(origin.clone());
         let key = self.stream_key(&self.meta.id);
         let remaining = self.caller_deadline.saturating_sub(entry.now());
+        let record = Record { key, origin: origin.clone(), remaining };
+        if !entry.is_listed_process(server) {
+            self.progress = Progress::Unknown;
+            entry.contradict_origin(record, server);
+            return;
+        }
+        self.progress = Progress::Begun(origin);
+        if entry.status_report(server).is_none() && server.born_ms != 0 {
+            entry.examine_origin(record, server, check(entry));
+            return;
+        }
         let source = Process { server: server.id.clone(), born_ms: server.born_ms };
-        entry.announce_origin(Record { key, origin, remaining }, Some(source)).await;
+        entry.announce_origin(record, Some(source)).await;
     }
 
     /// Checks before a stream goes on elsewhere whether the version that began it is still known.
     /// `is_broken_off` states that its server has ended it.
-    pub fn review_progress(&mut self, entry: &Entry, is_broken_off: bool) {
+    pub async fn review_progress(&mut self, entry: &Entry, is_broken_off: bool) {
         let Progress::Begun(_) = self.progress else { return };
         let key = self.stream_key(&self.meta.id);
-        if !entry.confirm_origin(&key) {
+        if !entry.confirm_origin(&key, self.remaining(entry)).await {
             self.progress = Progress::Unknown;
         } else if is_broken_off {
             entry.record_broken_off(&key);
         }
     }
 
-    /// Returns the check of a server's process before a stream goes on there, if the server can be
-    /// asked.
+    /// Returns the check of a server's process before a stream goes on there, unless its listing states no
+    /// start of it.
     pub(super) fn process_check(&self, entry: &Entry, server: &Listing) -> Option<ProcessCheck> {
-        let is_engine = || {
-            let manifest = entry.manifest()?;
-            manifest.services.get(&server.service)?.engine.as_ref().map(|_| ())
-        };
-        if !self.progress.has_begun() || server.born_ms == 0 || is_engine().is_none() {
-            return None;
-        }
-        let Dialect { process_query: query, parse_process: parse, .. } = entry.dialect;
-        Some(ProcessCheck { query, parse })
+        (self.progress.has_begun() && server.born_ms != 0).then(|| check(entry))
     }
 
     fn stream_key(&self, first_attempt: &str) -> Key {
@@ -183,6 +181,12 @@
     }
 }
 
+/// Returns the question which process a server is.
+fn check(entry: &Entry) -> ProcessCheck {
+    let Dialect { process_query: query, parse_process: parse, .. } = entry.dialect;
+    ProcessCheck { query, parse }
+}
+
 fn log_take_up(job: &Job, outcome: &'static str, origin: Option<&Origin>) {
     metrics::counter!("chivelatch_take_ups_total", "outcome" => outcome).increment(1);
     log::info!(
