Status reports: tell a load without the adapters that were resident earlier

A side process also took another order of its lists for a change.

Change: Message::Residents tells the adapters, the loads and the work; the receiver keeps what was evicted as recent. The whole status follows each 2.1 s, at each change of the engine's process or models, and at once to an instance that misses a revision. A demand report names in a trailing field whether its sender understands this; earlier builds get whole reports as before.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -508,7 +508,7 @@
     min_version: u64,
     now: Moment,
 ) -> AdapterState {
-    let Some(StatusReport { received_at, status }) = report else {
+    let Some(StatusReport { received_at, status, .. }) = report else {
         let is_listed = model.adapter.is_none() && listing.models.contains(&model.base);
         return if is_listed { AdapterState::Present } else { AdapterState::Unreachable };
     };
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -83,6 +83,7 @@
         let Some((from, message)) = next(&socket).await else { continue };
         match message {
             Message::Status(report) => status::record_status(&entry, from, report),
+            Message::Residents(residents) => status::record_residents(&entry, from, &residents),
             Message::Work { born_ms, slot_usage, work } => {
                 status::record_work_update(&entry, from, born_ms, slot_usage, &work);
             }
--- a/crates/gateway/src/mesh/demand.rs
+++ b/crates/gateway/src/mesh/demand.rs
@@ -53,7 +53,8 @@
         let Some(engine) = &service.engine else { continue };
         for listing in roster.servers(&service.name).iter() {
             let model = listing.models.first().or(engine.models.first()).cloned();
-            let has_no_report = entry.status_report(listing).is_none();
+            let report = entry.status_report(listing);
+            let has_no_report = report.is_none_or(|report| report.is_outdated);
             let is_near = listing.zone == entry.settings.zone;
             let idle_rounds = if is_near { IDLE_DEMAND_ROUNDS } else { REMOTE_IDLE_DEMAND_ROUNDS };
             let demand = entry.with_server(&listing.id, |server| {
@@ -100,5 +101,6 @@
         in_flight: server.in_flight.iter().map(|(name, count)| (name.clone(), *count)).collect(),
         used: std::mem::take(&mut server.used),
         load_requests: server.load_requests.keys().cloned().collect(),
+        takes_residents: true,
     }
 }
--- a/crates/gateway/src/mesh/status.rs
+++ b/crates/gateway/src/mesh/status.rs
@@ -9,14 +9,15 @@
 
 use crate::{
     entry::Entry,
-    message::{Status, Work},
+    message::{Residents, Status, Work},
     roster::StatusReport,
 };
 
 /// Records a status report and wakes waiting requests if adapters or models changed.
 pub fn record_status(entry: &Entry, from: SocketAddr, status: Status) {
     let host = from.ip();
-    let report = StatusReport { received_at: entry.now(), status: Arc::new(status) };
+    let report =
+        StatusReport { received_at: entry.now(), status: Arc::new(status), is_outdated: false };
     record_work(entry, &report, host, &report.status.work);
     let status = Arc::clone(&report.status);
     let previous = entry.status_reports.with(&host, |reports| reports.insert(host, report));
@@ -33,6 +34,28 @@
     }
 }
 
+/// Records a change of the adapters. A status of another revision is asked for anew.
+pub fn record_residents(entry: &Entry, from: SocketAddr, residents: &Residents) {
+    let (host, now) = (from.ip(), entry.now());
+    let updated = entry.status_reports.with(&host, |reports| {
+        let report = reports.get_mut(&host)?;
+        let status = Arc::make_mut(&mut report.status);
+        let previous = (status.adapters.clone(), status.pending.clone());
+        report.is_outdated = !status.update(residents);
+        if report.is_outdated {
+            return None;
+        }
+        let is_changed = previous != (status.adapters.clone(), status.pending.clone());
+        report.received_at = now;
+        Some((report.clone(), is_changed))
+    });
+    let Some((report, is_changed)) = updated else { return };
+    record_work(entry, &report, host, &residents.work);
+    if is_changed {
+        entry.state_changed.notify(usize::MAX);
+    }
+}
+
 /// Records a change of the work in flight alone. It confirms that the side process is alive and
 /// that the rest of its latest status report still holds.
 pub fn record_work_update(
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,16 +1,22 @@
 //! Datagrams between the system's processes, encoded with postcard.
 //!
 //! Each datagram carries the full state of its kind, so that a lost one is made
-//! up for by the next.
+//! up for by the next. A field that was added later stands at the end of a datagram
+//! and is read as its default from earlier builds ([`or_default`]).
 
 use std::{net::SocketAddr, time::Duration};
 
 use fleet::suspect::{Record, trial::Spans};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use smallvec::SmallVec;
 
 use serving::{
-    Name, limit, mirror::Positions, origin, rate_limit::UsageReport, reader, residency::SlotUsage,
+    Name, limit,
+    mirror::Positions,
+    origin,
+    rate_limit::UsageReport,
+    reader,
+    residency::{MAX_RECENT_ADAPTERS, SlotUsage},
 };
 
 /// Maximum size of a datagram, in bytes.
@@ -72,6 +78,8 @@
     },
     /// The response to it.
     OriginReply(OriginReply),
+    /// From a side process, too: the part of its status that changes with each load.
+    Residents(Residents),
 }
 
 /// What processes tell the entry instances.
@@ -117,6 +125,7 @@
     Demand = "demand",
     Status = "status",
     Work = "work",
+    Residents = "residents",
     Gossip = "gossip",
     Leaving = "leaving",
     Limits = "limits",
@@ -135,6 +144,7 @@
             Message::Demand(_) => Kind::Demand,
             Message::Status(_) => Kind::Status,
             Message::Work { .. } => Kind::Work,
+            Message::Residents(_) => Kind::Residents,
             Message::News(news) | Message::ForZone(news) => news.kind(),
             Message::Relayed(_) => Kind::Relayed,
             Message::PermitRequest(_) | Message::PermitReply(_) => Kind::Permit,
@@ -267,6 +277,9 @@
     /// Adapters that requests wait for: base model, adapter and the oldest version that may run.
     #[serde(rename = "wants")]
     pub load_requests: Vec<(Name, Name, u64)>,
+    /// Whether the entry instance understands [`Residents`].
+    #[serde(deserialize_with = "or_default")]
+    pub takes_residents: bool,
 }
 
 /// Resident adapters of a model engine, and the work of entry instances in flight there.
@@ -289,6 +302,41 @@
     /// Adapters that were resident recently and load quickly.
     pub recent: Vec<(Name, u64)>,
     pub work: Work,
+    /// Number of changes of the engine's name, process and base models.
+    #[serde(deserialize_with = "or_default")]
+    pub revision: u64,
+}
+
+/// Part of a status: the adapters and the work in flight.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Residents {
+    pub born_ms: u64,
+    /// Revision of the status that this is a part of.
+    pub revision: u64,
+    pub slot_usage: SlotUsage,
+    pub adapters: Vec<(Name, u64)>,
+    pub pending: Vec<(Name, u64)>,
+    pub work: Work,
+}
+
+impl Status {
+    /// Replaces the part that changes with each load, if this is the same revision. Returns whether
+    /// it is. Adapters that are gone were evicted, so they load quickly.
+    pub fn update(&mut self, residents: &Residents) -> bool {
+        if (self.born_ms, self.revision) != (residents.born_ms, residents.revision) {
+            return false;
+        }
+        let is_listed = |adapter: &(Name, u64)| residents.adapters.contains(adapter);
+        self.recent.retain(|adapter| !is_listed(adapter));
+        self.recent.extend(self.adapters.drain(..).filter(|adapter| !is_listed(adapter)));
+        let surplus = self.recent.len().saturating_sub(MAX_RECENT_ADAPTERS);
+        self.recent.drain(..surplus);
+        self.adapters.clone_from(&residents.adapters);
+        self.pending.clone_from(&residents.pending);
+        self.work.clone_from(&residents.work);
+        self.slot_usage = residents.slot_usage;
+        true
+    }
 }
 
 /// Report of an entry instance to its peers.
@@ -302,3 +350,10 @@
     pub reader: reader::Report,
     pub usage: UsageReport,
 }
+
+/// Reads the last field of a datagram, which earlier builds do not send.
+fn or_default<'de, D: Deserializer<'de>, T: Deserialize<'de> + Default>(
+    deserializer: D,
+) -> Result<T, D::Error> {
+    Ok(T::deserialize(deserializer).unwrap_or_default())
+}
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -22,6 +22,8 @@
 pub struct StatusReport {
     pub received_at: Moment,
     pub status: Arc<Status>,
+    /// Whether a later report belongs to another revision of the status, which was lost.
+    pub is_outdated: bool,
 }
 
 /// Servers that take new requests, by service.
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     listen, mesh,
-    message::{Demand, LeavingServer, Message, News, Status, Work},
+    message::{Demand, LeavingServer, Message, News, Residents, Status, Work},
     origin::Holder,
     ports::{Engine, OrderResponse, Settings},
 };
@@ -64,6 +64,8 @@
     /// Latest status, without the work in flight, and the number of its changes.
     status: Status,
     status_changes: u64,
+    /// Number of changes of what only the whole status tells.
+    revision: u64,
 }
 
 /// An entry instance that gets reports.
@@ -151,6 +153,7 @@
     subscriber.last_seen = now;
     (subscriber.tokens, subscriber.requests) = (demand.tokens, demand.requests);
     subscriber.subscription.is_near = demand.is_near;
+    subscriber.subscription.takes_residents = demand.takes_residents;
     if needs_status {
         subscriber.subscription.forget_status();
     }
@@ -259,7 +262,7 @@
             if matches!(order, Order::LoadModel { .. }) {
                 let mut state = side.state.lock();
                 state.loading_since = Some(side.now());
-                state.status_changes += 1;
+                state.start_revision();
             }
         }
         Ok(OrderResponse::OtherEngine { actual }) => {
@@ -330,13 +333,9 @@
     state.planner.record_engine_state(engine);
     state.subscribers.retain(|_, subscriber| now < subscriber.last_seen + SUBSCRIBER_TIMEOUT);
     let work = (state.work(), state.planner.slot_usage(now, engine));
-    let status = state.status(engine);
-    if state.status != status {
-        state.status = status.clone();
-        state.status_changes += 1;
-    }
-    let changes = state.status_changes;
-    let (mut with_status, mut with_work) = (Vec::new(), Vec::new());
+    state.record_status(engine);
+    let (status, changes) = (state.status.clone(), state.status_changes);
+    let (mut with_status, mut with_residents, mut with_work) = (Vec::new(), Vec::new(), Vec::new());
     for (address, subscriber) in &mut state.subscribers {
         let has_new_work = subscriber.sent_work != work;
         let Some(due) = subscriber.subscription.due(now, changes, has_new_work) else { continue };
@@ -344,6 +343,7 @@
         subscriber.sent_work.clone_from(&work);
         match due {
             Due::Status => with_status.push(*address),
+            Due::Residents => with_residents.push(*address),
             Due::Work => with_work.push(*address),
         }
     }
@@ -351,8 +351,17 @@
     let loading = state.loading_since.filter(|_| engine.models.is_empty());
     let loading_ms = loading.map(|since| now.saturating_sub(since).as_millis() as u64);
     let short = Message::Work { born_ms: engine.born_ms, slot_usage, work: work.clone() };
-    let full = Message::Status(Status { work, slot_usage, loading_ms, ..status });
-    vec![(full, with_status), (short, with_work)]
+    let residents = Message::Residents(Residents {
+        born_ms: engine.born_ms,
+        revision: state.revision,
+        slot_usage,
+        adapters: status.adapters.clone(),
+        pending: status.pending.clone(),
+        work: work.clone(),
+    });
+    let revision = state.revision;
+    let full = Message::Status(Status { work, slot_usage, loading_ms, revision, ..status });
+    vec![(full, with_status), (residents, with_residents), (short, with_work)]
 }
 
 impl State {
@@ -366,10 +375,34 @@
         work
     }
 
-    /// Returns the status of the engine without the work in flight.
+    /// Records the status of the engine, without the work in flight.
+    fn record_status(&mut self, engine: &EngineState) {
+        let status = self.status(engine);
+        let revised =
+            |status: &Status| (status.server.clone(), status.born_ms, status.models.clone());
+        if revised(&self.status) != revised(&status) {
+            self.start_revision();
+        }
+        if self.status != status {
+            self.status = status;
+            self.status_changes += 1;
+        }
+    }
+
+    /// Lets all subscribers get the whole status.
+    fn start_revision(&mut self) {
+        self.revision += 1;
+        self.subscribers.values_mut().for_each(|it| it.subscription.forget_status());
+    }
+
+    /// Returns the status of the engine without the work in flight. Its lists are sorted, so that
+    /// another order is no change.
     fn status(&self, engine: &EngineState) -> Status {
         let versions = |list: &[AdapterVersion]| {
-            list.iter().map(|resident| (resident.adapter.clone(), resident.version)).collect()
+            let mut versions: Vec<(Name, u64)> =
+                list.iter().map(|it| (it.adapter.clone(), it.version)).collect();
+            versions.sort_unstable();
+            versions
         };
         Status {
             server: self.engine_id.clone(),
@@ -379,8 +412,16 @@
             loading_ms: None,
             adapters: versions(&engine.adapters),
             pending: versions(&engine.pending),
-            recent: versions(self.planner.recent_adapters()),
+            recent: self.evicted(engine),
             work: Work::new(),
+            revision: 0,
         }
     }
+
+    /// Returns the adapters that were resident recently and are not now, the most recent last.
+    fn evicted(&self, engine: &EngineState) -> Vec<(Name, u64)> {
+        let recent = self.planner.recent_adapters().iter();
+        let evicted = recent.filter(|it| !engine.adapters.contains(it));
+        evicted.map(|it| (it.adapter.clone(), it.version)).collect()
+    }
 }
--- a/crates/gateway/tests/status_report.rs
+++ b/crates/gateway/tests/status_report.rs
@@ -7,11 +7,15 @@
 use std::{sync::Arc, time::Duration};
 
 use gateway::{
-    message::Status,
+    message::{Demand, Message, Residents, Status},
     relay::EventBuffer,
     roster::{Roster, StatusReport},
 };
-use serving::directory::{Directory, Listing, Phase};
+use serving::{
+    Name,
+    directory::{Directory, Listing, Phase},
+    residency::SlotUsage,
+};
 
 fn listing(id: &str, born_ms: u64, phase: Phase) -> Listing {
     Listing {
@@ -29,7 +33,7 @@
 
 fn status_report(server: Option<&str>, born_ms: u64) -> StatusReport {
     let status = Status { server: server.map(Arc::from), born_ms, ..Status::default() };
-    StatusReport { received_at: Duration::ZERO, status: Arc::new(status) }
+    StatusReport { received_at: Duration::ZERO, status: Arc::new(status), is_outdated: false }
 }
 
 #[test]
@@ -111,3 +115,69 @@
     assert_eq!(&rest[..], b"id: 3\ndata: z\n\n");
     assert_eq!(events.last_id().map(|id| &id[..]), Some(&b"3"[..]));
 }
+
+fn adapters(names: &[&str]) -> Vec<(Name, u64)> {
+    names.iter().map(|name| (Name::from(*name), 1)).collect()
+}
+
+fn residents(revision: u64, names: &[&str]) -> Residents {
+    Residents {
+        born_ms: 200,
+        revision,
+        slot_usage: SlotUsage::default(),
+        adapters: adapters(names),
+        pending: Vec::new(),
+        work: Vec::new(),
+    }
+}
+
+// Guards against an evicted adapter that is taken for one that takes long to load, until the whole
+// status comes.
+#[test]
+fn keeps_evicted_adapters_as_recent_ones() {
+    let mut status = Status { born_ms: 200, adapters: adapters(&["a", "b"]), ..Status::default() };
+    status.recent = adapters(&["c"]);
+
+    let is_same = status.update(&residents(0, &["b", "c"]));
+
+    assert!(is_same);
+    assert_eq!(status.adapters, adapters(&["b", "c"]));
+    assert_eq!(status.recent, adapters(&["a"]));
+}
+
+// Guards against adapters of one process or model that are added to the status of another.
+#[test]
+fn rejects_residents_of_another_revision() {
+    let mut status = Status { born_ms: 200, revision: 1, ..Status::default() };
+
+    let is_same = status.update(&residents(2, &["a"]));
+
+    assert!(!is_same);
+    assert_eq!(status.adapters, []);
+}
+
+// Guards against side processes that lose their subscribers during a rolling upgrade.
+#[test]
+fn reads_demand_of_an_earlier_build() {
+    let demand = Demand {
+        server: Name::from("i-1"),
+        born_ms: 200,
+        is_near: true,
+        needs_status: false,
+        model: None,
+        adapter_slots: 6,
+        tokens: 7,
+        requests: 1,
+        in_flight: Vec::new(),
+        used: Vec::new(),
+        load_requests: Vec::new(),
+        takes_residents: true,
+    };
+    let bytes = postcard::to_stdvec(&Message::Demand(demand)).unwrap();
+    let earlier = &bytes[..bytes.len() - 1];
+
+    let read: Message = postcard::from_bytes(earlier).unwrap();
+
+    let Message::Demand(read) = read else { panic!("{read:?}") };
+    assert_eq!((read.tokens, read.requests, read.takes_residents), (7, 1, false));
+}
--- a/crates/serving/src/residency.rs
+++ b/crates/serving/src/residency.rs
@@ -38,7 +38,7 @@
 const MAX_PENDING_LOADS: usize = 2;
 /// Adapters, resident ones included, that an engine is assumed to load quickly since they were
 /// resident before.
-const MAX_RECENT_ADAPTERS: usize = 30;
+pub const MAX_RECENT_ADAPTERS: usize = 30;
 /// Time after which a limit that entry instances do not report again has ended.
 const REPORTED_LIMIT_LIFETIME: Duration = Duration::from_secs(1);
 /// Time without further orders after an order that got no response.
--- a/crates/serving/src/subscription.rs
+++ b/crates/serving/src/subscription.rs
@@ -2,25 +2,30 @@
 //!
 //! An instance of the engine's availability zone, or one that has work at the engine, hears of each
 //! change. All others only need to know roughly where an adapter is resident, and hear of changes
-//! less often.
+//! less often. A change of the adapters is told without what it leaves as it was, above all the adapters
+//! that were resident earlier, to instances that understand such a report. The whole status follows at
+//! intervals, or when the instance asks for it.
 
 use std::time::Duration;
 
 use crate::Moment;
 
-/// Longest time between status reports, also if the status is unchanged.
-const STATUS_INTERVAL: Duration = Duration::from_millis(700);
+/// Longest time between reports of the adapters, also if they are unchanged.
+const RESIDENTS_INTERVAL: Duration = Duration::from_millis(700);
 /// Shortest time between reports of the work in flight alone.
 const WORK_INTERVAL: Duration = Duration::from_millis(150);
 /// Time between reports to an entry instance of another zone that has no work here.
 const REMOTE_INTERVAL: Duration = Duration::from_millis(700);
-/// Longest time between its status reports; the others confirm that the status is unchanged.
-const REMOTE_STATUS_INTERVAL: Duration = Duration::from_millis(2100);
+/// Longest time between reports of the whole status.
+const STATUS_INTERVAL: Duration = Duration::from_millis(2100);
 
 /// Report that is due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Due {
+    /// The whole status.
     Status,
+    /// The adapters and the work in flight, which also confirms the rest of the status.
+    Residents,
     /// The work in flight alone, which also confirms the status.
     Work,
 }
@@ -32,9 +37,13 @@
     pub is_near: bool,
     /// Whether the instance has requests at the engine, or some that wait for an adapter there.
     pub has_work: bool,
-    /// Number of changes of the status that was sent last, with the time.
-    sent_status: Option<(u64, Moment)>,
-    /// Time of the latest report, of the status or of the work alone.
+    /// Whether the instance understands reports of the adapters without the rest of the status.
+    pub takes_residents: bool,
+    /// Time of the latest report of the whole status.
+    status_sent_at: Option<Moment>,
+    /// Number of changes of the status as of the latest report of the adapters, with its time.
+    sent_changes: (u64, Moment),
+    /// Time of the latest report of any kind.
     sent_at: Moment,
 }
 
@@ -42,33 +51,40 @@
     /// Returns the report that is due after `changes` of the status. `has_new_work` tells whether the
     /// work is another one than in the latest report.
     pub fn due(&self, now: Moment, changes: u64, has_new_work: bool) -> Option<Due> {
-        let Some((sent_changes, status_sent_at)) = self.sent_status else {
-            return Some(Due::Status);
-        };
+        let Some(status_sent_at) = self.status_sent_at else { return Some(Due::Status) };
+        let (sent_changes, residents_sent_at) = self.sent_changes;
         let is_changed = sent_changes != changes;
+        let changed = match self.takes_residents && now < status_sent_at + STATUS_INTERVAL {
+            true => Due::Residents,
+            false => Due::Status,
+        };
         if self.is_near || self.has_work {
-            if is_changed || status_sent_at + STATUS_INTERVAL <= now {
-                return Some(Due::Status);
+            if is_changed || residents_sent_at + RESIDENTS_INTERVAL <= now {
+                return Some(changed);
             }
             return (has_new_work && self.sent_at + WORK_INTERVAL <= now).then_some(Due::Work);
         }
         if now < self.sent_at + REMOTE_INTERVAL {
             return None;
         }
-        let needs_status = is_changed || status_sent_at + REMOTE_STATUS_INTERVAL <= now;
-        Some(if needs_status { Due::Status } else { Due::Work })
+        let is_old = status_sent_at + STATUS_INTERVAL <= now;
+        Some(if is_changed || is_old { changed } else { Due::Work })
     }
 
-    /// Records that the instance has no status: it has started anew, or the report was lost.
+    /// Requests the whole status at once: the instance has started anew, a report was lost, or the
+    /// part of the status changed that is in no other report.
     pub fn forget_status(&mut self) {
-        self.sent_status = None;
+        self.status_sent_at = None;
     }
 
     /// Records that a report was sent, after `changes` of the status.
     pub fn record_sent(&mut self, now: Moment, changes: u64, report: Due) {
         self.sent_at = now;
+        if report != Due::Work {
+            self.sent_changes = (changes, now);
+        }
         if report == Due::Status {
-            self.sent_status = Some((changes, now));
+            self.status_sent_at = Some(now);
         }
     }
 }
--- a/crates/serving/tests/subscription.rs
+++ b/crates/serving/tests/subscription.rs
@@ -16,7 +16,7 @@
         let Some(due) = subscription.due(now, changes, true) else { continue };
         subscription.record_sent(now, changes, due);
         match due {
-            Due::Status => statuses += 1,
+            Due::Status | Due::Residents => statuses += 1,
             Due::Work => works += 1,
         }
     }
@@ -82,3 +82,28 @@
 
     assert_eq!(subscription.due(Duration::from_secs(1), 1, false), Some(Due::Status));
 }
+
+// Guards against the adapters that were resident earlier, the largest part of a status, being sent with
+// each load to each instance, and against an instance that never hears the whole status again.
+#[test]
+fn tells_changes_without_the_whole_status_to_those_that_understand() {
+    for (takes_residents, limit) in [(true, 11), (false, 45)] {
+        let mut subscription = Subscription::default();
+        (subscription.is_near, subscription.takes_residents) = (true, takes_residents);
+        let (mut wholes, mut last, mut longest) = (0, Duration::ZERO, Duration::ZERO);
+
+        for step in 0..420u32 {
+            let (now, changes) = (STEP * step, u64::from(step / 20));
+            let Some(due) = subscription.due(now, changes, false) else { continue };
+            subscription.record_sent(now, changes, due);
+            if due == Due::Status {
+                wholes += 1;
+                longest = longest.max(now - last);
+                last = now;
+            }
+        }
+
+        assert!((9..=limit).contains(&wholes), "{wholes}");
+        assert!(longest <= Duration::from_millis(2800), "{longest:?}");
+    }
+}
