Gossip: cross a zone's border once in each round

Each report repeats the state of the one before.

Change: regular gossip goes to the two instances by turns; servers that leave, limits and suspects still go to both. While one of the two has stopped and is not noticed (1 s), reports of some senders come each 300 ms instead of 150 ms; a share of a rate is withheld after 400 ms of silence, as before.

--- a/crates/gateway/src/mesh/gossip.rs
+++ b/crates/gateway/src/mesh/gossip.rs
@@ -66,7 +66,7 @@
             continue;
         }
         round += 1;
-        let recipients = self::recipients(&entry, round);
+        let recipients = recipients_by_turns(&entry, round);
         for part in parts(current_gossip(&entry)) {
             send_news(&socket, &News::Gossip(Box::new(part)), &recipients).await;
         }
@@ -74,7 +74,7 @@
             entry.forget_gone();
         }
         if round.is_multiple_of(QUARANTINE_ROUNDS) {
-            send_quarantined(&entry, &socket, &recipients).await;
+            send_quarantined(&entry, &socket, &self::recipients(&entry, round)).await;
         }
     }
 }
@@ -133,6 +133,11 @@
     entry.peers.lock().recipients(own, entry.now(), round)
 }
 
+fn recipients_by_turns(entry: &Entry, round: u64) -> Recipients {
+    let own = (&entry.settings.mesh, &entry.settings.zone);
+    entry.peers.lock().recipients_by_turns(own, entry.now(), round)
+}
+
 fn current_gossip(entry: &Entry) -> Gossip {
     let (positions, generation) =
         entry.with_mirror(|mirror| (mirror.positions, mirror.generation()));
--- a/crates/gateway/src/mesh/peers.rs
+++ b/crates/gateway/src/mesh/peers.rs
@@ -4,6 +4,7 @@
 //! each other zone, which pass it on in theirs. Each sender ranks the instances of a zone
 //! differently, so that all of them bear a part of this. A zone of one or two instances gets it
 //! directly, and so do a zone in which nobody is heard and instances whose zone is not known yet.
+//! What is repeated at intervals goes to the two by turns, so that it crosses the border once.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -136,6 +137,25 @@
         recipients
     }
 
+    /// Returns the same for a message that is sent in each round and makes up for a lost one: of the
+    /// instances that pass it on in a zone, each gets it in its turn.
+    pub fn recipients_by_turns(
+        &self,
+        own: (&SocketAddr, &Name),
+        now: Moment,
+        round: u64,
+    ) -> Recipients {
+        let mut recipients = self.recipients(own, now, round);
+        let mut zones: BTreeMap<Option<&Name>, Members<'_>> = BTreeMap::new();
+        for address in &recipients.relays {
+            let Some((address, peer)) = self.known.get_key_value(address) else { continue };
+            zones.entry(peer.zone.as_ref()).or_default().push((address, peer));
+        }
+        let in_turn = zones.values().map(|relays| *relays[round as usize % relays.len()].0);
+        recipients.relays = in_turn.collect();
+        recipients
+    }
+
     /// Returns the peers of a zone to pass a message on to, without the silent ones in most rounds.
     pub fn in_zone(&self, zone: &Name, now: Moment, round: u64) -> Vec<SocketAddr> {
         let members = self.known.iter().filter(|(_, peer)| peer.zone.as_ref() == Some(zone));
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -111,3 +111,20 @@
     assert_eq!(counts.len(), 5 * 45);
     assert!(counts.values().all(|count| *count <= 25), "{:?}", counts.values().max());
 }
+
+// Guards against gossip that crosses the border of a zone once for each instance that passes it on.
+#[test]
+fn repeats_gossip_through_one_instance_of_each_zone_by_turns() {
+    let peers = fleet(6, 11, |_, _| NOW);
+    let all = peers.recipients((&SENDER, &zone(0)), NOW, 1).relays;
+
+    let turns = [1, 2, 3].map(|round| peers.recipients_by_turns((&SENDER, &zone(0)), NOW, round));
+
+    for turn in &turns {
+        assert_eq!((turn.direct.len(), turn.relays.len()), (11, 5));
+    }
+    assert_eq!(turns[0], turns[2]);
+    let mut both = [&turns[0].relays[..], &turns[1].relays[..]].concat();
+    both.sort_by_key(|address| all.iter().position(|it| it == address));
+    assert_eq!(both, all);
+}
