Demand reports: tell changes at once and repeat unchanged work each 300 ms

Cause: an instance with work at an engine repeated its demand each 100 ms, changed or not, while work that had ended was told only with the next idle report, after up to 0.4 or 1 s.

Change: serving::demand decides when a report is due: at a change, also to no work, in the next round; unchanged work each 300 ms; requests for adapters in each round, as before.

--- a/crates/gateway/src/mesh/demand.rs
+++ b/crates/gateway/src/mesh/demand.rs
@@ -4,35 +4,32 @@
 
 use async_net::UdpSocket;
 
-use serving::{Name, directory::Listing, manifest::Manifest};
+use serving::{
+    Moment, Name,
+    demand::{self, Need},
+    directory::Listing,
+    manifest::Manifest,
+};
 
 use crate::{
     entry::Entry,
     mesh::send,
     message::{Demand, Message},
-    roster::Server,
+    roster::{Server, Told},
 };
 
-/// Time between demand reports to an engine with work.
+/// Time between rounds of demand reports (`serving::demand` tells which ones are due).
 const DEMAND_INTERVAL: Duration = Duration::from_millis(100);
-/// Demand reports to an engine of the own zone without work are sent once in this many intervals.
-const IDLE_DEMAND_ROUNDS: u64 = 4;
-/// The same for an engine of another zone. A side process forgets an instance after three times that.
-const REMOTE_IDLE_DEMAND_ROUNDS: u64 = 10;
 /// Shortest time between rounds of demand reports, since each new load request triggers one.
 const MIN_DEMAND_INTERVAL: Duration = Duration::from_millis(4);
 
 /// Sends demand reports to the side processes, at intervals and when a request starts to wait.
 pub async fn run(entry: Arc<Entry>, socket: Arc<UdpSocket>) {
-    let mut round = 0;
     loop {
         let triggered = entry.load_requested.listen();
         let is_triggered = entry.kernel.clock.timeout(DEMAND_INTERVAL, triggered).await.is_ok();
-        if !is_triggered {
-            round += 1;
-        }
         let Some(manifest) = entry.manifest() else { continue };
-        for (listing, demand) in due_demands(&entry, &manifest, is_triggered, round) {
+        for (listing, demand) in due_demands(&entry, &manifest, is_triggered) {
             send(&socket, entry.side_address(&listing), &Message::Demand(demand)).await;
         }
         entry.kernel.clock.sleep(MIN_DEMAND_INTERVAL).await;
@@ -41,13 +38,9 @@
 
 /// Returns the demand reports to send in this round. A round triggered by a load request has only
 /// those with load requests.
-fn due_demands(
-    entry: &Entry,
-    manifest: &Manifest,
-    is_triggered: bool,
-    round: u64,
-) -> Vec<(Listing, Demand)> {
+fn due_demands(entry: &Entry, manifest: &Manifest, is_triggered: bool) -> Vec<(Listing, Demand)> {
     let mut demands = Vec::new();
+    let now = entry.now();
     let roster = entry.roster();
     for service in manifest.services.values() {
         let Some(engine) = &service.engine else { continue };
@@ -56,17 +49,16 @@
             let report = entry.status_report(listing);
             let has_no_report = report.is_none_or(|report| report.is_outdated);
             let is_near = listing.zone == entry.settings.zone;
-            let idle_rounds = if is_near { IDLE_DEMAND_ROUNDS } else { REMOTE_IDLE_DEMAND_ROUNDS };
             let demand = entry.with_server(&listing.id, |server| {
                 let is_due = if is_triggered {
                     !server.load_requests.is_empty()
                 } else {
-                    round.is_multiple_of(idle_rounds) || has_no_report || is_busy(server)
+                    demand::is_due(now, server.told.at, need(server, has_no_report, is_near))
                 };
                 is_due.then(|| Demand {
                     is_near,
                     needs_status: has_no_report,
-                    ..take_demand(listing, server, model, engine.adapter_slots)
+                    ..take_demand(now, listing, server, model, engine.adapter_slots)
                 })
             });
             demands.extend(demand.map(|demand| (listing.clone(), demand)));
@@ -75,20 +67,26 @@
     demands
 }
 
-fn is_busy(server: &Server) -> bool {
-    server.backlog.local_work() != (0, 0)
-        || !server.used.is_empty()
-        || !server.load_requests.is_empty()
+fn need(server: &Server, needs_status: bool, is_near: bool) -> Need {
+    if needs_status || !server.load_requests.is_empty() {
+        return Need::Request;
+    }
+    let work = server.backlog.local_work();
+    let is_changed = !server.used.is_empty() || !server.told.is_same(work, &server.in_flight);
+    if is_changed || work != (0, 0) { Need::Work { is_changed } } else { Need::Idle { is_near } }
 }
 
-/// Returns the demand report for a server and resets its used adapters.
+/// Returns the demand report for a server, which is then told, and resets its used adapters.
 fn take_demand(
+    now: Moment,
     listing: &Listing,
     server: &mut Server,
     model: Option<Name>,
     adapter_slots: usize,
 ) -> Demand {
     let (tokens, requests) = server.backlog.local_work();
+    server.told =
+        Told { at: Some(now), work: (tokens, requests), in_flight: server.in_flight.clone() };
     Demand {
         server: listing.id.clone(),
         born_ms: listing.born_ms,
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -171,12 +171,32 @@
     pub in_flight: HashMap<Name, u32>,
     /// Adapters used since the last demand report, once for each use.
     pub used: Vec<Name>,
+    /// What the latest demand report told.
+    pub told: Told,
     pub consecutive_failures: u32,
     /// Time until which the server is avoided because it failed.
     pub suspect_until: Moment,
     pub pause: Pause,
 }
 
+/// Work that a demand report told.
+#[derive(Debug, Default)]
+pub struct Told {
+    /// Time of the report; `None` before the first one.
+    pub at: Option<Moment>,
+    /// Prompt tokens outstanding and requests in flight.
+    pub work: (u64, u32),
+    /// Requests in flight, by adapter.
+    pub in_flight: HashMap<Name, u32>,
+}
+
+impl Told {
+    /// Returns whether this work is the one that was told.
+    pub fn is_same(&self, work: (u64, u32), in_flight: &HashMap<Name, u32>) -> bool {
+        self.work == work && self.in_flight == *in_flight
+    }
+}
+
 impl Server {
     fn is_in_use(&self) -> bool {
         self.backlog.local_work() != (0, 0) || !self.load_requests.is_empty()
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod backlog;
 pub mod breakage;
 pub mod cursor;
+pub mod demand;
 pub mod directory;
 pub mod limit;
 pub mod manifest;
