Rate limits: let a request wait at an instance that has just started

Each holds back the shares of peers that it does not hear yet, so accounts with rates of 30,000 to 240,000 units a second get a few hundred units, and most callers retry once at most.

The bucket decides as before, so no bound is loosened; attempts that wait delay nobody's Retry-After (Limiter::admit).

--- a/crates/gateway/src/job/rejection.rs
+++ b/crates/gateway/src/job/rejection.rs
@@ -6,6 +6,7 @@
 use hyper::{Response, StatusCode};
 
 use kernel::event::Event;
+use serving::rejection;
 
 use crate::{
     answer::{self, Rejection},
@@ -14,34 +15,47 @@
     quarantine,
 };
 
+/// Time between two attempts to charge a request that waits for it.
+const CHARGE_RETRY_INTERVAL: Duration = Duration::from_millis(30);
+
 impl Job {
-    /// Charges the request to the client account.
+    /// Charges the request to the client account. At an instance that has just started, which holds
+    /// most of each rate back until it hears its peers, the request waits for this for a while.
     ///
     /// # Errors
     ///
     /// Returns the rejection if the account's rate limit is exceeded.
-    pub fn charge(&mut self, entry: &Entry) -> Result<(), Rejection> {
-        let Some(account) = &self.grant.account else { return Ok(()) };
+    pub async fn charge(&mut self, entry: &Entry) -> Result<(), Rejection> {
+        let Some(account) = self.grant.account.clone() else { return Ok(()) };
         let units = account.units(self.meta.tokens.map(|(prompt, output)| prompt + output));
-        let now = entry.now();
-        match entry.limiter.lock().acquire(now, account, units) {
-            Ok(()) => {
+        let time_budget = self.deadline.saturating_sub(self.arrived);
+        let deadline = self.arrived + rejection::startup_wait(self.arrived, time_budget);
+        loop {
+            let now = entry.now();
+            if entry.limiter.lock().admit(now, &account, units) {
                 self.charge = Some((units, now));
-                Ok(())
+                return Ok(());
             }
-            Err(retry_after) => {
-                log::info!(
-                    event = Event::OverRate, request = &*self.meta.id,
-                    account = &*account.name, units, rate = account.rate, burst = account.burst;
-                    "the client account's rate is used up"
-                );
-                Err(Rejection {
-                    status: StatusCode::TOO_MANY_REQUESTS,
-                    reason: "the client account's rate is used up",
-                    retry_after: Some(retry_after),
-                })
+            if deadline <= now {
+                break;
             }
+            entry.kernel.clock.sleep(CHARGE_RETRY_INTERVAL.min(deadline - now)).await;
         }
+        let now = entry.now();
+        let Err(retry_after) = entry.limiter.lock().acquire(now, &account, units) else {
+            self.charge = Some((units, now));
+            return Ok(());
+        };
+        log::info!(
+            event = Event::OverRate, request = &*self.meta.id,
+            account = &*account.name, units, rate = account.rate, burst = account.burst;
+            "the client account's rate is used up"
+        );
+        Err(Rejection {
+            status: StatusCode::TOO_MANY_REQUESTS,
+            reason: "the client account's rate is used up",
+            retry_after: Some(retry_after),
+        })
     }
 
     /// Returns the rejection after the last attempt. It invites a retry only if the request did not
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -112,7 +112,7 @@
 
 /// Runs an authorized request up to its whole response, or to the first chunk of its stream.
 async fn run(entry: &Arc<Entry>, mut job: Job) -> Response<Body> {
-    if let Err(rejection) = job.charge(entry) {
+    if let Err(rejection) = job.charge(entry).await {
         return job.reject(entry, &rejection);
     }
     if let Err(rejection) = job.resolve_take_up(entry).await {
--- a/crates/serving/src/rate_limit.rs
+++ b/crates/serving/src/rate_limit.rs
@@ -140,24 +140,32 @@
 }
 
 impl Limiter {
-    /// Charges `units` to an account.
+    /// Charges `units` to an account if the bucket level suffices. Returns whether it does. The request
+    /// may wait and try again.
+    pub fn admit(&mut self, now: Moment, account: &Account, units: u64) -> bool {
+        if account.rate == 0 {
+            return true;
+        }
+        let bucket = self.bucket(now, account);
+        if bucket.level(now) < needed(bucket, units) {
+            return false;
+        }
+        bucket.charge(now, units);
+        *self.admitted.entry(account.name.clone()).or_default() += units;
+        true
+    }
+
+    /// Charges `units` to an account, or rejects the request.
     ///
     /// # Errors
     ///
     /// Returns the time after which the request should be retried, if the bucket level is too
     /// low.
     pub fn acquire(&mut self, now: Moment, account: &Account, units: u64) -> Result<(), Duration> {
-        if account.rate == 0 {
-            return Ok(());
-        }
-        let bucket = self.bucket(now, account);
-        let share = bucket.share();
-        let needed = units.min(share.capacity / ADMISSION_DIVISOR);
-        if needed <= bucket.level(now) {
-            bucket.charge(now, units);
-            *self.admitted.entry(account.name.clone()).or_default() += units;
+        if self.admit(now, account, units) {
             return Ok(());
         }
+        let needed = needed(self.bucket(now, account), units);
         let ahead = self.retries.entry(account.name.clone()).or_default().pending_units(now);
         let wait = self.bucket(now, account).time_until(now, needed + ahead);
         self.retries.entry(account.name.clone()).or_default().push(now + wait, units);
@@ -293,6 +301,11 @@
     }
 }
 
+/// Returns the level at which a bucket admits a request.
+fn needed(bucket: &Bucket, units: u64) -> u64 {
+    units.min(bucket.share().capacity / ADMISSION_DIVISOR)
+}
+
 impl Peer {
     fn is_live(&self, now: Moment) -> bool {
         self.last_report_at
--- a/crates/serving/tests/rate_limit.rs
+++ b/crates/serving/tests/rate_limit.rs
@@ -456,3 +456,38 @@
     let levels: Vec<u64> = report.usage.iter().map(|usage| usage.level).collect();
     assert_eq!(levels, [28_000, 28_000]);
 }
+
+// Guards against callers that are rejected because all instances have just started: most of them retry
+// once at most. The rate is there as soon as the instances hear each other, so a request that tries
+// again gets it, and its attempts delay nobody's retry.
+#[test]
+fn admits_a_request_that_waits_until_the_instances_hear_each_other() {
+    let account = account(240_000);
+    let mut limiter = Limiter::default();
+    for peer in 0..31 {
+        limiter.add_peer(address(peer));
+    }
+    let at = |ms| Duration::from_millis(ms);
+    let mut attempts = Vec::new();
+
+    for ms in (20..1000).step_by(30) {
+        if ms == 200 {
+            for peer in 0..31 {
+                let report = UsageReport {
+                    incarnation: 1,
+                    age: at(150),
+                    parts: 1,
+                    ..UsageReport::default()
+                };
+                limiter.record_report(at(ms), address(peer), &report);
+            }
+        }
+        // Others have used up what a starting instance may give.
+        attempts.push(limiter.admit(at(ms), &account, if ms == 20 { 9_000 } else { 2_500 }));
+    }
+
+    assert!(attempts[0]);
+    let admitted_at = attempts.iter().skip(1).position(|is_admitted| *is_admitted).unwrap();
+    assert!(admitted_at * 30 < 250, "{admitted_at}");
+    assert_eq!(limiter.acquire(at(1000), &account, 2_500), Ok(()));
+}
