Duties by processor share: who reads the store, and who passes news on

Cause: machines of 0.063 and 0.5 cores stand in one zone, and the reader of the store and the instances that pass gossip on were chosen by the hash of their addresses alone.

Change: an instance tells the cpu_quota of its settings (News::Capacity, 20 rounds after its start and once in 20 rounds). In a zone the instance with the largest share reads the store, among equals the one of highest hash, as before; gossip is passed on in proportion to the shares (weighted rendezvous). Where no share is stated, or all are equal, the ranks are those of before. Issuers of permits and trials stay as they are: all instances have to agree on them at once.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -210,7 +210,10 @@
             limiter: Mutex::default(),
             popularity: Mutex::new(Popularity::new(POPULARITY_HALF_LIFE)),
             peers: Mutex::new(Peers::new(seeds)),
-            readers: Mutex::new(reader::Zone::new(mesh::rank(settings.mesh))),
+            readers: Mutex::new(reader::Zone::new(reader::rank(
+                mesh::rank(settings.mesh),
+                settings.capacity,
+            ))),
             is_fetching_copy: AtomicBool::new(false),
             collected_news: Mutex::default(),
             mirror: RwLock::default(),
--- a/crates/gateway/src/mesh/gossip.rs
+++ b/crates/gateway/src/mesh/gossip.rs
@@ -12,7 +12,7 @@
 
 use fleet::suspect::Record;
 use serde::Serialize;
-use serving::{Moment, Name, directory::Listing, rate_limit};
+use serving::{Moment, Name, directory::Listing, rate_limit, reader};
 
 use crate::{
     entry::Entry,
@@ -40,6 +40,8 @@
 const MAX_LIMIT_REPORTS: usize = 50;
 /// All suspects in quarantine are sent once in this many intervals.
 const QUARANTINE_ROUNDS: u64 = 20;
+/// The capacity is told in this many rounds after the start, and after that once in as many.
+const CAPACITY_ROUNDS: u64 = 20;
 /// Silence after which an instance is not named to others.
 const PEER_NEWS_AGE: Duration = Duration::from_secs(3);
 /// Time for which a server that leaves is named in each round, since datagrams may be lost.
@@ -70,6 +72,9 @@
         for part in parts(current_gossip(&entry)) {
             send_news(&socket, &News::Gossip(Box::new(part)), &recipients).await;
         }
+        if round <= CAPACITY_ROUNDS || round.is_multiple_of(CAPACITY_ROUNDS) {
+            send_capacity(&entry, &socket, &self::recipients(&entry, round)).await;
+        }
         if round.is_multiple_of(CLEANUP_ROUNDS) {
             entry.forget_gone();
         }
@@ -236,6 +241,7 @@
         let direct = Recipients { direct: vec![from], relays: Vec::new() };
         send_news(socket, &News::Suspects(Vec::new()), &direct).await;
         send_peers(entry, socket, &direct).await;
+        send_capacity(entry, socket, &direct).await;
         send_quarantined(entry, socket, &direct).await;
     }
 }
@@ -276,6 +282,7 @@
             entry.record_informed();
         }
         News::Peers(addresses) => record_peers(entry, addresses),
+        News::Capacity(capacity) => entry.peers.lock().record_capacity(&from, *capacity),
         News::EarlierSuspects | News::EarlierGossip => {}
     }
     false
@@ -294,6 +301,7 @@
         zone: Some(gossip.zone.clone()),
         positions: gossip.positions,
         incarnation,
+        capacity: 0,
     };
     let previous = entry.peers.lock().update(from, peer);
     if let Some(answers) = gossip.reader.answers {
@@ -307,8 +315,10 @@
 
 /// Records what an instance of the own zone tells of its reads of the store, and follows it.
 fn record_reader(entry: &Arc<Entry>, now: Moment, from: SocketAddr, gossip: &Gossip) {
+    let capacity = entry.peers.lock().get(&from).map_or(0, |peer| peer.capacity);
+    let rank = reader::rank(peers::rank(from), capacity);
     let mut readers = entry.readers.lock();
-    let needs_copy = readers.record_report(now, from, peers::rank(from), gossip.reader);
+    let needs_copy = readers.record_report(now, from, rank, gossip.reader);
     let is_source = readers.source(now) == Some(from);
     let is_current = is_source && readers.is_current(from);
     drop(readers);
@@ -322,6 +332,13 @@
     }
 }
 
+/// Sends the own processor share, if the settings state one.
+async fn send_capacity(entry: &Entry, socket: &UdpSocket, recipients: &Recipients) {
+    if entry.settings.capacity != 0 {
+        send_news(socket, &News::Capacity(entry.settings.capacity), recipients).await;
+    }
+}
+
 /// Sends the servers that announced lately that they leave to peers, if there are any.
 async fn send_leaving(entry: &Entry, socket: &UdpSocket, recipients: &Recipients) {
     let servers: Vec<LeavingServer> = {
--- a/crates/gateway/src/mesh/peers.rs
+++ b/crates/gateway/src/mesh/peers.rs
@@ -2,7 +2,7 @@
 //!
 //! A message goes directly to the instances of the own availability zone, and to two instances of
 //! each other zone, which pass it on in theirs. Each sender ranks the instances of a zone
-//! differently, so that all of them bear a part of this. A zone of one or two instances gets it
+//! differently, so that all of them bear a part of this, in proportion to their processor shares. A zone of one or two instances gets it
 //! directly, and so do a zone in which nobody is heard and instances whose zone is not known yet.
 //! What is repeated at intervals goes to the two by turns, so that it crosses the border once.
 
@@ -49,6 +49,8 @@
     pub positions: Positions,
     /// Random number of the latest start of the peer's process; 0 before the first gossip.
     pub incarnation: u64,
+    /// Processor share in thousandths of a core; 0 if the peer has not told it.
+    pub capacity: u16,
 }
 
 /// Peers of one zone.
@@ -80,9 +82,19 @@
         }
     }
 
-    /// Records the state of a peer. Returns the one before.
+    /// Records the state of a peer, with the capacity known before if it names none. Returns the state
+    /// before.
     pub fn update(&mut self, address: SocketAddr, peer: Peer) -> Option<Peer> {
-        self.known.insert(address, peer)
+        let known = self.known.get(&address).map_or(0, |known| known.capacity);
+        let capacity = if peer.capacity == 0 { known } else { peer.capacity };
+        self.known.insert(address, Peer { capacity, ..peer })
+    }
+
+    /// Records the processor share of a known peer.
+    pub fn record_capacity(&mut self, address: &SocketAddr, capacity: u16) {
+        if let Some(peer) = self.known.get_mut(address) {
+            peer.capacity = capacity;
+        }
     }
 
     pub fn get(&self, address: &SocketAddr) -> Option<&Peer> {
@@ -175,12 +187,20 @@
         return SmallVec::new();
     }
     let heard = peers.iter().filter(|(_, peer)| peer.silence(now) < RELAY_TIMEOUT);
-    let mut ranked: SmallVec<[(u64, SocketAddr); 16]> =
-        heard.map(|(address, _)| (rank(format!("{sender} {address}")), **address)).collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    let mut ranked: SmallVec<[(f64, SocketAddr); 16]> = heard
+        .map(|(address, peer)| (relay_rank(sender, address, peer.capacity), **address))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
     ranked.into_iter().take(RELAYS).map(|(_, address)| address).collect()
 }
 
+/// Returns the rank of an instance among those of its zone that pass messages of `sender` on. It comes
+/// first for a share of the senders that is in proportion to its capacity (weighted rendezvous).
+fn relay_rank(sender: &SocketAddr, address: &SocketAddr, capacity: u16) -> f64 {
+    let position = (rank(format!("{sender} {address}")) as f64 + 0.5) / 2_f64.powi(64);
+    -f64::from(capacity.max(1)) / position.ln()
+}
+
 /// Returns the rank of an instance among those of its zone.
 pub fn rank(address: impl ToString) -> u64 {
     rendezvous::hash(&address.to_string())
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -99,6 +99,8 @@
     Gossip(Box<Gossip>),
     /// To an instance that has just started: addresses of the others.
     Peers(Vec<SocketAddr>),
+    /// Processor share of the sender, in thousandths of a core.
+    Capacity(u16),
 }
 
 macro_rules! kinds {
@@ -131,6 +133,7 @@
     Limits = "limits",
     Suspects = "suspects",
     Peers = "peers",
+    Capacity = "capacity",
     Relayed = "relayed",
     Permit = "permit",
     Trial = "trial",
@@ -174,6 +177,7 @@
             News::Limits(_) => Kind::Limits,
             News::Suspects(_) => Kind::Suspects,
             News::Peers(_) => Kind::Peers,
+            News::Capacity(_) => Kind::Capacity,
             News::EarlierSuspects | News::EarlierGossip => Kind::Earlier,
         }
     }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -48,6 +48,8 @@
     pub metrics: SocketAddr,
     /// Memory that the process may use, in bytes, if it is limited.
     pub memory_limit: Option<usize>,
+    /// Share of the processor in thousandths of a core; 0 if it is not stated.
+    pub capacity: u16,
     pub tunable: Tunable,
     /// Model engine of this host; side processes only.
     pub engine: Option<SocketAddr>,
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -128,3 +128,32 @@
     both.sort_by_key(|address| all.iter().position(|it| it == address));
     assert_eq!(both, all);
 }
+
+// Guards against small machines that pass on as much as large ones.
+#[test]
+fn passes_on_by_processor_share() {
+    let mut peers = fleet(2, 10, |_, _| NOW);
+    for index in 0..10 {
+        peers.record_capacity(&address(1, index), if index < 2 { 500 } else { 63 });
+    }
+
+    let chosen = (0..200u8).flat_map(|sender| {
+        let sender = SocketAddr::from(([10, 1, 0, sender], 9000));
+        peers.recipients_by_turns((&sender, &zone(0)), NOW, 0).relays
+    });
+
+    let is_large = |relay: &SocketAddr| [address(1, 0), address(1, 1)].contains(relay);
+    let large = chosen.filter(is_large).count();
+    // Two thirds of the processor share of the zone.
+    assert!((110..=160).contains(&large), "{large}");
+}
+
+#[test]
+fn keeps_the_processor_share_of_a_peer_that_gossips() {
+    let mut peers = fleet(2, 10, |_, _| NOW);
+    peers.record_capacity(&address(1, 0), 500);
+
+    peers.update(address(1, 0), Peer { zone: Some(zone(1)), ..Peer::default() });
+
+    assert_eq!(peers.get(&address(1, 0)).map(|peer| peer.capacity), Some(500));
+}
--- a/crates/serving/src/reader.rs
+++ b/crates/serving/src/reader.rs
@@ -3,7 +3,8 @@
 //! Each instance reads the store unless it hears a reader of its zone that ranks higher and reaches
 //! the store. There is no election: each one decides by what it hears, so that nobody is left
 //! without the store while instances disagree; they only read more often than needed. The ranks are
-//! hashes of the addresses, so the highest one that works remains.
+//! the processor shares of the instances and then hashes of their addresses, so the highest one that
+//! works remains.
 //!
 //! A reader tells the generation of its mirror with its gossip. A follower fetches a copy of the
 //! mirror when it hears of another generation. It follows only while the copy that it has is the one
@@ -61,6 +62,12 @@
     report: Report,
 }
 
+/// Returns the rank of an instance with this processor share, in thousandths of a core, among those of
+/// its zone. Instances with equal shares, or of which none is known, are ranked by hash.
+pub fn rank(hash: u64, capacity: u16) -> u64 {
+    u64::from(capacity) << 48 | hash >> 16
+}
+
 impl Report {
     pub fn version(&self) -> Version {
         Version { incarnation: self.incarnation, generation: self.generation }
--- a/crates/serving/tests/reader.rs
+++ b/crates/serving/tests/reader.rs
@@ -6,7 +6,7 @@
 
 use rand::{RngExt as _, SeedableRng as _};
 use seeds::Random;
-use serving::reader::{Report, Version, Zone};
+use serving::reader::{self, Report, Version, Zone};
 
 /// Time between two reports of an instance.
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
@@ -247,3 +247,23 @@
     assert!(!zone.record_report(now, address(0), 2, report));
     assert_eq!(zone.source(now), None);
 }
+
+// Guards against the smallest machine of a zone reading the store for all of it.
+#[test]
+fn follows_the_reader_with_the_larger_processor_share() {
+    let report =
+        Report { incarnation: 1, generation: 1, silence: Some(Duration::ZERO), answers: None };
+    let (small, large) = (reader::rank(u64::MAX, 63), reader::rank(0, 500));
+    let (mut at_small, mut at_large) = (Zone::new(small), Zone::new(large));
+
+    at_small.record_report(Duration::ZERO, address(0), large, report);
+    at_large.record_report(Duration::ZERO, address(1), small, report);
+
+    assert_eq!(at_small.source(Duration::ZERO), Some(address(0)));
+    assert_eq!(at_large.source(Duration::ZERO), None);
+}
+
+#[test]
+fn ranks_instances_with_equal_shares_by_hash() {
+    assert!(reader::rank(1 << 20, 500) < reader::rank(1 << 21, 500));
+}
