--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -111,3 +111,49 @@
     assert_eq!(counts.len(), 5 * 45);
     assert!(counts.values().all(|count| *count <= 25), "{:?}", counts.values().max());
 }
+
+// Guards against gossip that crosses the border of a zone once for each instance that passes it on.
+#[test]
+fn repeats_gossip_through_one_instance_of_each_zone_by_turns() {
+    let peers = fleet(6, 11, |_, _| NOW);
+    let all = peers.recipients((&SENDER, &zone(0)), NOW, 1).relays;
+
+    let turns = [1, 2, 3].map(|round| peers.recipients_by_turns((&SENDER, &zone(0)), NOW, round));
+
+    for turn in &turns {
+        assert_eq!((turn.direct.len(), turn.relays.len()), (11, 5));
+    }
+    assert_eq!(turns[0], turns[2]);
+    let mut both = [&turns[0].relays[..], &turns[1].relays[..]].concat();
+    both.sort_by_key(|address| all.iter().position(|it| it == address));
+    assert_eq!(both, all);
+}
+
+// Guards against small machines that pass on as much as large ones.
+#[test]
+fn passes_on_by_processor_share() {
+    let mut peers = fleet(2, 10, |_, _| NOW);
+    for index in 0..10 {
+        peers.record_capacity(&address(1, index), if index < 2 { 500 } else { 63 });
+    }
+
+    let chosen = (0..200u8).flat_map(|sender| {
+        let sender = SocketAddr::from(([10, 1, 0, sender], 9000));
+        peers.recipients_by_turns((&sender, &zone(0)), NOW, 0).relays
+    });
+
+    let is_large = |relay: &SocketAddr| [address(1, 0), address(1, 1)].contains(relay);
+    let large = chosen.filter(is_large).count();
+    // Two thirds of the processor share of the zone.
+    assert!((110..=160).contains(&large), "{large}");
+}
+
+#[test]
+fn keeps_the_processor_share_of_a_peer_that_gossips() {
+    let mut peers = fleet(2, 10, |_, _| NOW);
+    peers.record_capacity(&address(1, 0), 500);
+
+    peers.update(address(1, 0), Peer { zone: Some(zone(1)), ..Peer::default() });
+
+    assert_eq!(peers.get(&address(1, 0)).map(|peer| peer.capacity), Some(500));
+}
