Replace the roster while the mirror is locked

update_mirror released the mirror before it replaced the roster. Of two tasks that change the mirror at once, the one that changed it first could replace the roster last, with servers that the second change had taken out; they got requests until the next change. Found by reading; no run has shown it, and there is no test: the moment between the two locks cannot be reached without a hook.

The roster is now replaced under the mirror's lock. No task takes the two locks in the other order.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -301,8 +301,9 @@
         }
         let roster =
             Roster::new(&mirror.directory).with_side_hosts(&mirror, self.settings.mesh.port());
-        drop(mirror);
+        // The lock is kept so that the roster of an earlier change does not replace this one.
         *self.roster.write() = Arc::new(roster);
+        drop(mirror);
         self.state_changed.notify(usize::MAX);
         result
     }
