Empty availability zones by the operators' word, and keep requests in their homes

Cause: neither the records that empty a zone nor the regions of routes and accounts were read.

The roster leaves the servers of emptied zones out, and the gate looks once more. Routes and accounts may name regions (homes), which limit the candidates of each attempt. Copies of the mirror have another form, so their path changes.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -225,7 +225,10 @@
         };
         let roster = entry.roster();
         let servers = roster.servers(service);
-        let compatible = servers.iter().filter(|server| self.progress.admit(server).is_some());
+        let regions = entry.tunable().regions;
+        let allowed =
+            servers.iter().filter(|server| self.grant.allows_region(regions.get(&server.zone)));
+        let compatible = allowed.filter(|server| self.progress.admit(server).is_some());
         let compatible = self.registered_first(entry, compatible.collect());
         let eligible = compatible.iter().filter(|server| !self.excluded.contains(&server.id));
         let eligible: Vec<&Listing> = eligible.copied().collect();
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -37,7 +37,7 @@
 };
 
 use crate::{
-    follow,
+    evacuation, follow,
     gate::Gate,
     listen, mesh,
     mesh::Peers,
@@ -295,15 +295,22 @@
         let now = self.now();
         let mut mirror = self.mirror.write();
         let generation = mirror.generation();
+        let revision = mirror.manifest.as_ref().map(|manifest| manifest.revision);
         let result = update(now, &mut mirror);
         if mirror.generation() == generation {
             return result;
         }
-        let roster =
-            Roster::new(&mirror.directory).with_side_hosts(&mirror, self.settings.mesh.port());
+        let roster = Roster::new(&mirror.directory, &mirror.evacuation);
+        let roster = Arc::new(roster.with_side_hosts(&mirror, self.settings.mesh.port()));
         // The lock is kept so that the roster of an earlier change does not replace this one.
-        *self.roster.write() = Arc::new(roster);
+        let replaced = std::mem::replace(&mut *self.roster.write(), Arc::clone(&roster));
+        let position = mirror.positions.operator;
+        let manifest = mirror.manifest.clone();
         drop(mirror);
+        evacuation::log_changes(&replaced, &roster, position);
+        if let Some(manifest) = manifest.filter(|it| Some(it.revision) != revision) {
+            evacuation::log_unknown_homes(&manifest, &self.tunable().regions);
+        }
         self.state_changed.notify(usize::MAX);
         result
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -16,6 +16,7 @@
     Moment, Name,
     cursor::{Cursor, Position, Read, Verdict},
     directory::Effect,
+    evacuation,
     mirror::{Change, Mirror, Outcome, PeerCopy, Positions, Topic},
     reader::Version,
 };
@@ -141,6 +142,12 @@
     if topic == Topic::Servers {
         entry.record_servers_answer(entry.now());
     }
+    let (zones, records): (Vec<Record>, Vec<Record>) =
+        records.into_iter().partition(|record| matches!(record.change, Change::Zone { .. }));
+    if topic == Topic::Operator {
+        let zones: Vec<_> = zones.iter().filter_map(|it| zone_record(it, end.era)).collect();
+        entry.update_mirror(|_, mirror| mirror.apply_zone_snapshot(&zones, end));
+    }
     let present: HashSet<Name> = records.iter().map(|record| record.key.clone()).collect();
     apply(entry, topic, records, end, verdict);
     if topic == Topic::Servers {
@@ -245,6 +252,9 @@
     }
     entry.update_mirror(|now, mirror| {
         for record in records {
+            if let Some(zone) = zone_record(&record, next.era) {
+                mirror.apply_zone(&zone);
+            }
             apply_record(now, mirror, record, next, verdict);
         }
         match topic {
@@ -257,6 +267,13 @@
     });
 }
 
+/// Returns the record as one of an availability zone, if it is one. A response of the store has one era.
+fn zone_record(record: &Record, era: u64) -> Option<evacuation::Record> {
+    let Change::Zone { zone, is_emptied } = &record.change else { return None };
+    let end = Position { era, offset: record.offset.saturating_add(1) };
+    Some(evacuation::Record { zone: zone.clone(), is_emptied: *is_emptied, end })
+}
+
 fn apply_record(
     now: Moment,
     mirror: &mut Mirror,
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -1,6 +1,6 @@
 //! The gate before the backend servers: whether a request may be sent to a server now.
 //!
-//! It knows the pauses that servers ask for and the limits that they name. For a server with a
+//! It knows the emptied zones, the pauses that servers ask for and the limits that they name. For a server with a
 //! limit, each request needs a permit of the instance that issues them (`serving::limit`).
 //!
 //! Architecture Invariant: a request is sent only with a [`Pass`], and only the gate hands them
@@ -80,6 +80,10 @@
         held: &mut Option<HeldPermit>,
     ) -> Option<Pass> {
         let now = self.now();
+        // The zone may have been emptied while the request waited for a trial.
+        if self.roster().emptied_zones().contains(&server.zone) {
+            return None;
+        }
         let is_limited = self.server_rate(&server.id).is_some();
         if is_limited && !held.as_ref().is_some_and(|held| held.is_valid(&server.id, now)) {
             return None;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod choose;
 pub mod end;
 pub mod entry;
+pub mod evacuation;
 pub mod exchange;
 pub mod follow;
 pub mod gate;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -4,7 +4,7 @@
 //! Architecture Invariant: an implementation only translates. Decisions are made
 //! by this crate and by `serving`.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -68,6 +68,8 @@
     /// Time from SIGTERM to the exit.
     pub stop_limit: Duration,
     pub retry_limits: retry::Limits,
+    /// Region of each availability zone.
+    pub regions: Arc<HashMap<Name, Name>>,
 }
 
 type Reload = dyn Fn() -> Result<Settings, String> + Send + Sync;
@@ -165,6 +167,8 @@
 /// One record of a log.
 #[derive(Clone, Debug)]
 pub struct Record {
+    /// Position in the log.
+    pub offset: u64,
     pub key: Name,
     pub change: Change,
     /// Raw value; only for records of [`Topic::Instances`] and [`Topic::Streams`].
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -1,9 +1,13 @@
 //! Ready servers by service, and what this instance knows of each server.
 //!
-//! The roster is a copy of the directory with precomputed hashes for placement.
-//! It is replaced when the directory changes.
+//! The roster is a copy of the directory, without the servers of emptied zones, with precomputed
+//! hashes for placement. It is replaced when the directory or the emptied zones change.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+};
 
 use kernel::shard;
 use placement::rendezvous;
@@ -11,6 +15,7 @@
     Moment, Name,
     backlog::Backlog,
     directory::{Directory, Listing, Phase},
+    evacuation::Evacuation,
     mirror::Mirror,
     pause::Pause,
 };
@@ -28,6 +33,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     services: HashMap<Name, Service>,
+    emptied_zones: BTreeSet<Name>,
     /// Addresses of the side processes of model engines.
     side_hosts: Vec<SocketAddr>,
 }
@@ -50,14 +56,17 @@
 }
 
 impl Roster {
-    pub fn new(directory: &Directory) -> Roster {
+    /// Returns the roster of the ready servers outside of the emptied zones.
+    pub fn new(directory: &Directory, evacuation: &Evacuation) -> Roster {
         let mut services: HashMap<Name, Vec<Listing>> = HashMap::new();
-        for listing in directory.iter().filter(|listing| listing.phase == Phase::Ready) {
+        let ready = directory.iter().filter(|listing| listing.phase == Phase::Ready);
+        for listing in ready.filter(|listing| !evacuation.is_emptied(&listing.zone)) {
             services.entry(listing.service.clone()).or_default().push(listing.clone());
         }
         let services = services.into_iter();
         Roster {
             services: services.map(|(name, listings)| (name, build_service(listings))).collect(),
+            emptied_zones: evacuation.emptied(),
             side_hosts: Vec::new(),
         }
     }
@@ -74,6 +83,11 @@
         self.side_hosts.iter().copied()
     }
 
+    /// Returns the availability zones whose servers get no new requests.
+    pub fn emptied_zones(&self) -> &BTreeSet<Name> {
+        &self.emptied_zones
+    }
+
     /// Returns the servers of a service, ordered by id.
     pub fn servers(&self, service: &str) -> Arc<Vec<Listing>> {
         self.services.get(service).map(|service| Arc::clone(&service.listings)).unwrap_or_default()
--- a/crates/gateway/src/software.rs
+++ b/crates/gateway/src/software.rs
@@ -60,10 +60,14 @@
     /// store tells within `limit`.
     pub async fn sole_version(&self, service: &Name, limit: Duration) -> Option<Origin> {
         let versions = self.software_reads.next(self, limit).await?;
-        let is_listed_alone = self.roster().servers(service).iter().all(|listing| {
-            sole(&versions, service).is_some_and(|it| it.version == listing.version)
+        let sole = sole(&versions, service)?;
+        // Servers of emptied zones count, too: streams have begun there.
+        let is_listed_alone = self.with_mirror(|mirror| {
+            let listed = mirror.directory.iter().filter(|listing| listing.service == *service);
+            let mut ready = listed.filter(|listing| listing.phase == Phase::Ready);
+            ready.all(|listing| listing.version == sole.version)
         });
-        sole(&versions, service).filter(|_| is_listed_alone)
+        is_listed_alone.then_some(sole)
     }
 
     /// Returns whether the register has a server's version.
--- a/crates/gateway/tests/status_report.rs
+++ b/crates/gateway/tests/status_report.rs
@@ -11,7 +11,10 @@
     relay::EventBuffer,
     roster::{Roster, StatusReport},
 };
-use serving::directory::{Directory, Listing, Phase};
+use serving::{
+    directory::{Directory, Listing, Phase},
+    evacuation::Evacuation,
+};
 
 fn listing(id: &str, born_ms: u64, phase: Phase) -> Listing {
     Listing {
@@ -57,7 +60,7 @@
     directory.upsert(listing("i-1", 1, Phase::Ready));
     directory.upsert(listing("i-2", 1, Phase::Leaving));
 
-    let roster = Roster::new(&directory);
+    let roster = Roster::new(&directory, &Evacuation::default());
 
     assert_eq!(roster.servers("models").len(), 1);
     assert!(roster.servers("other").is_empty());
@@ -71,7 +74,7 @@
         directory.upsert(Listing { zone: Arc::from(zone), ..listing(id, 1, Phase::Ready) });
     }
 
-    let roster = Roster::new(&directory);
+    let roster = Roster::new(&directory, &Evacuation::default());
 
     let servers = roster.servers("models");
     for zone in ["a", "b"] {
@@ -88,7 +91,7 @@
     for id in ["i-1", "i-2", "i-3"] {
         directory.upsert(listing(id, 1, Phase::Ready));
     }
-    let roster = Roster::new(&directory);
+    let roster = Roster::new(&directory, &Evacuation::default());
     let home = roster.preferred_server("models", "a1", |_| true).unwrap();
     let servers = roster.servers("models");
 
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -49,6 +49,10 @@
     Version = "version",
     /// A software version that serves was written to the store.
     Software = "software",
+    /// An availability zone was emptied or taken back.
+    Evacuation = "evacuation",
+    /// A route or account is limited to a region in which no known zone lies.
+    UnknownHome = "unknown_home",
     /// The list of backend servers changed.
     Server = "server",
     /// A server did not reappear in the list after an outage of the store.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod breakage;
 pub mod cursor;
 pub mod directory;
+pub mod evacuation;
 pub mod limit;
 pub mod manifest;
 pub mod mirror;
--- a/crates/serving/src/manifest.rs
+++ b/crates/serving/src/manifest.rs
@@ -9,6 +9,9 @@
 
 use crate::Name;
 
+/// Regions that a route or an account is limited to; a few are stored inline.
+pub type Homes = SmallVec<[Name; 2]>;
+
 /// One revision of the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Manifest {
@@ -45,6 +48,8 @@
     pub attempts: u32,
     /// Whether callers need no API key.
     pub is_public: bool,
+    /// Regions whose servers may run the requests; empty for all.
+    pub homes: Homes,
 }
 
 /// Kind of the requests of a route, which decides whether they may be retried.
@@ -104,6 +109,8 @@
     pub urgency: Option<u8>,
     /// Whether a request is charged one unit per token, instead of one unit in all.
     pub counts_tokens: bool,
+    /// Regions whose servers may run the account's requests; empty for all.
+    pub homes: Homes,
 }
 
 /// Route and client account of an authorized request.
@@ -165,6 +172,12 @@
         Ok(Grant { route: Arc::clone(route), account: account.cloned() })
     }
 
+    /// Returns the regions that routes and accounts are limited to.
+    pub fn homes(&self) -> impl Iterator<Item = &Name> {
+        let routes = self.routes.iter().flat_map(|route| &route.homes);
+        routes.chain(self.accounts.iter().flat_map(|account| &account.homes))
+    }
+
     /// Returns the route of `host` with the longest prefix of `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
@@ -175,6 +188,16 @@
     }
 }
 
+impl Grant {
+    /// Returns whether a server in this region may run the request; `None` is an unknown region. Where
+    /// both the route and the account have homes, both limit the request.
+    pub fn allows_region(&self, region: Option<&Name>) -> bool {
+        let account_homes = self.account.as_ref().map(|account| &account.homes);
+        let mut limits = [Some(&self.route.homes), account_homes].into_iter().flatten();
+        limits.all(|homes| homes.is_empty() || region.is_some_and(|it| homes.contains(it)))
+    }
+}
+
 impl Route {
     /// Returns whether requests of this route may go to a service.
     pub fn has_target(&self, service: &str) -> bool {
--- a/crates/serving/src/mirror.rs
+++ b/crates/serving/src/mirror.rs
@@ -1,6 +1,6 @@
 //! Local mirror of the platform's store: the configuration, the announced adapter
-//! versions, the software versions that serve and the backend servers, with the positions up to which the logs were
-//! read.
+//! versions, the emptied zones, the software versions that serve and the backend servers, with the
+//! positions up to which the logs were read.
 //!
 //! Invariant: the mirror never goes back to an older state, whether an update
 //! comes from the store or from a peer.
@@ -17,6 +17,7 @@
     Moment, Name,
     cursor::Position,
     directory::{Directory, Effect, Listing},
+    evacuation::{self, Evacuation},
     manifest::Manifest,
     origin::Origin,
 };
@@ -31,6 +32,11 @@
         adapter: Name,
         version: u64,
     },
+    /// An availability zone that is emptied or taken back.
+    Zone {
+        zone: Name,
+        is_emptied: bool,
+    },
     Server(Listing),
     ServerRemoved(Name),
     /// A record that cannot be decoded.
@@ -46,7 +52,7 @@
 /// A log of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Topic {
-    /// Configuration and adapter versions.
+    /// Configuration, adapter versions and emptied zones.
     Operator,
     /// Backend servers.
     Servers,
@@ -72,6 +78,7 @@
     pub manifest: Option<Arc<Manifest>>,
     /// Base model, adapter and version.
     pub versions: Vec<(Name, Name, u64)>,
+    pub evacuation: Evacuation,
     pub servers: Vec<Listing>,
     /// Those whose listings were removed, with the time until this takes effect.
     pub lapsed: Vec<(Name, Duration)>,
@@ -83,12 +90,13 @@
 pub struct Mirror {
     pub manifest: Option<Arc<Manifest>>,
     pub directory: Directory,
+    pub evacuation: Evacuation,
     pub positions: Positions,
     /// Software versions of services that have ever served, as the store has them.
     pub software: BTreeSet<Origin>,
     /// Newest announced version by base model and adapter.
     versions: HashMap<(Name, Name), u64>,
-    /// Number of changes of the manifest, the versions and the software.
+    /// Number of changes of the manifest, the versions, the emptied zones and the software.
     generation: u64,
 }
 
@@ -118,6 +126,8 @@
                 self.generation += 1;
                 Outcome::NewVersion
             }
+            // Without its position, a record of a zone has no order.
+            Change::Zone { .. } => Outcome::Unchanged,
             Change::Server(listing) => Outcome::Server(self.directory.upsert(listing)),
             Change::ServerRemoved(id) => Outcome::Server(self.directory.remove(now, &id)),
             Change::Invalid { server: Some(id), .. } => {
@@ -137,6 +147,16 @@
         }
     }
 
+    /// Applies one record of a zone.
+    pub fn apply_zone(&mut self, record: &evacuation::Record) {
+        self.generation += u64::from(self.evacuation.apply(record));
+    }
+
+    /// Applies the records of zones in a snapshot of the operators' log that ends at `end`.
+    pub fn apply_zone_snapshot(&mut self, records: &[evacuation::Record], end: Position) {
+        self.generation += u64::from(self.evacuation.apply_snapshot(records, end));
+    }
+
     /// Adds software versions that have served. None is ever dropped.
     pub fn register_software(&mut self, versions: impl IntoIterator<Item = Origin>) {
         let known = self.software.len();
@@ -144,8 +164,8 @@
         self.generation += (self.software.len() - known) as u64;
     }
 
-    /// Returns a number that grows with each change of the manifest, the versions, the software or the
-    /// servers, but not of the positions.
+    /// Returns a number that grows with each change of the manifest, the versions, the emptied zones,
+    /// the software or the servers, but not of the positions.
     pub fn generation(&self) -> u64 {
         self.generation + self.directory.generation()
     }
@@ -171,6 +191,7 @@
             versions: versions
                 .map(|((model, adapter), version)| (model.clone(), adapter.clone(), *version))
                 .collect(),
+            evacuation: self.evacuation.clone(),
             servers: self.directory.iter().cloned().collect(),
             lapsed: self.directory.lapsed(now),
             software: self.software.clone(),
@@ -195,6 +216,11 @@
             is_newer |= self.apply(now, change) == Outcome::NewVersion;
         }
         self.register_software(copy.software);
+        let (end, told_end) = (self.positions.operator, copy.positions.operator);
+        if self.evacuation.merge(end, &copy.evacuation, told_end) {
+            self.generation += 1;
+            is_newer = true;
+        }
         self.positions.operator = self.positions.operator.max(copy.positions.operator);
         if self.positions.servers <= copy.positions.servers {
             is_newer |= self.positions.servers < copy.positions.servers;
--- a/crates/serving/tests/manifest.rs
+++ b/crates/serving/tests/manifest.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use serving::{
-    manifest::{Account, Denial, Manifest, RetryPolicy, Route},
+    manifest::{Account, Denial, Homes, Manifest, RetryPolicy, Route},
     retry::{Budget, Limits},
 };
 
@@ -22,6 +22,7 @@
         targets: [(Arc::from("old"), 90), (Arc::from("new"), 10)].into_iter().collect(),
         attempts: 2,
         is_public,
+        homes: Homes::new(),
     })
 }
 
--- a/crates/serving/tests/mirror.rs
+++ b/crates/serving/tests/mirror.rs
@@ -15,6 +15,7 @@
 use serving::{
     cursor::Position,
     directory::{Listing, Phase},
+    evacuation::Evacuation,
     manifest::Manifest,
     mirror::{Change, Mirror, Outcome, PeerCopy, Positions},
 };
@@ -88,6 +89,7 @@
         positions: positions(4),
         manifest: None,
         versions: Vec::new(),
+        evacuation: Evacuation::default(),
         servers: vec![ready("s0")],
     };
     let newer = PeerCopy { positions: positions(6), ..older.clone() };
@@ -116,6 +118,7 @@
         positions: positions(5),
         manifest: None,
         versions: Vec::new(),
+        evacuation: Evacuation::default(),
         servers: vec![ready("s1"), ready("s2")],
     };
 
--- a/crates/serving/tests/selection.rs
+++ b/crates/serving/tests/selection.rs
@@ -7,7 +7,7 @@
 
 use serving::{
     backlog::{Backlog, Report},
-    manifest::{RetryPolicy, Route},
+    manifest::{Homes, RetryPolicy, Route},
     rejection,
     selection::{self, AdapterState, Candidate},
 };
@@ -44,6 +44,7 @@
         targets: [(Arc::from("models"), 1)].into_iter().collect(),
         attempts: 1,
         is_public: false,
+        homes: Homes::new(),
     }
 }
 
