--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cursor;
 pub mod demand;
 pub mod directory;
+pub mod evacuation;
 pub mod limit;
 pub mod manifest;
 pub mod mirror;
