--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -101,6 +101,7 @@
         let mut load_request: Option<LoadRequest> = None;
         let mut held: Option<HeldPermit> = None;
         let mut next_ask_at = Moment::ZERO;
+        let mut is_held_back = false;
         let started_at = entry.now();
         loop {
             self.authorize_again(entry)?;
@@ -121,11 +122,16 @@
             if let Some((server, wait)) = chosen
                 && next_ask_at <= entry.now()
                 && entry.needs_permit(server, held.as_ref())
+                && wait <= entry.gate.limits.lock().max_reservation(&server.id)
             {
                 held = entry.obtain_permit(server, wait + PERMIT_TOLERANCE).await;
                 next_ask_at = entry.now() + PERMIT_RETRY_DELAY;
-                if let Some(permit) = &held {
-                    permit.log_grant(&self.meta.id);
+                match &held {
+                    Some(permit) => permit.log_grant(&self.meta.id),
+                    None if !std::mem::replace(&mut is_held_back, true) => {
+                        entry.count_held_back(server);
+                    }
+                    None => {}
                 }
                 // The expected wait there is another one now.
                 continue;
@@ -394,13 +400,13 @@
     fn engine_candidates(&self, model: &Model, awaited_server: Option<&Name>) -> Vec<Candidate> {
         let min_version = self.entry.min_version(model);
         let preferred = self.preferred_servers(model);
-        let has_unlimited = self.servers.iter().any(|listing| !self.is_limited(listing));
+        let has_unlimited = self.servers.iter().any(|listing| !self.has_named_limit(listing));
         let candidates = self.servers.iter().map(|listing| {
             let report = self.entry.status_report(listing);
             let state = adapter_state(listing, report.as_ref(), model, min_version, self.now);
             // Orders to load count against the limit, too, so loads go to other servers.
             let needs_load = !matches!(state, AdapterState::Present | AdapterState::Pending);
-            let state = if needs_load && has_unlimited && self.is_limited(listing) {
+            let state = if needs_load && has_unlimited && self.has_named_limit(listing) {
                 AdapterState::Unreachable
             } else {
                 state
@@ -432,7 +438,7 @@
         let is_popular =
             ZONE_PREFERENCE_RATE <= self.entry.popularity.lock().rate(self.now, adapter);
         let zone = &self.entry.settings.zone;
-        let takes_loads = |listing: &Listing| !self.is_limited(listing);
+        let takes_loads = |listing: &Listing| !self.has_named_limit(listing);
         let preferred_in_zone = is_popular
             .then(|| roster.preferred_in_zone(self.service, adapter, zone, takes_loads))
             .flatten();
@@ -463,14 +469,21 @@
         manifest.services.get(self.service)?.engine.as_ref().map(read)
     }
 
-    /// Returns the time until the limit of a server, if it named one, allows this request.
+    /// Returns the time until the limit of a server or its warm-up, if there is one, allows this request.
     fn limit_wait(&self, listing: &Listing) -> Duration {
         let starts_at = self.held.and_then(|held| held.starts_at(&listing.id));
         let expected = || self.entry.gate.limits.lock().wait(self.now, &listing.id);
         starts_at.map_or_else(expected, |starts_at| starts_at.saturating_sub(self.now))
     }
 
+    /// Returns whether requests to a server need permits.
     fn is_limited(&self, listing: &Listing) -> bool {
+        self.entry.binding_rate(&listing.id).is_some()
+    }
+
+    /// Returns whether a server has named a limit. Orders to load count against it, unlike during a
+    /// warm-up.
+    fn has_named_limit(&self, listing: &Listing) -> bool {
         self.entry.server_rate(&listing.id).is_some()
     }
 
@@ -488,7 +501,7 @@
             is_same_zone: listing.zone == self.entry.settings.zone,
             is_suspect: self.now < server.suspect_until,
             pause: server.pause.wait(self.now).max(self.limit_wait(listing)),
-            is_limited: self.is_limited(listing),
+            is_limited: self.has_named_limit(listing),
         }
     }
 }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -295,10 +295,12 @@
         let now = self.now();
         let mut mirror = self.mirror.write();
         let generation = mirror.generation();
+        let was_synced = mirror.manifest.is_some() && !mirror.directory.is_empty();
         let result = update(now, &mut mirror);
         if mirror.generation() == generation {
             return result;
         }
+        self.review_warmups(&mirror, was_synced);
         let roster =
             Roster::new(&mirror.directory).with_side_hosts(&mirror, self.settings.mesh.port());
         drop(mirror);
@@ -446,6 +448,9 @@
         if !is_other && (is_certain || meta.limit != Statement::Absent) {
             self.record_limit(server, sent_at, meta.limit);
         }
+        if let Some(left) = meta.warmup_left.filter(|_| !is_other) {
+            self.record_time_left(server, left);
+        }
         if meta.is_leaving && !is_other && self.record_leaving(&server.id, server.born_ms) {
             let leaving = LeavingServer { server: server.id.clone(), born_ms: server.born_ms };
             self.leaving_servers.lock().push((self.now(), leaving));
@@ -482,6 +487,7 @@
     /// still counts towards the failure rate.
     pub fn record_response(&self, id: &Name, is_failure: bool) {
         let now = self.now();
+        self.gate.limits.lock().record_response(now, id);
         self.with_server(id, |server| {
             server.backlog.record_outcome(now, is_failure);
             server.consecutive_failures = 0;
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -1,7 +1,8 @@
 //! The gate before the backend servers: whether a request may be sent to a server now.
 //!
-//! It knows the pauses that servers ask for and the limits that they name. For a server with a
-//! limit, each request needs a permit of the instance that issues them (`serving::limit`).
+//! It knows the pauses that servers ask for, the limits that they name and which of them are warming
+//! up. For a server with a limit or a warm-up, each request needs a permit of the instance that issues
+//! them (`serving::limit`).
 //!
 //! Architecture Invariant: a request is sent only with a [`Pass`], and only the gate hands them
 //! out, for the proofs that the request may run ([`Clearance`]) and that the server is of the
@@ -16,7 +17,8 @@
 use serving::{
     Moment, Name,
     directory::Listing,
-    limit::{self, Limits, Permit, Statement},
+    limit::{self, Limits, Permit, Rate, Statement},
+    mirror::Mirror,
     origin::Compatible,
     rate_limit::Members,
 };
@@ -80,7 +82,7 @@
         held: &mut Option<HeldPermit>,
     ) -> Option<Pass> {
         let now = self.now();
-        let is_limited = self.server_rate(&server.id).is_some();
+        let is_limited = self.binding_rate(&server.id).is_some();
         if is_limited && !held.as_ref().is_some_and(|held| held.is_valid(&server.id, now)) {
             return None;
         }
@@ -94,12 +96,18 @@
 
     /// Returns the limit that a server has named, in requests per second.
     pub fn server_rate(&self, server: &Name) -> Option<f64> {
-        self.gate.limits.lock().rate(server).map(limit::Rate::per_second)
+        self.gate.limits.lock().rate(server).map(Rate::per_second)
+    }
+
+    /// Returns the rate for which requests to a server need permits: its limit, or that of its
+    /// warm-up.
+    pub fn binding_rate(&self, server: &Name) -> Option<Rate> {
+        self.gate.limits.lock().binding_rate(self.now(), server)
     }
 
     /// Returns whether a request needs a permit of a server, and holds none.
     pub fn needs_permit(&self, server: &Listing, held: Option<&HeldPermit>) -> bool {
-        let is_limited = self.server_rate(&server.id).is_some();
+        let is_limited = self.binding_rate(&server.id).is_some();
         is_limited && !held.is_some_and(|held| held.is_for(&server.id, self.now()))
     }
 
@@ -122,7 +130,10 @@
         };
         let now = self.now();
         match outcome {
-            Ok(wait) => Some(HeldPermit::new(self, server, Permit::new(asked_at, now, wait))),
+            Ok(wait) => {
+                self.gate.limits.lock().record_grant(now, &server.id, wait);
+                Some(HeldPermit::new(self, server, Permit::new(asked_at, now, wait)))
+            }
             Err(wait) => {
                 self.gate.limits.lock().record_wait(now, &server.id, wait);
                 None
@@ -130,6 +141,13 @@
         }
     }
 
+    /// Counts a request that gets no permit of a server at once.
+    pub fn count_held_back(&self, server: &Listing) {
+        if self.gate.limits.lock().is_warming_up(self.now(), &server.id) {
+            metrics::counter!("chivelatch_warmup_held_requests_total").increment(1);
+        }
+    }
+
     /// Returns the time after which one more caller that is rejected because of a server's limit
     /// should return.
     pub fn return_after(&self, server: &Name) -> Duration {
@@ -161,6 +179,55 @@
         reports
     }
 
+    /// Records the listings of servers that may be warming up. `presumes_start` says that one that is
+    /// first listed now has just started.
+    pub fn review_warmups(&self, mirror: &Mirror, presumes_start: bool) {
+        let Some(manifest) = &mirror.manifest else { return };
+        if manifest.services.values().all(|service| service.warmup.is_none()) {
+            return;
+        }
+        let (now, mut limits) = (self.now(), self.gate.limits.lock());
+        for listing in mirror.directory.iter() {
+            let terms = manifest.services.get(&listing.service).and_then(|it| it.warmup);
+            limits.record_listing(now, listing, terms, presumes_start);
+        }
+    }
+
+    /// Records the time left of a warm-up that a response of a server states.
+    pub fn record_time_left(&self, server: &Listing, left: Duration) {
+        let process = (&server.id, server.born_ms);
+        self.gate.limits.lock().record_time_left(self.now(), process, left);
+    }
+
+    /// Records that a server could not be reached. It may come back as a process that is warming up.
+    pub fn presume_warmup(&self, server: &Listing) {
+        let process = (&server.id, server.born_ms);
+        self.gate.limits.lock().record_unreachable(self.now(), process);
+    }
+
+    /// Logs the warm-ups that have begun or ended, and reviews which instance issues the permits.
+    pub fn log_warmups(&self) {
+        let now = self.now();
+        let (changes, servers) = {
+            let mut limits = self.gate.limits.lock();
+            (limits.take_warmup_changes(now), limits.warming_up(now))
+        };
+        for server in &servers {
+            self.issuer(server);
+        }
+        if changes.is_empty() {
+            return;
+        }
+        metrics::gauge!("chivelatch_servers_warming_up").set(servers.len() as f64);
+        for change in changes {
+            log::info!(
+                event = Event::Warmup, server = &*change.server, is_begun = change.is_begun,
+                source:? = change.source;
+                "a warm-up of the server has begun or ended"
+            );
+        }
+    }
+
     /// Records the limits that a peer reports.
     pub fn record_limit_reports(&self, reports: &[limit::Report]) {
         for report in reports {
@@ -251,8 +318,7 @@
         server: &Listing,
         max_wait: Duration,
     ) -> Result<Duration, Duration> {
-        let reports = self.gate.limits.lock().reports(self.now());
-        let limit = reports.into_iter().find(|report| report.server == server.id);
+        let limit = self.gate.limits.lock().report(self.now(), &server.id);
         let (Some(limit), Some(socket)) = (limit, self.mesh_socket.get()) else {
             return Err(RETRY_DELAY);
         };
--- a/crates/gateway/src/job/failure.rs
+++ b/crates/gateway/src/job/failure.rs
@@ -51,6 +51,7 @@
                 self.attempts -= 1;
                 entry.pool.close_idle(server.address);
                 entry.record_failure(&server.id);
+                entry.presume_warmup(server);
                 entry.examine_unreachable(server);
             }
             _ => entry.record_failure(&server.id),
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -17,7 +17,7 @@
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
 /// Path of the copy of the mirror for peers.
-pub const PEER_COPY_PATH: &str = "/copy/5";
+pub const PEER_COPY_PATH: &str = "/copy/6";
 
 /// Opens the listeners and starts the tasks that serve them.
 ///
--- a/crates/gateway/src/mesh/gossip.rs
+++ b/crates/gateway/src/mesh/gossip.rs
@@ -347,6 +347,7 @@
     entry.with_mirror(|mirror| {
         entry.gate.limits.lock().retain(|id| mirror.directory.get(id).is_some());
     });
+    entry.log_warmups();
     for reports in entry.limit_reports().chunks(MAX_LIMIT_REPORTS) {
         let news = News::Limits(reports.to_vec());
         send_news(socket, &news, recipients).await;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -151,6 +151,8 @@
     pub limit: limit::Statement,
     /// Whether the server announces that it leaves.
     pub is_leaving: bool,
+    /// Time left until the server has warmed up, if stated.
+    pub warmup_left: Option<Duration>,
     /// Time for which the server keeps an idle connection open, if stated.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/gateway/tests/status_report.rs
+++ b/crates/gateway/tests/status_report.rs
@@ -24,6 +24,7 @@
         phase,
         born_ms,
         models: Vec::new(),
+        warmup_left: None,
     }
 }
 
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -87,6 +87,8 @@
     Limit = "limit",
     /// A request got the permit that a server with a limit requires.
     Permit = "permit",
+    /// A warm-up of a server has begun or ended.
+    Warmup = "warmup",
     /// The connection of an attempt broke; its request is a suspect if the server has crashed.
     Suspect = "suspect",
     /// A server crashed while requests ran there, or turned out not to have crashed.
--- a/crates/serving/src/directory.rs
+++ b/crates/serving/src/directory.rs
@@ -40,6 +40,8 @@
     pub born_ms: u64,
     /// Loaded base models.
     pub models: Vec<Name>,
+    /// Time left until the process has warmed up; `None` if the listing states none.
+    pub warmup_left: Option<Duration>,
 }
 
 /// Phase in the life of a server.
@@ -84,6 +86,20 @@
     generation: u64,
 }
 
+impl Listing {
+    /// Returns whether a later listing of the same process says nothing else than that less time of
+    /// its warm-up is left. The begin and the end of a warm-up say more.
+    fn differs_in_time_left_only(&self, later: &Listing) -> bool {
+        let (left, later_left) = (self.warmup_left, later.warmup_left);
+        let is_same_phase =
+            left.is_some_and(|it| it.is_zero()) == later_left.is_some_and(|it| it.is_zero());
+        is_same_phase
+            && left.is_some() == later_left.is_some()
+            && later_left <= left
+            && Listing { warmup_left: later_left, ..self.clone() } == *later
+    }
+}
+
 impl Directory {
     /// Returns a number that grows with each change of the servers.
     pub fn generation(&self) -> u64 {
@@ -149,7 +165,8 @@
             return Effect::Stale;
         }
         self.lapsed.remove(&listing.id);
-        if *known == listing {
+        if known.differs_in_time_left_only(&listing) {
+            self.servers.insert(listing.id.clone(), listing);
             return Effect::Same;
         }
         self.insert(listing);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod retry;
 pub mod selection;
 pub mod subscription;
+pub mod warmup;
 
 pub use fleet::{Name, lease::Moment};
--- a/crates/serving/src/limit.rs
+++ b/crates/serving/src/limit.rs
@@ -9,13 +9,18 @@
 //!
 //! A response that names no limit ends it only if its request was sent after the limit was last
 //! named; any other one may have been under way before.
+//!
+//! The rate of a server that is warming up ([`warmup`](crate::warmup)) is kept by the same permits: the
+//! lower of both rates binds. It is not in the reports, as all instances read the listings. An issuer
+//! grants permits to whoever asks for them, also while it does not know itself that the server is
+//! warming up.
 
 use std::{collections::HashMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::{Moment, Name};
+use crate::{Moment, Name, directory::Listing, manifest::Warmup, warmup};
 
 /// Rate from which a limit binds nobody, in requests per second.
 const UNLIMITED_RATE: f64 = 1e6;
@@ -32,6 +37,14 @@
 const ORDER_BURST: f64 = 2.0;
 /// Longest time from the grant of a permit to its start.
 pub const MAX_RESERVATION: Duration = Duration::from_secs(3);
+/// Longest time from the grant of a permit to its start if only the warm-up of the server binds. A new
+/// issuer knows nothing of these permits, and waits for [`TAKEOVER_DELAY`] instead.
+const MAX_WARMUP_RESERVATION: Duration = Duration::from_millis(300);
+/// Time after an instance learned of the warm-up of a running process in which others may not know of
+/// it and send without permits.
+const WARMUP_NEWS_PERIOD: Duration = Duration::from_secs(1);
+/// Share of the rate for permits in that time.
+const WARMUP_NEWS_SHARE: f64 = 0.5;
 /// Longest time until the next permit: that of an issuer that hears few of many instances.
 const MAX_WAIT: Duration = Duration::from_secs(600);
 /// Time after its start in which a permit may be used.
@@ -105,6 +118,21 @@
     last_start: Option<Moment>,
     /// Granted permits that no request holds.
     unused: SmallVec<[Permit; 2]>,
+    warmup: warmup::State,
+    /// Warm-up of the server's service, if it has one.
+    warmup_terms: Option<Warmup>,
+    /// Whether the process was running before its current warm-up.
+    was_running: bool,
+    /// Whether the current warm-up was reported as begun.
+    is_warmup_noted: bool,
+}
+
+/// Begin or end of a server's warm-up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WarmupChange {
+    pub server: Name,
+    pub is_begun: bool,
+    pub source: warmup::Source,
 }
 
 /// Pace of a side process's orders to an engine that named a limit.
@@ -171,7 +199,7 @@
             Statement::Absent => None,
             Statement::Named(rate) => rate.if_binding(),
         };
-        if rate.is_none() && !self.servers.contains_key(server) {
+        if rate.is_none() && !self.was_named(server) {
             return false;
         }
         let Some(limit) = self.limit(server, born_ms) else { return false };
@@ -184,7 +212,7 @@
 
     /// Records the report of a peer. Returns whether the limit is another one now.
     pub fn record_report(&mut self, now: Moment, report: &Report) -> bool {
-        if report.rate.is_none() && !self.servers.contains_key(&report.server) {
+        if report.rate.is_none() && !self.was_named(&report.server) {
             return false;
         }
         let rate = report.rate.and_then(|rate| Rate::new(rate.0)?.if_binding());
@@ -199,18 +227,16 @@
 
     /// Returns the reports to peers: limits, and for a while those that have ended.
     pub fn reports(&self, now: Moment) -> Vec<Report> {
-        let servers = self
-            .servers
-            .iter()
-            .filter(|(_, limit)| limit.rate.is_some() || now < limit.stated_at + END_REPEAT_PERIOD);
-        let reports = servers.map(|(server, limit)| Report {
-            server: server.clone(),
-            born_ms: limit.born_ms,
-            rate: limit.rate,
-            age: now.saturating_sub(limit.stated_at),
-            busy: limit.next_free.saturating_sub(now),
+        let named = self.servers.iter().filter(|(_, limit)| {
+            let has_ended = limit.was_named() && now < limit.stated_at + END_REPEAT_PERIOD;
+            limit.rate.is_some() || has_ended
         });
-        reports.collect()
+        named.map(|(server, limit)| limit.report(now, server)).collect()
+    }
+
+    /// Returns what a request for a permit tells its issuer.
+    pub fn report(&self, now: Moment, server: &Name) -> Option<Report> {
+        Some(self.servers.get(server)?.report(now, server))
     }
 
     /// Forgets the servers for which `is_listed` is false.
@@ -218,14 +244,99 @@
         self.servers.retain(|server, _| is_listed(server));
     }
 
-    /// Returns the limit of a server, if it has one.
+    /// Returns the limit that a server has named, if it has one.
     pub fn rate(&self, server: &Name) -> Option<Rate> {
         self.servers.get(server)?.rate
     }
 
+    /// Returns the rate for which requests to a server need permits: the limit that it has named, or
+    /// that of its warm-up if it is lower.
+    pub fn binding_rate(&self, now: Moment, server: &Name) -> Option<Rate> {
+        self.servers.get(server)?.binding_rate(now)
+    }
+
+    /// Returns whether a server is warming up, as far as this instance knows.
+    pub fn is_warming_up(&self, now: Moment, server: &Name) -> bool {
+        self.servers.get(server).is_some_and(|limit| limit.warmup_rate(now).is_some())
+    }
+
+    /// Records the listing of a server with the warm-up of its service, if that has one.
+    /// `presumes_start` says that a server that is first listed now has just started.
+    pub fn record_listing(
+        &mut self,
+        now: Moment,
+        listing: &Listing,
+        terms: Option<Warmup>,
+        presumes_start: bool,
+    ) {
+        let Some(terms) = terms else {
+            self.servers.get_mut(&listing.id).into_iter().for_each(|it| it.warmup_terms = None);
+            return;
+        };
+        let known = self.servers.get(&listing.id).map(|limit| limit.born_ms);
+        let is_start = known.map_or(presumes_start, |known| known < listing.born_ms);
+        self.update_warmup(now, (&listing.id, listing.born_ms), |limit| {
+            limit.warmup_terms = Some(terms);
+            match listing.warmup_left {
+                Some(left) => limit.warmup.record_statement(now, left, terms.period),
+                None if is_start => limit.warmup.record_start(now, terms.period),
+                None => {}
+            }
+        });
+    }
+
+    /// Records the time left of a warm-up that a response of a server's process states.
+    pub fn record_time_left(&mut self, now: Moment, process: (&Name, u64), left: Duration) {
+        self.update_warmup(now, process, |limit| {
+            if let Some(terms) = limit.warmup_terms {
+                limit.warmup.record_statement(now, left, terms.period);
+            }
+        });
+    }
+
+    /// Records that a server's process could not be reached.
+    pub fn record_unreachable(&mut self, now: Moment, process: (&Name, u64)) {
+        self.update_warmup(now, process, |limit| {
+            if limit.warmup_terms.is_some() {
+                limit.warmup.record_unreachable(now);
+            }
+        });
+    }
+
+    /// Records a response of a server.
+    pub fn record_response(&mut self, now: Moment, server: &Name) {
+        let Some(limit) = self.servers.get_mut(server) else { return };
+        if let Some(terms) = limit.warmup_terms {
+            limit.warmup.record_response(now, terms.period);
+        }
+    }
+
+    /// Returns the warm-ups that have begun or ended since the last call.
+    pub fn take_warmup_changes(&mut self, now: Moment) -> Vec<WarmupChange> {
+        let changed = self.servers.iter_mut().filter_map(|(server, limit)| {
+            let is_begun = limit.warmup_rate(now).is_some();
+            if std::mem::replace(&mut limit.is_warmup_noted, is_begun) == is_begun {
+                return None;
+            }
+            Some(WarmupChange { server: server.clone(), is_begun, source: limit.warmup.source })
+        });
+        changed.collect()
+    }
+
+    /// Returns the servers that are warming up.
+    pub fn warming_up(&self, now: Moment) -> Vec<Name> {
+        let servers = self.servers.iter().filter(|(_, limit)| limit.warmup_rate(now).is_some());
+        servers.map(|(server, _)| server.clone()).collect()
+    }
+
+    /// Returns the longest time until the start of a permit for which it is worth to ask.
+    pub fn max_reservation(&self, server: &Name) -> Duration {
+        self.servers.get(server).map_or(MAX_RESERVATION, Limit::max_reservation)
+    }
+
     /// Returns the time after which the server is expected to take one more request.
     pub fn wait(&self, now: Moment, server: &Name) -> Duration {
-        let limit = self.servers.get(server).filter(|limit| limit.rate.is_some());
+        let limit = self.servers.get(server).filter(|limit| limit.binding_rate(now).is_some());
         let Some(limit) = limit else { return Duration::ZERO };
         let unused = limit.unused.iter().filter(|permit| now < permit.ends_at);
         let starts = unused.map(|permit| permit.starts_at);
@@ -257,28 +368,38 @@
         max_wait: Duration,
     ) -> Result<Duration, Duration> {
         let Some(limit) = self.servers.get_mut(server) else { return Err(Duration::ZERO) };
-        let Some(rate) = limit.rate else { return Err(Duration::ZERO) };
+        let Some(rate) = limit.issuing_rate(now) else { return Err(Duration::ZERO) };
         let taken_over_at = limit.issuer_since.unwrap_or(now) + TAKEOVER_DELAY;
         if now < taken_over_at {
             return Err(taken_over_at - now);
         }
+        let share = REQUEST_SHARE * limit.news_share(now);
         let mut start = limit.next_free;
         if heard_share < 1.0 {
-            let interval = rate.interval(REQUEST_SHARE * heard_share);
+            let interval = rate.interval(share * heard_share);
             let first = || taken_over_at.max(limit.learned_at) + interval.mul_f64(self.position);
             start = start.max(limit.last_start.map_or_else(first, |last| last + interval));
         }
         let wait = start.saturating_sub(now);
-        if max_wait.min(MAX_RESERVATION) < wait {
+        if max_wait.min(limit.max_reservation()) < wait {
             return Err(wait);
         }
-        let interval = rate.interval(REQUEST_SHARE);
+        let interval = rate.interval(share);
         let earliest = now.saturating_sub(interval.mul_f64(LATE_START_SHARE));
         limit.next_free = start.max(earliest) + interval;
         limit.last_start = Some(start.max(now));
         Ok(wait)
     }
 
+    /// Records that a permit was granted to this instance, which starts after `wait`. If only the
+    /// warm-up of the server binds, the next one is not free before the time between two has passed.
+    pub fn record_grant(&mut self, now: Moment, server: &Name, wait: Duration) {
+        let Some(limit) = self.servers.get_mut(server) else { return };
+        if let Some(rate) = limit.warmup_rate(now).filter(|_| limit.rate.is_none()) {
+            limit.delay(now, wait.min(MAX_RESERVATION) + rate.interval(REQUEST_SHARE));
+        }
+    }
+
     /// Records that no permit is free before `wait` has passed.
     pub fn record_wait(&mut self, now: Moment, server: &Name, wait: Duration) {
         if let Some(limit) = self.servers.get_mut(server) {
@@ -310,12 +431,35 @@
     /// `instances` return one after the other.
     pub fn return_after(&mut self, now: Moment, server: &Name, instances: usize) -> Duration {
         let Some(limit) = self.servers.get_mut(server) else { return Duration::ZERO };
-        let Some(rate) = limit.rate else { return Duration::ZERO };
+        let Some(rate) = limit.binding_rate(now) else { return Duration::ZERO };
         let at = limit.next_return.max(limit.next_free).max(now);
         limit.next_return = at + rate.interval(REQUEST_SHARE) * instances.max(1) as u32;
         at - now
     }
 
+    /// Returns whether the server has ever named a limit, as far as is known.
+    fn was_named(&self, server: &Name) -> bool {
+        self.servers.get(server).is_some_and(Limit::was_named)
+    }
+
+    /// Runs `update` with a server's process, unless a later one is known. Requests may be under way
+    /// to a server whose warm-up begins.
+    fn update_warmup(
+        &mut self,
+        now: Moment,
+        (server, born_ms): (&Name, u64),
+        update: impl FnOnce(&mut Limit),
+    ) {
+        let was_running = self.servers.get(server).is_some_and(|it| it.born_ms == born_ms);
+        let Some(limit) = self.limit(server, born_ms) else { return };
+        let was_free = limit.binding_rate(now).is_none();
+        update(limit);
+        if let Some(rate) = limit.warmup_rate(now).filter(|_| was_free) {
+            (limit.learned_at, limit.was_running) = (now, was_running);
+            limit.delay(now, rate.interval(REQUEST_SHARE));
+        }
+    }
+
     /// Returns the limit of a server's process, or `None` if a later one is known.
     fn limit(&mut self, server: &Name, born_ms: u64) -> Option<&mut Limit> {
         let limit = self.servers.entry(server.clone()).or_default();
@@ -327,6 +471,57 @@
 }
 
 impl Limit {
+    /// Returns the lower one of the named limit and the rate of the warm-up.
+    fn binding_rate(&self, now: Moment) -> Option<Rate> {
+        lower(self.rate, self.warmup_rate(now))
+    }
+
+    /// Returns the rate at which this instance issues permits. The server may be warming up by the
+    /// word of the one that asks.
+    fn issuing_rate(&self, now: Moment) -> Option<Rate> {
+        let presumed = self.warmup_terms.map(|terms| terms.rate).filter(|_| self.rate.is_none());
+        self.binding_rate(now).or(presumed)
+    }
+
+    /// Returns the rate of the server's warm-up while it lasts.
+    fn warmup_rate(&self, now: Moment) -> Option<Rate> {
+        let terms = self.warmup_terms.filter(|_| self.warmup.is_active(now))?;
+        terms.rate.if_binding()
+    }
+
+    /// Returns the share of the rate that is left for permits while news of a warm-up spreads.
+    fn news_share(&self, now: Moment) -> f64 {
+        let is_news = self.rate.is_none()
+            && self.was_running
+            && self.warmup_rate(now).is_some()
+            && now < self.learned_at + WARMUP_NEWS_PERIOD;
+        if is_news { WARMUP_NEWS_SHARE } else { 1.0 }
+    }
+
+    fn max_reservation(&self) -> Duration {
+        match self.rate {
+            Some(_) => MAX_RESERVATION,
+            None if self.warmup_terms.is_some() => MAX_WARMUP_RESERVATION,
+            None => MAX_RESERVATION,
+        }
+    }
+
+    /// Returns whether the server has ever named a limit, as far as is known.
+    fn was_named(&self) -> bool {
+        self.rate.is_some() || !self.stated_at.is_zero()
+    }
+
+    fn report(&self, now: Moment, server: &Name) -> Report {
+        let stated = now.saturating_sub(self.stated_at);
+        Report {
+            server: server.clone(),
+            born_ms: self.born_ms,
+            rate: self.rate,
+            age: if self.was_named() { stated } else { Duration::MAX },
+            busy: self.next_free.saturating_sub(now),
+        }
+    }
+
     /// Sets the limit that the server stated at `stated_at`. Returns whether it is another one.
     fn set(&mut self, now: Moment, stated_at: Moment, rate: Option<Rate>) -> bool {
         self.stated_at = stated_at;
@@ -338,6 +533,8 @@
                 self.delay(now, rate.interval(REQUEST_SHARE));
             }
             Some(_) => {}
+            // Permits of a warm-up stay.
+            None if previous.is_none() && self.warmup_terms.is_some() => {}
             None => {
                 self.unused.clear();
                 (self.next_free, self.next_return) = (Moment::ZERO, Moment::ZERO);
@@ -383,6 +580,14 @@
     }
 }
 
+/// Returns the lower one of two rates, where `None` binds nobody.
+fn lower(a: Option<Rate>, b: Option<Rate>) -> Option<Rate> {
+    match (a, b) {
+        (Some(a), Some(b)) => Some(if a < b { a } else { b }),
+        (a, b) => a.or(b),
+    }
+}
+
 /// Returns the instance that issues a server's permits: the one with the highest hash, given
 /// `hash(server, instance)`.
 pub fn issuer<T: Copy>(
--- a/crates/serving/src/manifest.rs
+++ b/crates/serving/src/manifest.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::Name;
+use crate::{Name, limit::Rate};
 
 /// One revision of the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -66,6 +66,17 @@
     pub name: Name,
     /// Set if the servers are model engines.
     pub engine: Option<EngineConfig>,
+    /// Set if a process of a server takes few requests after its start.
+    pub warmup: Option<Warmup>,
+}
+
+/// Warm-up of the servers of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Warmup {
+    /// Time that it takes from the start of a process.
+    pub period: Duration,
+    /// Requests that a server takes meanwhile from all instances together.
+    pub rate: Rate,
 }
 
 /// Configuration of the model engines of a service.
--- a/crates/serving/tests/breakage.rs
+++ b/crates/serving/tests/breakage.rs
@@ -23,6 +23,7 @@
         phase,
         born_ms,
         models: Vec::new(),
+        warmup_left: None,
     }
 }
 
--- a/crates/serving/tests/support/mod.rs
+++ b/crates/serving/tests/support/mod.rs
@@ -16,5 +16,6 @@
         phase,
         born_ms,
         models: Vec::new(),
+        warmup_left: None,
     }
 }
