--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -383,10 +383,13 @@
         self.permit.filter(|_| self.server == *server).map(|permit| permit.starts_at)
     }
 
-    /// Logs which request the permit was granted for.
+    /// Logs which request the permit was granted for, if the server has named a limit.
     pub fn log_grant(&self, request: &str) {
         let Some(permit) = self.permit else { return };
         let (now, rate) = (self.entry.now(), self.entry.server_rate(&self.server));
+        if rate.is_none() {
+            return;
+        }
         let wait = permit.starts_at.saturating_sub(now);
         log::info!(
             event = Event::Permit, request, server = &*self.server, rate:? = rate,
--- a/crates/serving/src/limit.rs
+++ b/crates/serving/src/limit.rs
@@ -491,11 +491,11 @@
 
     /// Returns the share of the rate that is left for permits while news of a warm-up spreads.
     fn news_share(&self, now: Moment) -> f64 {
-        let is_news = self.rate.is_none()
-            && self.was_running
-            && self.warmup_rate(now).is_some()
-            && now < self.learned_at + WARMUP_NEWS_PERIOD;
-        if is_news { WARMUP_NEWS_SHARE } else { 1.0 }
+        if self.rate.is_some() {
+            return 1.0;
+        }
+        let is_news = self.was_running && now < self.learned_at + WARMUP_NEWS_PERIOD;
+        if is_news || self.warmup_rate(now).is_none() { WARMUP_NEWS_SHARE } else { 1.0 }
     }
 
     fn max_reservation(&self) -> Duration {
--- a/crates/serving/src/warmup.rs
+++ b/crates/serving/src/warmup.rs
@@ -24,8 +24,8 @@
     Statement,
     /// It is a new process whose listing states nothing.
     Start,
-    /// It could not be reached.
-    Unreachable,
+    /// It comes back after it could not be reached.
+    Return,
 }
 
 /// Warm-up of one process of a server, as one instance knows it.
@@ -60,7 +60,7 @@
     /// Records that the process could not be reached. It may have started again meanwhile.
     pub fn record_unreachable(&mut self, now: Moment) {
         if !self.is_active(now) {
-            self.source = Source::Unreachable;
+            self.source = Source::Return;
         }
         self.is_unreachable = true;
     }
@@ -68,7 +68,7 @@
     /// Records a response of the process.
     pub fn record_response(&mut self, now: Moment, period: Duration) {
         if std::mem::take(&mut self.is_unreachable) {
-            self.begin(now, period, Source::Unreachable);
+            self.begin(now, period, Source::Return);
         }
     }
 
