--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -183,9 +183,6 @@
     /// first listed now has just started.
     pub fn review_warmups(&self, mirror: &Mirror, presumes_start: bool) {
         let Some(manifest) = &mirror.manifest else { return };
-        if manifest.services.values().all(|service| service.warmup.is_none()) {
-            return;
-        }
         let (now, mut limits) = (self.now(), self.gate.limits.lock());
         for listing in mirror.directory.iter() {
             let terms = manifest.services.get(&listing.service).and_then(|it| it.warmup);
@@ -215,9 +212,6 @@
         for server in &servers {
             self.issuer(server);
         }
-        if changes.is_empty() {
-            return;
-        }
         metrics::gauge!("chivelatch_servers_warming_up").set(servers.len() as f64);
         for change in changes {
             log::info!(
