Write the origins of streams to the store every 15 ms times the instances

Callers whose streams began within the last 300 ms before the loss of all processes, while two versions served, could not take them up: an instance of a fleet of up to 20 wrote its origins every 300 ms. Now each waits 15 ms times the instances, which was the bound of larger fleets: still at most 67 calls a second for the fleet, and only while several versions are listed and streams begin. In fleets of more than about two instances the last moments are longer than a tenth of 300 ms; at 26 and 68 instances (0.39 and 1 s) nothing is gained. The price of the calls is not measured.

--- a/crates/gateway/src/origin/archive.rs
+++ b/crates/gateway/src/origin/archive.rs
@@ -25,8 +25,6 @@
 
 /// Start of the keys with records of this format; others are ignored.
 const FORMAT_PREFIX: &str = "origins.1.";
-/// Time between two writes of an instance of a small fleet.
-const WRITE_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two writes of the whole fleet.
 const FLEET_WRITE_INTERVAL: Duration = Duration::from_millis(15);
 /// Time for which a caller may take a stream up after its version has left the list.
@@ -80,7 +78,7 @@
 /// Returns the time between two writes of one instance, which keeps those of the fleet bounded.
 fn write_interval(entry: &Entry) -> Duration {
     let instances = entry.limiter.lock().instance_count(entry.now());
-    WRITE_INTERVAL.max(FLEET_WRITE_INTERVAL * instances as u32)
+    FLEET_WRITE_INTERVAL * (instances as u32).max(1)
 }
 
 /// Encodes the records that expire last. An empty value drops the key.
