--- a/crates/gateway/src/mesh/gossip.rs
+++ b/crates/gateway/src/mesh/gossip.rs
@@ -40,8 +40,12 @@
 const MAX_LIMIT_REPORTS: usize = 50;
 /// All suspects in quarantine are sent once in this many intervals.
 const QUARANTINE_ROUNDS: u64 = 20;
-/// The capacity is told in this many rounds after the start, and after that once in as many.
-const CAPACITY_ROUNDS: u64 = 20;
+/// The capacity is told once in this many intervals.
+const CAPACITY_ROUNDS: u64 = 100;
+/// The same for the first intervals of an instance.
+const STARTUP_CAPACITY_ROUNDS: u64 = 5;
+/// Number of these intervals.
+const STARTUP_ROUNDS: u64 = 20;
 /// Silence after which an instance is not named to others.
 const PEER_NEWS_AGE: Duration = Duration::from_secs(3);
 /// Time for which a server that leaves is named in each round, since datagrams may be lost.
@@ -72,7 +76,9 @@
         for part in parts(current_gossip(&entry)) {
             send_news(&socket, &News::Gossip(Box::new(part)), &recipients).await;
         }
-        if round <= CAPACITY_ROUNDS || round.is_multiple_of(CAPACITY_ROUNDS) {
+        let rounds =
+            if round <= STARTUP_ROUNDS { STARTUP_CAPACITY_ROUNDS } else { CAPACITY_ROUNDS };
+        if round.is_multiple_of(rounds) {
             send_capacity(&entry, &socket, &self::recipients(&entry, round)).await;
         }
         if round.is_multiple_of(CLEANUP_ROUNDS) {
