--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -79,6 +79,17 @@
     pub query: fn() -> Request<Full<Bytes>>,
     /// Returns the start of the process from the answer, in milliseconds since the Unix epoch.
     pub parse: fn(&[u8]) -> Option<u64>,
+    /// Whether the server is known to state its start, as model engines do.
+    pub is_answer_due: bool,
+}
+
+/// What the answer to a [`ProcessCheck`] on a new connection shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    Listed,
+    Other,
+    /// The server does not state its start, and need not.
+    None,
 }
 
 /// Reason why a server did not run a request.
@@ -215,6 +226,7 @@
                     });
                 }
                 Ok(Process::NotStated) if connection.is_reused => continue,
+                Ok(Process::NotStated) if !check.is_answer_due => {}
                 Ok(Process::NotStated) => {
                     return Err(Failure::Unreachable {
                         reason: "it is not known which process has its name and address".to_owned(),
@@ -255,11 +267,14 @@
     pool: &Pool,
     server: &Listing,
     check: ProcessCheck,
-) -> Result<bool, Error> {
+) -> Result<Evidence, Error> {
     let mut connection = pool.connect(server.address, CONNECT_TIMEOUT).await?;
     let buffer = kernel.memory.buffer(MAX_STATE_BYTES);
-    let process = identify(&mut connection, check, server, buffer).await?;
-    Ok(matches!(process, Process::Listed))
+    Ok(match identify(&mut connection, check, server, buffer).await? {
+        Process::Listed => Evidence::Listed,
+        Process::NotStated if !check.is_answer_due => Evidence::None,
+        Process::Other | Process::NotStated => Evidence::Other,
+    })
 }
 
 /// Process at the other end of a connection.
--- a/crates/gateway/src/job/take_up.rs
+++ b/crates/gateway/src/job/take_up.rs
@@ -150,7 +150,7 @@
         }
         self.progress = Progress::Begun(origin);
         if entry.status_report(server).is_none() && server.born_ms != 0 {
-            entry.examine_origin(record, server, check(entry));
+            entry.examine_origin(record, server, check(entry, server));
             return;
         }
         let source = Process { server: server.id.clone(), born_ms: server.born_ms };
@@ -172,7 +172,7 @@
     /// Returns the check of a server's process before a stream goes on there, unless its listing states no
     /// start of it.
     pub(super) fn process_check(&self, entry: &Entry, server: &Listing) -> Option<ProcessCheck> {
-        (self.progress.has_begun() && server.born_ms != 0).then(|| check(entry))
+        (self.progress.has_begun() && server.born_ms != 0).then(|| check(entry, server))
     }
 
     fn stream_key(&self, first_attempt: &str) -> Key {
@@ -182,9 +182,12 @@
 }
 
 /// Returns the question which process a server is.
-fn check(entry: &Entry) -> ProcessCheck {
+fn check(entry: &Entry, server: &Listing) -> ProcessCheck {
     let Dialect { process_query: query, parse_process: parse, .. } = entry.dialect;
-    ProcessCheck { query, parse }
+    let manifest = entry.manifest();
+    let service = manifest.as_ref().and_then(|manifest| manifest.services.get(&server.service));
+    let is_answer_due = service.is_some_and(|service| service.engine.is_some());
+    ProcessCheck { query, parse, is_answer_due }
 }
 
 fn log_take_up(job: &Job, outcome: &'static str, origin: Option<&Origin>) {
--- a/crates/gateway/src/origin/evidence.rs
+++ b/crates/gateway/src/origin/evidence.rs
@@ -4,7 +4,8 @@
 //! side process of an engine tells of a new one; a server without a report is asked itself, once the
 //! first event has arrived: if the listed process answers then, it has begun the stream. The question
 //! holds no event back. Until it is answered, nobody is told an origin; without an answer
-//! the origin is contradicted, so that the stream goes on nowhere.
+//! the origin is contradicted, so that the stream goes on nowhere. A plain server may not know the
+//! question: if its answer states no start, its listing is believed until it lists a later process.
 
 use std::{sync::Arc, time::Duration};
 
@@ -17,7 +18,7 @@
 use super::{Own, Process};
 use crate::{
     entry::Entry,
-    exchange::{self, ProcessCheck},
+    exchange::{self, Evidence, ProcessCheck},
 };
 
 /// Time in which a server may answer a question.
@@ -45,13 +46,11 @@
         self.origins.own.lock().insert(record.key.clone(), own);
         let (entry, server) = (Arc::clone(self), server.clone());
         self.kernel.spawn_detached(async move {
-            if entry.is_listed_process_at(&server, check).await {
-                let now = entry.now();
-                let expires_at = entry.origins.own.lock().get(&record.key).map(|it| it.expires_at);
-                let remaining = expires_at.unwrap_or(now).saturating_sub(now);
-                entry.announce_origin(Record { remaining, ..record }, None).await;
-            } else {
-                entry.contradict_origin(record, &server);
+            let listed = || Process { server: server.id.clone(), born_ms: server.born_ms };
+            match entry.evidence(&server, check).await {
+                Evidence::Listed => entry.announce_awaited(record, None).await,
+                Evidence::None => entry.announce_awaited(record, Some(listed())).await,
+                Evidence::Other => entry.contradict_origin(record, &server),
             }
             entry.origins.answered.notify(usize::MAX);
         });
@@ -100,14 +99,22 @@
         }
     }
 
-    /// Returns whether the listed process answers at a server's address.
-    async fn is_listed_process_at(&self, server: &Listing, check: ProcessCheck) -> bool {
+    /// Tells the holders of a stream its origin, which the answer of its server was awaited for.
+    async fn announce_awaited(self: &Arc<Entry>, record: Record, source: Option<Process>) {
+        let now = self.now();
+        let expires_at = self.origins.own.lock().get(&record.key).map(|it| it.expires_at);
+        let remaining = expires_at.unwrap_or(now).saturating_sub(now);
+        self.announce_origin(Record { remaining, ..record }, source).await;
+    }
+
+    /// Returns what a server's answer shows. Without an answer, another process may be there.
+    async fn evidence(&self, server: &Listing, check: ProcessCheck) -> Evidence {
         for _ in 0..MAX_QUESTIONS {
             let question = exchange::ask(&self.kernel, &self.pool, server, check);
-            if let Ok(Ok(is_listed)) = self.kernel.clock.timeout(QUESTION_TIMEOUT, question).await {
-                return is_listed;
+            if let Ok(Ok(evidence)) = self.kernel.clock.timeout(QUESTION_TIMEOUT, question).await {
+                return evidence;
             }
         }
-        false
+        Evidence::Other
     }
 }
