--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -311,6 +311,9 @@
         let replaced = std::mem::replace(&mut *self.roster.write(), Arc::clone(&roster));
         let position = mirror.positions.operator;
         let manifest = mirror.manifest.clone();
+        for listing in mirror.directory.iter().filter(|it| roster.takes_back(&replaced, &it.zone)) {
+            self.presume_warmup(listing);
+        }
         drop(mirror);
         evacuation::log_changes(&replaced, &roster, position);
         if let Some(manifest) = manifest.filter(|it| Some(it.revision) != revision) {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -85,6 +85,12 @@
         self.side_hosts.iter().copied()
     }
 
+    /// Returns whether a zone that was emptied in an earlier roster takes requests again. Its servers may
+    /// have to warm up, and tell so late.
+    pub fn takes_back(&self, earlier: &Roster, zone: &Name) -> bool {
+        earlier.emptied_zones.contains(zone) && !self.emptied_zones.contains(zone)
+    }
+
     /// Returns the availability zones whose servers get no new requests.
     pub fn emptied_zones(&self) -> &BTreeSet<Name> {
         &self.emptied_zones
