Drop load requests that were withdrawn at once

Cause: all instances choose the same idle engines at once. Each request then sees the queue there grow and moves on, up to seven engines in 50 ms, but the side process kept each load request for 600 ms: queues of 27 and more in which nobody waited, and expected times of 13 s.

Change: the report of an instance is its whole demand, so the side process drops a load request as soon as no latest report has it; an instance tells a withdrawal in its next round.

Evidence: counts_no_withdrawn_load_requests_of_a_herd failed before (32 waiting, 1 expected).

--- a/crates/gateway/src/mesh/demand.rs
+++ b/crates/gateway/src/mesh/demand.rs
@@ -71,9 +71,9 @@
     if needs_status || !server.load_requests.is_empty() {
         return Need::Request;
     }
-    let work = server.backlog.local_work();
-    let is_changed = !server.used.is_empty() || !server.told.is_same(work, &server.in_flight);
-    if is_changed || work != (0, 0) { Need::Work { is_changed } } else { Need::Idle { is_near } }
+    let is_changed = !server.is_told();
+    let has_work = server.backlog.local_work() != (0, 0);
+    if is_changed || has_work { Need::Work { is_changed } } else { Need::Idle { is_near } }
 }
 
 /// Returns the demand report for a server, which is then told, and resets its used adapters.
@@ -85,8 +85,12 @@
     adapter_slots: usize,
 ) -> Demand {
     let (tokens, requests) = server.backlog.local_work();
-    server.told =
-        Told { at: Some(now), work: (tokens, requests), in_flight: server.in_flight.clone() };
+    server.told = Told {
+        at: Some(now),
+        work: (tokens, requests),
+        in_flight: server.in_flight.clone(),
+        has_load_requests: !server.load_requests.is_empty(),
+    };
     Demand {
         server: listing.id.clone(),
         born_ms: listing.born_ms,
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -85,8 +85,8 @@
         self.side_hosts.iter().copied()
     }
 
-    /// Returns whether a zone that was emptied in an earlier roster takes requests again. Its servers may
-    /// have to warm up, and tell so late.
+    /// Returns whether a zone that was emptied in an earlier roster takes requests again. Its servers
+    /// may have to warm up, and state this late.
     pub fn takes_back(&self, earlier: &Roster, zone: &Name) -> bool {
         earlier.emptied_zones.contains(zone) && !self.emptied_zones.contains(zone)
     }
@@ -208,16 +208,21 @@
     pub work: (u64, u32),
     /// Requests in flight, by adapter.
     pub in_flight: HashMap<Name, u32>,
+    /// Whether requests were waiting for an adapter.
+    pub has_load_requests: bool,
 }
 
-impl Told {
-    /// Returns whether this work is the one that was told.
-    pub fn is_same(&self, work: (u64, u32), in_flight: &HashMap<Name, u32>) -> bool {
-        self.work == work && self.in_flight == *in_flight
+impl Server {
+    /// Returns whether the latest demand report tells the present work, and no load request that was
+    /// withdrawn since.
+    pub fn is_told(&self) -> bool {
+        let is_withdrawn = self.told.has_load_requests && self.load_requests.is_empty();
+        let is_same = self.told.work == self.backlog.local_work()
+            && self.told.in_flight == self.in_flight
+            && self.used.is_empty();
+        is_same && !is_withdrawn
     }
-}
 
-impl Server {
     fn is_in_use(&self) -> bool {
         self.backlog.local_work() != (0, 0) || !self.load_requests.is_empty()
     }
--- a/crates/serving/src/residency.rs
+++ b/crates/serving/src/residency.rs
@@ -167,7 +167,12 @@
             let entry = self.load_requests.entry(requested.clone());
             entry.or_insert(LoadRequest { since: now, renewed: now }).renewed = now;
         }
-        self.reports.insert(from, (now, report));
+        let previous = self.reports.insert(from, (now, report));
+        for withdrawn in previous.into_iter().flat_map(|(_, report)| report.load_requests) {
+            if !self.is_requested(&withdrawn) {
+                self.load_requests.remove(&withdrawn);
+            }
+        }
     }
 
     /// Records that an order got no response. The engine may still execute it, so further orders
@@ -252,6 +257,11 @@
         !self.load_requests.is_empty()
     }
 
+    /// Returns whether the latest report of any entry instance requests a load.
+    fn is_requested(&self, requested: &AdapterVersion) -> bool {
+        self.reports.values().any(|(_, report)| report.load_requests.contains(requested))
+    }
+
     /// Returns the requests in flight of all entry instances that use an adapter.
     pub fn requests_in_flight(&self, adapter: &str) -> u32 {
         let reports = self.reports.values().flat_map(|(_, report)| &report.in_flight);
--- a/crates/serving/tests/residency.rs
+++ b/crates/serving/tests/residency.rs
@@ -258,3 +258,34 @@
     assert_eq!(planner.next_order(millis(1), &leaving), None);
     assert!(planner.next_order(millis(1), &staying).is_some());
 }
+
+/// Guards against queues of loads that nobody waits for any more: right after a start of all instances,
+/// each request moves on from engine to engine while the queues of all of them grow.
+#[test]
+fn counts_no_withdrawn_load_requests_of_a_herd() {
+    let mut planner = Planner::default();
+    let engine = engine_with(&["r1", "r2", "r3", "r4", "r5", "r6"]);
+    let names: Vec<String> = (0..32).map(|number| format!("a{number}")).collect();
+    for (index, name) in (0..).zip(&names) {
+        planner.record_report(millis(0), entry(index), report(&[name], &[]));
+    }
+
+    // All but one instance have moved on.
+    for index in 1..32 {
+        planner.record_report(millis(20), entry(index), report(&[], &[]));
+    }
+
+    assert_eq!(planner.slot_usage(millis(21), &engine).waiting, 1);
+}
+
+#[test]
+fn keeps_a_load_request_that_another_instance_repeats() {
+    let mut planner = Planner::default();
+    let engine = engine_with(&[]);
+    planner.record_report(millis(0), entry(1), report(&["a1"], &[]));
+    planner.record_report(millis(0), entry(2), report(&["a1"], &[]));
+
+    planner.record_report(millis(20), entry(1), report(&[], &[]));
+
+    assert_eq!(planner.next_order(millis(21), &engine), load("a1"));
+}
