Record a listing's warm-up only when it is new, and count a start by the first listing

A warm-up was lengthened by each change of the directory, since an older listing was recorded again after a response had stated less time. A new process that was heard of before its listing was read counted as known, so no warm-up was presumed. Both by reading; lengthens_no_warm_up_by_an_older_listing and presumes_a_warm_up_of_a_new_process_that_was_heard_of_before_its_listing failed before.

--- a/crates/serving/src/limit.rs
+++ b/crates/serving/src/limit.rs
@@ -121,6 +121,10 @@
     warmup: warmup::State,
     /// Warm-up of the server's service, if it has one.
     warmup_terms: Option<Warmup>,
+    /// Whether a listing of the process was read.
+    is_listed: bool,
+    /// Time left of its warm-up by the latest listing.
+    listed_left: Option<Duration>,
     /// Whether the process was running before its current warm-up.
     was_running: bool,
     /// Whether the current warm-up was reported as begun.
@@ -273,14 +277,19 @@
             self.servers.get_mut(&listing.id).into_iter().for_each(|it| it.warmup_terms = None);
             return;
         };
-        let known = self.servers.get(&listing.id).map(|limit| limit.born_ms);
-        let is_start = known.map_or(presumes_start, |known| known < listing.born_ms);
+        let known = self.servers.get(&listing.id).filter(|limit| limit.is_listed);
+        let is_start = known.map_or(presumes_start, |known| known.born_ms < listing.born_ms);
         self.update_warmup(now, (&listing.id, listing.born_ms), |limit| {
             limit.warmup_terms = Some(terms);
+            limit.is_listed = true;
+            let listed_left = std::mem::replace(&mut limit.listed_left, listing.warmup_left);
             match listing.warmup_left {
-                Some(left) => limit.warmup.record_statement(now, left, terms.period),
+                // Responses may have stated later times since the listing was first read.
+                Some(left) if listed_left != Some(left) => {
+                    limit.warmup.record_statement(now, left, terms.period);
+                }
                 None if is_start => limit.warmup.record_start(now, terms.period),
-                None => {}
+                _ => {}
             }
         });
     }
--- a/crates/serving/src/warmup.rs
+++ b/crates/serving/src/warmup.rs
@@ -7,7 +7,7 @@
 //!
 //! The time is counted by the clock of the instance, from when it learned of it, and never exceeds the
 //! period of the service by more than a margin: what is not true ends by itself. An earlier end counts
-//! only if the listing states it. The rate itself is kept by [`limit`](crate::limit).
+//! only if the process states it. The rate itself is kept by [`limit`](crate::limit).
 
 use std::time::Duration;
 
--- a/crates/serving/tests/warmup.rs
+++ b/crates/serving/tests/warmup.rs
@@ -95,6 +95,33 @@
 }
 
 // Guards against a new roster for each heartbeat of a server that is warming up.
+// Guards against warm-ups that end late: all listings are recorded again at each change of the
+// directory, and the process may have stated less time since.
+#[test]
+fn lengthens_no_warm_up_by_an_older_listing() {
+    let mut limits = Limits::default();
+    let listing = listing(1, Some(2.4));
+    limits.record_listing(seconds(0.0), &listing, terms(), true);
+    limits.record_time_left(seconds(1.0), (&server(), 1), seconds(1.0));
+
+    limits.record_listing(seconds(1.2), &listing, terms(), true);
+
+    assert!(!limits.is_warming_up(seconds(2.5), &server()));
+}
+
+// Guards against a new process that gets a warm server's requests since it was heard of before its
+// listing was read.
+#[test]
+fn presumes_a_warm_up_of_a_new_process_that_was_heard_of_before_its_listing() {
+    let mut limits = Limits::default();
+    limits.record_listing(seconds(0.0), &listing(1, None), terms(), false);
+    limits.record_unreachable(seconds(1.0), (&server(), 2));
+
+    limits.record_listing(seconds(1.5), &listing(2, None), terms(), true);
+
+    assert!(limits.is_warming_up(seconds(2.0), &server()));
+}
+
 #[test]
 fn counts_only_the_begin_and_the_end_as_changes_of_the_directory() {
     let mut directory = Directory::default();
