Presume warm-ups of a returned zone before its servers can be chosen

Between the new roster and the loop behind it, a request could choose a server of the zone without a permit. The gauge of emptied zones could also be set in another order than the roster. A warm-up that a new configuration adds is no longer taken for a start of all servers. By reading; no run has shown it.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -304,18 +304,23 @@
         if mirror.generation() == generation {
             return result;
         }
-        self.review_warmups(&mirror, was_synced);
+        // A warm-up that a new configuration adds is no start of a server.
+        let is_configured = mirror.manifest.as_ref().map(|it| it.revision) == revision;
+        self.review_warmups(&mirror, was_synced && is_configured);
         let roster = Roster::new(&mirror.directory, &mirror.evacuation);
         let roster = Arc::new(roster.with_side_hosts(&mirror, self.settings.mesh.port()));
-        // The lock is kept so that the roster of an earlier change does not replace this one.
-        let replaced = std::mem::replace(&mut *self.roster.write(), Arc::clone(&roster));
-        let position = mirror.positions.operator;
-        let manifest = mirror.manifest.clone();
+        // Only this function replaces the roster, and the mirror is locked.
+        let replaced = self.roster();
+        // Before the servers can be chosen.
         for listing in mirror.directory.iter().filter(|it| roster.takes_back(&replaced, &it.zone)) {
             self.presume_warmup(listing);
         }
+        *self.roster.write() = Arc::clone(&roster);
+        // The lock is kept until here, so that neither the roster nor the count of emptied zones goes
+        // back to an earlier one.
+        evacuation::log_changes(&replaced, &roster, mirror.positions.operator);
+        let manifest = mirror.manifest.clone();
         drop(mirror);
-        evacuation::log_changes(&replaced, &roster, position);
         if let Some(manifest) = manifest.filter(|it| Some(it.revision) != revision) {
             evacuation::log_unknown_homes(&manifest, &self.tunable().regions);
         }
