--- a/crates/gateway/src/mesh/status.rs
+++ b/crates/gateway/src/mesh/status.rs
@@ -40,12 +40,12 @@
     let updated = entry.status_reports.with(&host, |reports| {
         let report = reports.get_mut(&host)?;
         let status = Arc::make_mut(&mut report.status);
-        let previous = (status.adapters.clone(), status.pending.clone());
+        let is_changed =
+            (&status.adapters, &status.pending) != (&residents.adapters, &residents.pending);
         report.is_outdated = !status.update(residents);
         if report.is_outdated {
             return None;
         }
-        let is_changed = previous != (status.adapters.clone(), status.pending.clone());
         report.received_at = now;
         Some((report.clone(), is_changed))
     });
@@ -68,7 +68,7 @@
     let (host, now) = (from.ip(), entry.now());
     let report = entry.status_reports.with(&host, |reports| {
         let report = reports.get_mut(&host)?;
-        if report.status.born_ms != born_ms {
+        if report.status.born_ms != born_ms || report.is_outdated {
             return None;
         }
         report.received_at = now;
