--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -42,6 +42,7 @@
     let is_changed = entry.tunable() != settings.tunable;
     if is_changed {
         entry.set_tunable(settings.tunable.clone());
+        entry.state_changed.notify(usize::MAX);
     }
     for seed in settings.seeds.iter().filter(|seed| **seed != entry.settings.mesh) {
         entry.peers.lock().add(*seed);
