--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -472,7 +472,7 @@
         manifest.services.get(self.service)?.engine.as_ref().map(read)
     }
 
-    /// Returns the time until the limit of a server or its warm-up, if there is one, allows this request.
+    /// Returns the time until the limit or the warm-up of a server, if any, allows this request.
     fn limit_wait(&self, listing: &Listing) -> Duration {
         let starts_at = self.held.and_then(|held| held.starts_at(&listing.id));
         let expected = || self.entry.gate.limits.lock().wait(self.now, &listing.id);
--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -1,5 +1,5 @@
-//! Logs and metrics of emptied availability zones (`serving::evacuation`), and of regions that requests
-//! are limited to.
+//! Logs and metrics of emptied availability zones (`serving::evacuation`), and of regions that
+//! requests are limited to.
 
 use std::collections::{BTreeSet, HashMap};
 
@@ -8,8 +8,8 @@
 
 use crate::roster::Roster;
 
-/// Logs which zones were emptied or taken back between two rosters. `position` is that up to which the
-/// operators' log was read.
+/// Logs which zones were emptied or taken back between two rosters. `position` is the one up to
+/// which the operators' log was read.
 pub fn log_changes(before: &Roster, after: &Roster, position: Position) {
     let (before, after) = (before.emptied_zones(), after.emptied_zones());
     if before == after {
@@ -26,8 +26,8 @@
     }
 }
 
-/// Logs the regions that requests are limited to and in which no known zone lies. Their servers cannot
-/// be told from those elsewhere, so they get none of these requests.
+/// Logs the regions that requests are limited to and in which no known zone lies. No server is known
+/// to be there, so these requests have none.
 pub fn log_unknown_homes(manifest: &Manifest, regions: &HashMap<Name, Name>) {
     let known: BTreeSet<&Name> = regions.values().collect();
     let unknown: BTreeSet<&Name> = manifest.homes().filter(|home| !known.contains(home)).collect();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -86,10 +86,12 @@
 /// What the answer to a [`ProcessCheck`] on a new connection shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Evidence {
+    /// The listed process answered.
     Listed,
+    /// Another process answered, or one that should have stated its start and did not.
     Other,
     /// The server does not state its start, and need not.
-    None,
+    NotStated,
 }
 
 /// Reason why a server did not run a request.
@@ -272,7 +274,7 @@
     let buffer = kernel.memory.buffer(MAX_STATE_BYTES);
     Ok(match identify(&mut connection, check, server, buffer).await? {
         Process::Listed => Evidence::Listed,
-        Process::NotStated if !check.is_answer_due => Evidence::None,
+        Process::NotStated if !check.is_answer_due => Evidence::NotStated,
         Process::Other | Process::NotStated => Evidence::Other,
     })
 }
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -1,8 +1,8 @@
 //! The gate before the backend servers: whether a request may be sent to a server now.
 //!
-//! It knows the emptied zones, the pauses that servers ask for, the limits that they name and which of
-//! them are warming up. For a server with a limit or a warm-up, each request needs a permit of the
-//! instance that issues them (`serving::limit`).
+//! It knows the emptied zones, and of servers the pauses that they ask for, the limits that they
+//! name and whether they are warming up. A request to a server with a limit or a warm-up needs a
+//! permit of the instance that issues them (`serving::limit`).
 //!
 //! Architecture Invariant: a request is sent only with a [`Pass`], and only the gate hands them
 //! out, for the proofs that the request may run ([`Clearance`]) and that the server is of the
@@ -200,7 +200,8 @@
         self.gate.limits.lock().record_time_left(self.now(), process, left);
     }
 
-    /// Records that a server could not be reached. It may come back as a process that is warming up.
+    /// Records that a server could not be reached, or got no requests for a while. It may come back
+    /// as a process that is warming up.
     pub fn presume_warmup(&self, server: &Listing) {
         let process = (&server.id, server.born_ms);
         self.gate.limits.lock().record_unreachable(self.now(), process);
--- a/crates/gateway/src/job/take_up.rs
+++ b/crates/gateway/src/job/take_up.rs
@@ -169,8 +169,8 @@
         }
     }
 
-    /// Returns the check of a server's process before a stream goes on there, unless its listing states no
-    /// start of it.
+    /// Returns the check of a server's process before a stream goes on there, unless its listing
+    /// states no start.
     pub(super) fn process_check(&self, entry: &Entry, server: &Listing) -> Option<ProcessCheck> {
         (self.progress.has_begun() && server.born_ms != 0).then(|| check(entry, server))
     }
--- a/crates/gateway/src/mesh/peers.rs
+++ b/crates/gateway/src/mesh/peers.rs
@@ -2,9 +2,9 @@
 //!
 //! A message goes directly to the instances of the own availability zone, and to two instances of
 //! each other zone, which pass it on in theirs. Each sender ranks the instances of a zone
-//! differently, so that all of them bear a part of this, in proportion to their processor shares. A zone of one or two instances gets it
-//! directly, and so do a zone in which nobody is heard and instances whose zone is not known yet.
-//! What is repeated at intervals goes to the two by turns, so that it crosses the border once.
+//! differently, so that all of them bear a part of this, in proportion to their processor shares.
+//! A zone of one or two instances gets it directly, and so do a zone in which nobody is heard and
+//! instances whose zone is not known yet.
 
 use std::{
     collections::{BTreeMap, HashMap},
--- a/crates/gateway/src/origin/evidence.rs
+++ b/crates/gateway/src/origin/evidence.rs
@@ -1,9 +1,9 @@
 //! Which process of a server began a stream, by the server's own answer.
 //!
-//! The listing that a server was chosen by may be about an earlier process with its name and address. The
-//! side process of an engine tells of a new one; a server without a report is asked itself, once the
-//! first event has arrived: if the listed process answers then, it has begun the stream. The question
-//! holds no event back. Until it is answered, nobody is told an origin; without an answer
+//! The listing that a server was chosen by may be about an earlier process with its name and
+//! address. The side process of an engine tells of a new one. A server without a report is asked
+//! itself once the first event has arrived: if the listed process answers then, it has begun the
+//! stream. No event waits for the answer, but nobody is told an origin before it. Without an answer
 //! the origin is contradicted, so that the stream goes on nowhere. A plain server may not know the
 //! question: if its answer states no start, its listing is believed until it lists a later process.
 
@@ -27,8 +27,8 @@
 const MAX_QUESTIONS: usize = 2;
 
 impl Entry {
-    /// Records that a server began a stream, and asks it which process it is. Tells the stream's holders
-    /// the answer.
+    /// Records that a server began a stream, asks it which process it is, and tells the stream's
+    /// holders the answer.
     pub fn examine_origin(
         self: &Arc<Entry>,
         record: Record,
@@ -49,14 +49,15 @@
             let listed = || Process { server: server.id.clone(), born_ms: server.born_ms };
             match entry.evidence(&server, check).await {
                 Evidence::Listed => entry.announce_awaited(record, None).await,
-                Evidence::None => entry.announce_awaited(record, Some(listed())).await,
+                Evidence::NotStated => entry.announce_awaited(record, Some(listed())).await,
                 Evidence::Other => entry.contradict_origin(record, &server),
             }
             entry.origins.answered.notify(usize::MAX);
         });
     }
 
-    /// Records that it is not known which process began a stream. Its holders are told in the background.
+    /// Records that it is not known which process began a stream. Its holders are told in the
+    /// background.
     pub fn contradict_origin(&self, record: Record, server: &Listing) {
         let source = Process { server: server.id.clone(), born_ms: server.born_ms };
         log::info!(
@@ -83,8 +84,8 @@
         self.origins.own.lock().insert(own.record.key.clone(), own);
     }
 
-    /// Waits until the process that began a stream has answered, if it was asked. Returns whether nothing
-    /// is awaited any more.
+    /// Waits until the process that began a stream has answered, if it was asked. Returns whether
+    /// nothing is awaited any more.
     pub(super) async fn await_evidence(&self, key: &Key, limit: Duration) -> bool {
         let deadline = self.now() + limit;
         loop {
--- a/crates/serving/src/demand.rs
+++ b/crates/serving/src/demand.rs
@@ -1,8 +1,8 @@
 //! How often an entry instance tells a side process of its demand for the engine.
 //!
-//! A request that waits for an adapter is told in each round, since the side process forgets it soon. Work
-//! in flight is told when it changes, also when it has ended, and now and then, since a report may be
-//! lost. An instance without work only shows that it is there.
+//! A request that waits for an adapter is told in each round, since the side process forgets it
+//! soon. Work in flight is told when it changes, also when it has ended, and at intervals, since a
+//! report may be lost. An instance without work only shows that it is there.
 
 use std::time::Duration;
 
--- a/crates/serving/tests/evacuation.rs
+++ b/crates/serving/tests/evacuation.rs
@@ -262,14 +262,6 @@
                 let is_certain = is_emptied || is_knowable;
                 let is_expected = instance.settled.contains(zone) && is_certain;
                 if is_expected && instance.mirror.evacuation.is_emptied(zone) != is_emptied {
-                    eprintln!(
-                        "now {now} zone {zone} truth {is_emptied} changed {changed_at} restored {restored_at} cut {} cursor {:?} pos {:?} evac {:?} store {:?}",
-                        instance.cut_until,
-                        instance.cursor,
-                        instance.mirror.positions.operator,
-                        instance.mirror.evacuation,
-                        self.store
-                    );
                     return false;
                 }
             }
--- a/crates/serving/tests/subscription.rs
+++ b/crates/serving/tests/subscription.rs
@@ -16,7 +16,8 @@
         let Some(due) = subscription.due(now, changes, true) else { continue };
         subscription.record_sent(now, changes, due);
         match due {
-            Due::Status | Due::Residents => statuses += 1,
+            Due::Status => statuses += 1,
+            Due::Residents => panic!("the instance does not understand this report"),
             Due::Work => works += 1,
         }
     }
