--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,5 +18,8 @@
 
 use std::sync::Arc;
 
+/// Digest of the sources that this crate was compiled from.
+pub const SOURCES: u64 = sources_macro::digest!();
+
 /// Shared immutable name, for instance of an account, adapter, server or route.
 pub type Name = Arc<str>;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,3 +4,6 @@
 pub mod body;
 pub mod server;
 pub mod tls;
+
+/// Digest of the sources that this crate was compiled from.
+pub const SOURCES: u64 = sources_macro::digest!();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,3 +32,6 @@
 pub mod shared_read;
 pub mod side;
 pub mod software;
+
+/// Digest of the sources that this crate was compiled from.
+pub const SOURCES: u64 = sources_macro::digest!();
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -22,6 +22,9 @@
 
 use crate::clock::Clock;
 
+/// Digest of the sources that this crate was compiled from.
+pub const SOURCES: u64 = sources_macro::digest!();
+
 /// Handle to the executor and the clock; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Kernel {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -9,3 +9,6 @@
 pub mod popularity;
 pub mod rendezvous;
 pub mod slots;
+
+/// Digest of the sources that this crate was compiled from.
+pub const SOURCES: u64 = sources_macro::digest!();
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -12,3 +12,6 @@
 pub mod permit;
 pub mod pool;
 pub mod share;
+
+/// Digest of the sources that this crate was compiled from.
+pub const SOURCES: u64 = sources_macro::digest!();
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -17,5 +17,8 @@
 
 use std::{future::Future, pin::Pin};
 
+/// Digest of the sources that this crate was compiled from.
+pub const SOURCES: u64 = sources_macro::digest!();
+
 /// Boxed future that a client's closures return.
 pub type BoxFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -28,4 +28,7 @@
 pub mod subscription;
 pub mod warmup;
 
+/// Digest of the sources that this crate was compiled from.
+pub const SOURCES: u64 = sources_macro::digest!();
+
 pub use fleet::{Name, lease::Moment};
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,12 +2,16 @@
 
 use std::{
     env,
+    path::Path,
     process::{Command, ExitCode},
 };
 
+use sources::{Crate, Digest};
+
 const USAGE: &str = "\
 cargo xtask soak N     runs the scenario scripts N times and stops at the first failure
 cargo xtask seeds N    runs the seeded randomized tests with N seeds each, in release mode
+cargo xtask sources    prints the digests that chivelatch-platform --version shows if it was built from these sources
 cargo xtask slopes     measures the resource use of idle fleets for the capacity page of the docs";
 
 /// Crates with seeded randomized tests.
@@ -20,6 +24,7 @@
         ["soak", runs] => runs.parse().is_ok_and(soak),
         ["seeds", count] => seeds(count),
         ["slopes"] => slopes(),
+        ["sources"] => print_sources(),
         _ => {
             eprintln!("{USAGE}");
             return ExitCode::from(64);
@@ -47,6 +52,22 @@
         && cargo(&["run", "--release", "--bin", "chivelatch-slopes"], &[])
 }
 
+fn print_sources() -> bool {
+    match sources::of_tree(Path::new("platform")) {
+        Ok(digests) => {
+            let crates: Vec<_> =
+                digests.iter().map(|(name, digest)| Crate { name, digest: *digest }).collect();
+            println!("sources {}", Digest::of_program(&crates));
+            digests.iter().for_each(|(name, digest)| println!("  {name} {digest}"));
+            true
+        }
+        Err(error) => {
+            eprintln!("cannot read the sources: {error}; run it in the root of the repository");
+            false
+        }
+    }
+}
+
 fn cargo(arguments: &[&str], variables: &[(&str, &str)]) -> bool {
     let mut command = Command::new(env::var("CARGO").unwrap_or("cargo".to_owned()));
     let status = command.args(arguments).envs(variables.iter().copied()).status();
