Answer every request before a stopping instance exits

What callers saw: a request that waited in a stopping instance for a server's pause, one that a server still worked on, and one whose body had not arrived ended with their connections, without an answer, when the instance exited.

Cause: the waits of a request knew its own deadline only, and the exit knew the requests only as a count.

Change: the stop has a module of its own (gateway::stop) and a last call at 0.9 of the grace period. The time left of each request ends there: one that cannot be served before is rejected at once. At the last call each wait ends: what was not sent is rejected as not run, what may have run gets a status that promises nothing.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -6,6 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use futures_lite::future;
 use smallvec::SmallVec;
 
 use fleet::suspect::Decision;
@@ -30,6 +31,7 @@
     quarantine::HeldTrial,
     roster::{Roster, Server, StatusReport},
     serve::{DEFAULT_RETRY_AFTER, authorize},
+    stop,
 };
 
 /// Request rate of an adapter at this instance, in requests per second, from which the instance
@@ -161,7 +163,8 @@
                 Selection::AwaitModel => load_request = None,
                 Selection::AwaitExcluded => {
                     load_request = None;
-                    entry.kernel.clock.sleep(self.remaining(entry).min(EXCLUSION_PERIOD)).await;
+                    let pause = self.remaining(entry).min(EXCLUSION_PERIOD);
+                    let _last_call = entry.timeout(pause, future::pending::<()>()).await;
                     self.excluded.clear();
                     continue;
                 }
@@ -176,7 +179,7 @@
                 }
             }
             let limit = self.remaining(entry).min(limit);
-            let _changed_or_timed_out = entry.kernel.clock.timeout(limit, changed).await;
+            let _changed_or_timed_out = entry.timeout(limit, changed).await;
         }
     }
 
@@ -216,9 +219,10 @@
         held: Option<&HeldPermit>,
     ) -> Selection {
         let now = entry.now();
-        if self.deadline <= now {
+        if self.remaining(entry).is_zero() {
+            let stopping = entry.stop.has_begun().then_some(stop::RETRY_AFTER);
             return Selection::Reject {
-                retry_after: DEFAULT_RETRY_AFTER,
+                retry_after: stopping.unwrap_or(DEFAULT_RETRY_AFTER),
                 reason: "no time is left",
             };
         }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -4,10 +4,7 @@
     collections::{BTreeSet, HashMap, HashSet},
     net::{IpAddr, SocketAddr},
     process::ExitCode,
-    sync::{
-        Arc, OnceLock,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, OnceLock, atomic::AtomicBool},
     time::{Duration, Instant},
 };
 
@@ -48,13 +45,9 @@
     reload,
     roster::{self, Roster, Server, StatusReport},
     shared_read::Reads,
+    stop::{self, Stop},
 };
 
-/// Time after a stop signal in which new connections are still accepted, since the load balancer
-/// reacts only to the second failed health check.
-const BALANCER_DELAY: Duration = Duration::from_millis(2500);
-/// Share of the stop limit in which requests in flight may end.
-const DRAIN_SHARE: f64 = 0.9;
 /// Time for which a server is avoided after a failure. It doubles with each consecutive one.
 const MIN_SUSPECT_TIME: Duration = Duration::from_millis(400);
 /// Longest time for which a failed server is avoided.
@@ -115,7 +108,7 @@
     /// Time at which this instance last took the store for returned.
     store_returned_at: Mutex<Moment>,
     tunable: RwLock<Tunable>,
-    is_stopping: AtomicBool,
+    pub stop: Stop,
     /// Position among the instances that end a server's pause at the same time, from 0 to 1.
     return_position: f64,
     start: Instant,
@@ -157,27 +150,10 @@
     follow::start(&entry);
     kernel.spawn_detached(reload::run(Arc::clone(&entry), reloader));
     drain::termination().await;
-    stop(&entry).await;
+    stop::run(&entry).await;
     ExitCode::SUCCESS
 }
 
-/// Reports the instance as not ready, stops accepting connections once the load balancer has
-/// noticed, and waits until the requests in flight end.
-async fn stop(entry: &Entry) {
-    let limit = entry.tunable().stop_limit.mul_f64(DRAIN_SHARE);
-    log::info!(
-        event = Event::Stop, limit_ms = limit.as_millis() as u64;
-        "stopping; the instance is no longer ready"
-    );
-    entry.is_stopping.store(true, Ordering::Relaxed);
-    let delay = BALANCER_DELAY.min(limit / 2);
-    entry.kernel.clock.sleep(delay).await;
-    entry.drain.stop();
-    let is_finished = entry.drain.finish(&entry.kernel.clock, limit - delay).await;
-    log::info!(event = Event::Stop, is_finished; "stopped");
-    log::logger().flush();
-}
-
 impl Entry {
     fn new(
         kernel: &Kernel,
@@ -222,7 +198,7 @@
             outages: Mutex::default(),
             store_returned_at: Mutex::default(),
             tunable: RwLock::new(settings.tunable.clone()),
-            is_stopping: AtomicBool::new(false),
+            stop: Stop::default(),
             return_position: rand::random(),
             start: kernel.clock.now(),
             settings,
@@ -258,7 +234,7 @@
 
     /// Returns whether the load balancer should send new connections to this instance.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.is_synced()
+        !self.stop.has_begun() && self.is_synced()
     }
 
     /// Waits until the instance has its configuration and the servers, and knows which requests are
@@ -266,14 +242,14 @@
     pub async fn wait_until_synced(&self, deadline: Moment) {
         loop {
             let changed = self.state_changed.listen();
-            let mut remaining = deadline.saturating_sub(self.now());
+            let mut remaining = self.stop.limit(deadline).saturating_sub(self.now());
             if remaining.is_zero() || self.is_synced() && self.is_informed() {
                 return;
             }
             if !self.is_informed() {
                 remaining = remaining.min(quarantine::SETTLING_PERIOD.saturating_sub(self.now()));
             }
-            let _changed_or_timed_out = self.kernel.clock.timeout(remaining, changed).await;
+            let _changed_or_timed_out = self.timeout(remaining, changed).await;
         }
     }
 
@@ -283,10 +259,6 @@
         mirror.manifest.is_some() && !mirror.directory.is_empty()
     }
 
-    pub fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Relaxed)
-    }
-
     /// Runs `read` with the mirror of the store.
     pub fn with_mirror<T>(&self, read: impl FnOnce(&Mirror) -> T) -> T {
         read(&self.mirror.read())
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,7 +21,7 @@
     refusal::{self, Past, Subject},
 };
 
-use crate::{gate::Pass, ports::ResponseMeta};
+use crate::{gate::Pass, ports::ResponseMeta, stop::Stop};
 
 /// Time that a backend server may take to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -41,6 +41,8 @@
     pub request: Request<Full<Bytes>>,
     /// Longest time until the head of the response arrives.
     pub limit: Duration,
+    /// Planned stop of this instance, which may end the attempt before.
+    pub stop: &'a Stop,
 }
 
 /// Head of a response, with the body to be read.
@@ -128,11 +130,11 @@
     read_head: impl FnOnce(&response::Parts) -> ResponseMeta,
 ) -> Result<Reply, Failure> {
     let server = &outbound.pass.server().clone();
-    let (request_id, limit) = (outbound.id, outbound.limit);
+    let (request_id, limit, stop) = (outbound.id, outbound.limit, outbound.stop);
     let (is_refused_again, is_checked) = (outbound.is_refused_before, outbound.check.is_some());
     let mut is_sent = false;
     let response = send_request(kernel, pool, outbound, &mut is_sent);
-    let outcome = kernel.clock.timeout(limit, response).await;
+    let outcome = stop.timeout(&kernel.clock, limit, response).await;
     let (response, connection) = match outcome {
         Ok(outcome) => outcome?,
         Err(_) if is_sent => return Err(Failure::TimedOut),
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -280,7 +280,7 @@
         let now = self.now();
         let members = self.limiter.lock().members(now);
         let hears_all = self.hears_all(&members);
-        let own = (!self.is_stopping()).then_some((self.settings.mesh, now));
+        let own = (!self.stop.has_begun()).then_some((self.settings.mesh, now));
         let candidates: Vec<(SocketAddr, Duration)> =
             members.heard.into_iter().chain(own).collect();
         let is_old = |age: Duration| ISSUER_MIN_AGE <= age;
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -135,9 +135,9 @@
         }
     }
 
-    /// Returns the time until the deadline.
+    /// Returns the time until the deadline, or until the last call of a stopping instance.
     pub fn remaining(&self, entry: &Entry) -> Duration {
-        self.deadline.saturating_sub(entry.now())
+        entry.stop.limit(self.deadline).saturating_sub(entry.now())
     }
 
     /// Returns the longest time between two events that callers of the route expect.
@@ -264,6 +264,7 @@
             is_refused_before: self.refused_by.contains(&server.id),
             request,
             limit: self.attempt_timeout(entry, self.runs + 1),
+            stop: &entry.stop,
         };
         let read_head =
             |head: &response::Parts| entry.read_head(server, &self.meta.id, sent_at, head);
@@ -311,7 +312,7 @@
         let Upstream { head, meta, body, connection, mut in_flight, server } = upstream;
         let framing = body.framing();
         let body = body.collect_into(entry.kernel.memory.buffer(MAX_PLAIN_RESPONSE_BYTES));
-        let body = entry.kernel.clock.timeout(self.attempt_timeout(entry, self.runs), body).await;
+        let body = entry.timeout(self.attempt_timeout(entry, self.runs), body).await;
         let body = body.map_err(|_| self.timeout_failure(entry))?;
         let body = body.map_err(|error| Failure::Disconnected { reason: error.to_string() })?;
         check_head(&head, &meta)?;
@@ -337,11 +338,8 @@
     /// Waits for the first chunk of a stream. The body of an error response may be empty.
     async fn first_chunk(&self, entry: &Entry, upstream: &mut Upstream) -> Result<Bytes, Failure> {
         check_head(&upstream.head, &upstream.meta)?;
-        let frame = entry
-            .kernel
-            .clock
-            .timeout(self.attempt_timeout(entry, self.runs), upstream.body.frame())
-            .await;
+        let limit = self.attempt_timeout(entry, self.runs);
+        let frame = entry.timeout(limit, upstream.body.frame()).await;
         match frame {
             Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
             Ok(None) => Ok(Bytes::new()),
--- a/crates/gateway/src/job/failure.rs
+++ b/crates/gateway/src/job/failure.rs
@@ -108,7 +108,7 @@
             ended.notify(usize::MAX);
         });
         if self.can_retry() {
-            end.await;
+            let _ended_or_no_time_left = entry.timeout(self.remaining(entry), end).await;
         }
     }
 
--- a/crates/gateway/src/job/rejection.rs
+++ b/crates/gateway/src/job/rejection.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use front::body::Body;
+use futures_lite::future;
 use hyper::{Response, StatusCode};
 
 use kernel::event::Event;
@@ -12,7 +13,7 @@
     answer::{self, Rejection},
     entry::Entry,
     job::Job,
-    quarantine,
+    quarantine, stop,
 };
 
 impl Job {
@@ -33,7 +34,10 @@
                     self.charge = Some((units, now));
                     return Ok(());
                 }
-                Admission::Wait(pause) => entry.kernel.clock.sleep(pause).await,
+                Admission::Wait(_) if entry.stop.is_last_call() => return Err(stop::rejection()),
+                Admission::Wait(pause) => {
+                    let _last_call = entry.timeout(pause, future::pending::<()>()).await;
+                }
                 Admission::Rejected(retry_after) => {
                     return Err(self.over_rate(&account, units, retry_after));
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod shared_read;
 pub mod side;
 pub mod software;
+pub mod stop;
 
 /// Digest of the sources that this crate was compiled from.
 pub const SOURCES: u64 = sources_macro::digest!();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -151,7 +151,7 @@
             let remaining = self.job.remaining(&self.entry);
             let silence = silent_at.map(|at| at.saturating_sub(self.entry.now()));
             let limit = silence.map_or(remaining, |silence| silence.min(remaining));
-            let frame = self.entry.kernel.clock.timeout(limit, self.source.body.frame()).await;
+            let frame = self.entry.timeout(limit, self.source.body.frame()).await;
             let chunk = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(Some(Err(incomplete @ Incomplete::NoEvent))) => {
@@ -159,8 +159,8 @@
                 }
                 Ok(Some(Err(incomplete))) => return Step::Disconnected(incomplete.name()),
                 Ok(None) => return self.end_of_source(),
-                Err(_) if limit < remaining => return Step::Broken("silent"),
-                Err(_) => return Step::TimedOut,
+                Err(_) if self.job.remaining(&self.entry).is_zero() => return Step::TimedOut,
+                Err(_) => return Step::Broken("silent"),
             };
             if let Some(chunk) = self.complete_events(chunk) {
                 return Step::Chunk(chunk);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -23,6 +23,7 @@
     job::{Job, Upstream},
     ports::RequestMeta,
     relay::Relay,
+    stop,
 };
 
 /// Retry time of a rejection for which no better estimate is known.
@@ -70,8 +71,10 @@
         return Err(reject(Rejection::later("no configuration yet", DEFAULT_RETRY_AFTER)));
     };
     let grant = authorize(&manifest, &meta, &parts).map_err(reject)?;
-    let limits = &manifest.limits;
-    let body = body::read(&entry.kernel, body, limits.body_bytes, BODY_TIMEOUT).await;
+    let body = body::read(&entry.kernel, body, manifest.limits.body_bytes, BODY_TIMEOUT);
+    let Ok(body) = entry.timeout(BODY_TIMEOUT, body).await else {
+        return Err(reject(stop::rejection()));
+    };
     let body = body.map_err(|error| {
         let status = match error {
             BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
@@ -117,7 +120,9 @@
     if let Err(rejection) = job.charge(entry, wait_until).await {
         return job.reject(entry, &rejection);
     }
-    if let Err(rejection) = job.resolve_take_up(entry).await {
+    let remaining = job.remaining(entry);
+    let resolved = entry.timeout(remaining, job.resolve_take_up(entry)).await;
+    if let Err(rejection) = resolved.unwrap_or_else(|_| Err(stop::rejection())) {
         return job.reject(entry, &rejection);
     }
     if job.grant.route.retry_policy.is_stream() {
@@ -149,7 +154,7 @@
 
 /// Asks the caller to close the connection if the instance is stopping.
 fn with_connection_header(entry: &Entry, mut response: Response<Body>) -> Response<Body> {
-    if entry.is_stopping() {
+    if entry.stop.has_begun() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
