Let followers learn that a server is back after an outage of the store

What callers saw: after an outage in which listings expired, instances that follow a reader dropped living servers, and did without them until the reader's servers changed for another reason.

Cause: a server that registers again in its grace period says nothing new, so the directory's generation stayed, and the followers fetched no copy: theirs still had the end of the grace period, and kept to it.

Change: the end of a grace period by a registration counts as a change of the directory.

--- a/crates/serving/src/directory.rs
+++ b/crates/serving/src/directory.rs
@@ -164,10 +164,12 @@
         if is_same_process && known.phase == Phase::Leaving && listed_phase == Phase::Ready {
             return Effect::Stale;
         }
-        self.lapsed.remove(&listing.id);
+        let was_lapsed = self.lapsed.remove(&listing.id).is_some();
         if known.differs_in_time_left_only(&listing) {
             self.servers.insert(listing.id.clone(), listing);
-            return Effect::Same;
+            // Copies of the directory have the end of the grace period.
+            self.generation += u64::from(was_lapsed);
+            return if was_lapsed { Effect::Changed } else { Effect::Same };
         }
         self.insert(listing);
         Effect::Changed
