Take no server in again that a peer keeps for an outage that never was

Cause: an instance that was cut off keeps servers until a peer explains its gap. Its copy passed these on, and whoever merged it believed them, even if its own answers showed that the store had been there all the while; so instances that had learned better believed it again from each other.

Change: an instance that was answered steadily, or hears from a peer that was, for longer than a false grace period and the outage before it, leaves such servers out of the copies that it merges. Restores are exempt.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -331,6 +331,11 @@
         self.apply_finding(finding);
     }
 
+    /// Returns whether the store was certainly there lately.
+    pub fn is_store_steady(&self) -> bool {
+        self.outages.lock().is_steady(self.now())
+    }
+
     /// Keeps servers whose listings are removed for a while after an outage of the store, but not if
     /// only this instance could not reach it.
     fn apply_finding(&self, finding: Option<Finding>) {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -399,11 +399,15 @@
 /// fetched.
 async fn merge_peer_copy(entry: &Entry, address: SocketAddr) -> Option<u64> {
     match fetch_peer_copy(entry, address).await {
-        Ok(copy) => {
+        Ok(mut copy) => {
             let (positions, generation) = (copy.positions, copy.generation);
             let era = entry.with_mirror(|mirror| mirror.positions.servers.era);
+            let is_restored = era < positions.servers.era;
+            if !is_restored && entry.is_store_steady() {
+                copy.drop_lapsed();
+            }
             let is_newer = entry.update_mirror(|now, mirror| mirror.merge(now, copy));
-            if era < positions.servers.era {
+            if is_restored {
                 entry.store_restored.notify(usize::MAX);
             }
             log::info!(
--- a/crates/serving/src/mirror.rs
+++ b/crates/serving/src/mirror.rs
@@ -112,6 +112,15 @@
     Unchanged,
 }
 
+impl PeerCopy {
+    /// Drops the servers whose listings were removed: the store was there all the while, so that their
+    /// removal takes effect, whatever the peer takes its own failures for.
+    pub fn drop_lapsed(&mut self) {
+        let lapsed: HashSet<Name> = self.lapsed.drain(..).map(|(id, _)| id).collect();
+        self.servers.retain(|listing| !lapsed.contains(&listing.id));
+    }
+}
+
 impl Mirror {
     /// Applies one record.
     pub fn apply(&mut self, now: Moment, change: Change) -> Outcome {
--- a/crates/serving/src/outage.rs
+++ b/crates/serving/src/outage.rs
@@ -13,7 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Moment;
+use crate::{Moment, directory::REREGISTRATION_GRACE};
 
 /// Longest time between two answers of a store that is there. It covers the change of a zone's reader,
 /// and is below the time in which a listing expires.
@@ -100,6 +100,15 @@
         Some(Finding::NeverAway)
     }
 
+    /// Returns whether the store was certainly there lately, for this instance or for a peer: for longer
+    /// than servers that another instance takes for expired may be kept, and the outage before that.
+    pub fn is_steady(&self, now: Moment) -> bool {
+        let is_steady = |answers: Answers| {
+            answers.first + REREGISTRATION_GRACE + MAX_GAP <= now && now <= answers.last + MAX_GAP
+        };
+        [self.own, self.told].into_iter().flatten().any(is_steady)
+    }
+
     /// Returns what this instance tells its peers, after the first answer.
     pub fn report(&self, now: Moment) -> Option<Report> {
         let own = self.own?;
--- a/crates/serving/tests/zone_removals/main.rs
+++ b/crates/serving/tests/zone_removals/main.rs
@@ -81,10 +81,11 @@
     });
 }
 
-// One instance is left that reaches the store.
+// Guards against an instance to which nothing has happened, that has removed a server and takes it in again from the
+// copy of one that was cut off.
 #[test]
 fn removes_a_server_in_time_after_all_but_one_were_cut_off() {
-    seeds::run(24, |random| {
+    seeds::run(600, |random| {
         for size in SIZES {
             let span = Span::new(CALM, random.random_range(0.4..7.0));
             let spared = random.random_range(0..size);
--- a/crates/serving/tests/zone_removals/zone.rs
+++ b/crates/serving/tests/zone_removals/zone.rs
@@ -9,7 +9,7 @@
     Moment, Name,
     cursor::Position,
     directory::{Listing, Phase},
-    mirror::{Change, Mirror},
+    mirror::{Change, Mirror, PeerCopy},
     outage::{Detector, Finding},
     reader::{self, Report, Version},
 };
@@ -230,7 +230,7 @@
         let from = self.instances[fetch.from].address;
         let version = Version { incarnation: fetch.incarnation, generation: copy.generation };
         let instance = &mut self.instances[index];
-        instance.mirror.merge(now, copy);
+        instance.merge(now, copy);
         instance.readers.record_copy(now, from, version);
     }
 
@@ -250,7 +250,7 @@
             return;
         }
         let copy = self.instances[peer].mirror.to_peer_copy(now);
-        self.instances[index].mirror.merge(now, copy);
+        self.instances[index].merge(now, copy);
     }
 
     /// Tells the others what an instance knows of the store.
@@ -324,6 +324,13 @@
         }
     }
 
+    fn merge(&mut self, now: Moment, mut copy: PeerCopy) {
+        if self.detector.is_steady(now) {
+            copy.drop_lapsed();
+        }
+        self.mirror.merge(now, copy);
+    }
+
     fn apply_finding(&mut self, now: Moment, finding: Option<Finding>) {
         match finding {
             Some(Finding::Returned(_)) => {
