Let no stream go on whose server had a later process, of whatever version

Streams that v2 had begun went on at v1.

Cause: a later process of the recorded version counted as a confirmation. It shows that the listing was late, and not which processes came and went meanwhile.

Change: any later process contradicts the origin of a stream that its server had not broken off before. It costs the streams that began in the moment of a restart in place, at servers that do not state their start.

--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -139,8 +139,8 @@
     }
 
     /// Returns whether the origin of a stream that this instance began holds. It does not if the
-    /// server's answer names another process, or if the store lists a later process of another version
-    /// by now, while the stream had not been broken off by its server.
+    /// server's answer names another process, or if the store lists a later process by now, while the
+    /// stream had not been broken off by its server.
     pub async fn confirm_origin(&self, key: &Key, limit: Duration) -> bool {
         if !self.await_evidence(key, limit).await {
             return false;
@@ -165,15 +165,13 @@
         let later = listing.filter(|listing| source.born_ms < listing.born_ms);
         let Some(later) = later else { return };
         own.source = None;
-        let origin = Origin { service: later.service, version: later.version };
-        if origin == own.record.origin {
-            return;
-        }
+        // Whatever the later version is: a process of another one may have come and gone unlisted.
         log::info!(
-            event = Event::OriginDoubted, server = &*later.id, version = &*origin.version,
+            event = Event::OriginDoubted, server = &*later.id, version = &*later.version,
             recorded = &*own.record.origin.version;
             "a stream may have begun at a later process of its server; it goes on nowhere"
         );
+        let origin = contradiction(&own.record.origin);
         let record = Record { origin: origin.clone(), ..own.record.clone() };
         self.origins.registry.lock().record(self.now(), &record);
         own.contradiction = Some(origin);
@@ -347,6 +345,12 @@
     }
 }
 
+/// Returns an origin that no stream has, which contradicts another one.
+fn contradiction(origin: &Origin) -> Origin {
+    let version = format!("not {}", origin.version).into();
+    Origin { service: origin.service.clone(), version }
+}
+
 fn record(registry: &mut Registry, now: Moment, notice: &OriginNotice) {
     for record in &notice.records {
         registry.record(now, record);
--- a/crates/gateway/src/origin/evidence.rs
+++ b/crates/gateway/src/origin/evidence.rs
@@ -12,10 +12,10 @@
 use kernel::event::Event;
 use serving::{
     directory::Listing,
-    origin::{Key, Origin, Record},
+    origin::{Key, Record},
 };
 
-use super::{Own, Process};
+use super::{Own, Process, contradiction};
 use crate::{
     entry::Entry,
     exchange::{self, Evidence, ProcessCheck},
@@ -66,10 +66,7 @@
             "a stream may have begun at another process than the listed one; it goes on nowhere"
         );
         let now = self.now();
-        let contradiction = Origin {
-            service: record.origin.service.clone(),
-            version: format!("not {}", record.origin.version).into(),
-        };
+        let contradiction = contradiction(&record.origin);
         let own = Own {
             expires_at: now + record.remaining,
             told: Default::default(),
