Write the origins of streams through the readers of the zones

Cause: each instance wrote its own record, and the writes of the fleet are bounded, so the time between two writes of an instance grew with their number: 0.39 s at 26, 1.02 s at 68. The class: a common budget that is divided by members, none of which alone can use its share in time.

Change: followers entrust new origins to the instance that reads the store for them, with a confirmation; it writes them with its own, so the interval grows with the zones (60 ms at four). An instance without a reader that confirms writes for itself, as before. Above 100 origins a writer adds those since the last whole record under a second key, and writes the whole each 2 s.

--- a/crates/gateway/src/mesh/peers.rs
+++ b/crates/gateway/src/mesh/peers.rs
@@ -7,7 +7,7 @@
 //! instances whose zone is not known yet.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::Duration,
 };
@@ -119,6 +119,14 @@
         heard.map(|(address, _)| *address).collect()
     }
 
+    /// Returns the number of zones in which instances are heard, with the own one.
+    pub fn zone_count(&self, own_zone: &Name, now: Moment) -> usize {
+        let heard = self.known.values().filter(|peer| peer.silence(now) < PEER_TIMEOUT);
+        let zones: BTreeSet<&Name> =
+            heard.filter_map(|peer| peer.zone.as_ref()).chain([own_zone]).collect();
+        zones.len()
+    }
+
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
         self.known.keys().copied()
     }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -80,6 +80,8 @@
     OriginReply(OriginReply),
     /// From a side process, too: the part of its status that changes with each load.
     Residents(Residents),
+    /// From an entry instance to the one that reads the store for it: origins of streams to be kept there.
+    ArchiveRequest(OriginNotice),
 }
 
 /// What processes tell the entry instances.
@@ -157,7 +159,8 @@
             Message::OriginNotice(_)
             | Message::OriginReceipt { .. }
             | Message::OriginRequest { .. }
-            | Message::OriginReply(_) => Kind::Origin,
+            | Message::OriginReply(_)
+            | Message::ArchiveRequest(_) => Kind::Origin,
             Message::EarlierGossip
             | Message::EarlierLeaving
             | Message::EarlierUsage
--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -26,6 +26,7 @@
     origin::{self, Answer, Key, Origin, Record, Registry},
 };
 
+use self::archive::Entrusted;
 use crate::{
     entry::Entry,
     mesh,
@@ -67,6 +68,7 @@
     confirmations: Replies<()>,
     lookups: Mutex<HashMap<u64, Lookup>>,
     archive_reads: Reads<()>,
+    entrusted: Mutex<Entrusted>,
     /// Notified when a question is answered.
     answered: event_listener::Event,
 }
@@ -358,6 +360,13 @@
 }
 
 impl Origins {
+    /// Returns the origins of streams of some services that this instance keeps in the store.
+    fn archivable(&self, now: Moment, services: &BTreeSet<Name>) -> Vec<Record> {
+        let mut records = self.own_records(now, services);
+        records.extend(self.entrusted.lock().records(now, services));
+        records
+    }
+
     /// Returns the origins of this instance's streams of some services that have not expired.
     fn own_records(&self, now: Moment, services: &BTreeSet<Name>) -> Vec<Record> {
         let own = self.own.lock();
--- a/crates/gateway/src/origin/archive.rs
+++ b/crates/gateway/src/origin/archive.rs
@@ -1,13 +1,18 @@
 //! Origins of streams in the platform's store, so that they outlast all processes of the system.
 //!
-//! While streams of a service may have begun at more than one software version, each instance keeps the
-//! origins of its streams of that service in one record, which it replaces as a whole: writes are few and
-//! bounded, whatever the number of streams. While there is one version only, nothing is written; the
-//! register of versions (`gateway::software`) tells it. Nobody follows the topic. An instance reads it for
-//! take-ups of streams that no process knows.
+//! While streams of a service may have begun at more than one software version, the instances that read the
+//! store for their zones write the origins of their own streams and of those of their followers, which
+//! entrust them to the reader. An instance that follows nobody, or whose reader does not confirm, writes
+//! for itself. So the time until an origin is in the store depends on the number of zones, and not of
+//! instances, and writes are few and bounded, whatever the number of streams. A writer has two records,
+//! which it replaces as a whole: all origins, now and then, and those since then at short intervals.
+//!
+//! While there is one version only, nothing is written; the register of versions (`gateway::software`) tells
+//! it. Nobody follows the topic. An instance reads it for take-ups of streams that no process knows.
 
 use std::{
     collections::{BTreeSet, HashMap, HashSet},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
@@ -21,22 +26,96 @@
     origin::{Answer, Key, Origin, Record},
 };
 
-use crate::{entry::Entry, ports};
+use crate::{
+    entry::Entry,
+    mesh,
+    message::{Message, OriginNotice},
+    ports,
+};
 
 /// Start of the keys with records of this format; others are ignored.
 const FORMAT_PREFIX: &str = "origins.1.";
 /// Time between two writes of the whole fleet.
 const FLEET_WRITE_INTERVAL: Duration = Duration::from_millis(15);
+/// Time between two writes of all origins of a writer, if they are many.
+const FULL_WRITE_INTERVAL: Duration = Duration::from_secs(2);
+/// Number of origins up to which all are written each time.
+const MAX_SHORT_RECORD: usize = 100;
+/// Time after which an instance entrusts new origins to its reader.
+const ENTRUST_INTERVAL: Duration = Duration::from_millis(40);
+/// Time in which a reader may confirm that it was entrusted with origins.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(80);
+/// Times for which a reader is asked.
+const MAX_REQUESTS: usize = 2;
+/// Limit of the origins that others may entrust to an instance; they write further ones themselves.
+const MAX_ENTRUSTED: usize = 20_000;
+/// Time between checks whether several versions are listed.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two rounds while there is one version of each service.
+const IDLE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which a caller may take a stream up after its version has left the list.
 const MAX_RETURN_TIME: Duration = Duration::from_secs(60);
 /// Limit of the streams in one record, which the store limits in size.
 const MAX_STREAMS: usize = 2000;
 
+/// What tells an archived record from others: the stream, and what is said of it.
+type Named = (Key, Origin);
+
+/// Origins that other instances have entrusted to this one, with their expiry.
+#[derive(Default)]
+pub struct Entrusted(HashMap<Named, Moment>);
+
 /// Versions that were listed lately, with the last time of each.
 #[derive(Default)]
 struct RecentVersions(HashMap<Origin, Moment>);
 
+/// What this instance has written to the store.
+struct Writer {
+    key: String,
+    recent_key: String,
+    /// Origins under `key`.
+    written: HashSet<Named>,
+    /// Origins under `recent_key`, that were not under `key` then.
+    recent: HashSet<Named>,
+    /// Latest write of `key`.
+    written_at: Moment,
+}
+
 impl Entry {
+    /// Records what another instance entrusts to this one. Returns whether this one takes care of it.
+    pub fn record_entrusted(&self, notice: &OriginNotice) -> bool {
+        self.origins.entrusted.lock().record(self.now(), &notice.records)
+    }
+
+    /// Returns the instance that reads the store for this one.
+    fn followed_reader(&self) -> Option<SocketAddr> {
+        let (now, readers) = (self.now(), self.readers.lock());
+        readers.source(now).filter(|_| readers.followed_silence(now).is_some())
+    }
+
+    /// Entrusts records to a reader. Returns whether it has confirmed all of them.
+    async fn entrust(&self, reader: SocketAddr, records: &[Record]) -> bool {
+        let Some(socket) = self.mesh_socket.get() else { return false };
+        for batch in mesh::batches(records.iter().cloned()) {
+            let id = rand::random();
+            let confirmation = self.origins.confirmations.expect(id);
+            let notice = OriginNotice { id, records: batch };
+            let mut is_confirmed = false;
+            for _ in 0..MAX_REQUESTS {
+                mesh::send(socket, reader, &Message::ArchiveRequest(notice.clone())).await;
+                let reply = self.kernel.clock.timeout(CONFIRMATION_TIMEOUT, confirmation.reply());
+                is_confirmed = reply.await.is_ok();
+                if is_confirmed {
+                    break;
+                }
+            }
+            if !is_confirmed {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Returns what the store has of a stream's origin, within `limit`.
     pub async fn archived_origin(&self, key: &Key, limit: Duration) -> Answer {
         match self.origins.archive_reads.next(self, limit).await {
@@ -51,34 +130,108 @@
     entry.origins.archive_reads.serve(&entry, Topic::Streams, record_all).await;
 }
 
-/// Writes the origins of this instance's streams while there are several versions of a service.
+/// Writes the origins of streams while there are several versions of a service, or entrusts them to the
+/// instance that reads the store for this one.
 pub async fn run(entry: Arc<Entry>) {
-    let key = format!("{FORMAT_PREFIX}{}.{:x}", entry.settings.instance, entry.incarnation);
     let mut versions = RecentVersions::default();
-    let mut written: HashSet<(Key, Origin)> = HashSet::new();
+    let mut services = BTreeSet::new();
+    let mut next_review = Moment::ZERO;
+    let mut writer = Writer::new(&entry);
+    let mut entrusted_to_reader = HashSet::new();
     loop {
-        entry.kernel.clock.sleep(write_interval(&entry)).await;
-        let services = versions.services_with_several(&entry);
-        let records = entry.origins.own_records(entry.now(), &services);
-        let current = records.iter().map(|it| (it.key.clone(), it.origin.clone())).collect();
-        let is_outdated = services.is_empty() && !written.is_empty();
-        if written.is_superset(&current) && !is_outdated {
-            continue;
+        entry.kernel.clock.sleep(interval(&entry, &services)).await;
+        let now = entry.now();
+        if next_review <= now {
+            services = versions.services_with_several(&entry);
+            next_review = now + REVIEW_INTERVAL;
         }
-        match (entry.store.archive)(&key, encode(&records)).await {
-            Ok(()) => written = current,
-            Err(error) => log::warn!(
-                event = Event::Announce;
-                "cannot write the origins of streams to the store; retrying: {error}"
-            ),
+        let mut records = entry.origins.archivable(now, &services);
+        let current: HashSet<Named> = records.iter().map(name_of).collect();
+        entrusted_to_reader.retain(|name| current.contains(name));
+        records.retain(|record| !entrusted_to_reader.contains(&name_of(record)));
+        if let Some(reader) = entry.followed_reader()
+            && !records.is_empty()
+            && entry.entrust(reader, &records).await
+        {
+            entrusted_to_reader.extend(records.iter().map(name_of));
+            records.clear();
+        }
+        writer.write(&entry, &records).await;
+        if services.is_empty() {
+            writer.drop_records(&entry).await;
         }
     }
 }
 
-/// Returns the time between two writes of one instance, which keeps those of the fleet bounded.
-fn write_interval(entry: &Entry) -> Duration {
-    let instances = entry.limiter.lock().instance_count(entry.now());
-    FLEET_WRITE_INTERVAL * (instances as u32).max(1)
+/// Returns the time until an instance looks for new origins.
+fn interval(entry: &Entry, services: &BTreeSet<Name>) -> Duration {
+    if services.is_empty() {
+        return IDLE_INTERVAL;
+    }
+    if entry.followed_reader().is_some() {
+        return ENTRUST_INTERVAL;
+    }
+    let zones = entry.peers.lock().zone_count(&entry.settings.zone, entry.now());
+    FLEET_WRITE_INTERVAL * zones as u32
+}
+
+impl Writer {
+    fn new(entry: &Entry) -> Writer {
+        let key = format!("{FORMAT_PREFIX}{}.{:x}", entry.settings.instance, entry.incarnation);
+        Writer {
+            recent_key: format!("{key}.recent"),
+            key,
+            written: HashSet::new(),
+            recent: HashSet::new(),
+            written_at: Moment::ZERO,
+        }
+    }
+
+    /// Writes the records that are not in the store yet, if there are any.
+    async fn write(&mut self, entry: &Entry, records: &[Record]) {
+        let now = entry.now();
+        let is_new = |record: &&Record| !self.written.contains(&name_of(record));
+        let since_then: Vec<Record> = records.iter().filter(is_new).cloned().collect();
+        let names: HashSet<Named> = since_then.iter().map(name_of).collect();
+        if names.is_subset(&self.recent) {
+            return;
+        }
+        if records.len() <= MAX_SHORT_RECORD || self.written_at + FULL_WRITE_INTERVAL <= now {
+            if archive(entry, &self.key, records).await {
+                self.written = records.iter().map(name_of).collect();
+                self.recent.clear();
+                self.written_at = now;
+            }
+        } else if archive(entry, &self.recent_key, &since_then).await {
+            self.recent = names;
+        }
+    }
+
+    /// Drops what was written.
+    async fn drop_records(&mut self, entry: &Entry) {
+        if !self.recent.is_empty() && archive(entry, &self.recent_key, &[]).await {
+            self.recent.clear();
+        }
+        if !self.written.is_empty() && archive(entry, &self.key, &[]).await {
+            self.written.clear();
+        }
+    }
+}
+
+/// Writes records to the store in place of those that a key had. Returns whether it has them.
+async fn archive(entry: &Entry, key: &str, records: &[Record]) -> bool {
+    let outcome = (entry.store.archive)(key, encode(records)).await;
+    if let Err(error) = &outcome {
+        log::warn!(
+            event = Event::Announce;
+            "cannot write the origins of streams to the store; retrying: {error}"
+        );
+    }
+    outcome.is_ok()
+}
+
+fn name_of(record: &Record) -> Named {
+    (record.key.clone(), record.origin.clone())
 }
 
 /// Encodes the records that expire last. An empty value drops the key.
@@ -106,6 +259,31 @@
     }
 }
 
+impl Entrusted {
+    /// Keeps records until they expire. Returns whether there is room for them.
+    fn record(&mut self, now: Moment, records: &[Record]) -> bool {
+        self.0.retain(|_, expires_at| now < *expires_at);
+        if MAX_ENTRUSTED < self.0.len() + records.len() {
+            return false;
+        }
+        self.0.extend(records.iter().map(|it| (name_of(it), now + it.remaining)));
+        true
+    }
+
+    /// Returns the records of some services that have not expired.
+    pub fn records(&self, now: Moment, services: &BTreeSet<Name>) -> Vec<Record> {
+        let living = self.0.iter().filter(|(_, expires_at)| now < **expires_at);
+        let wanted = living.filter(|((_, origin), _)| services.contains(&origin.service));
+        wanted
+            .map(|((key, origin), expires_at)| Record {
+                key: key.clone(),
+                origin: origin.clone(),
+                remaining: expires_at.saturating_sub(now),
+            })
+            .collect()
+    }
+}
+
 impl RecentVersions {
     /// Returns the services of which several versions were listed lately.
     fn services_with_several(&mut self, entry: &Entry) -> BTreeSet<Name> {
