Test what the model of a zone has found, piece by piece

Steadiness of the store's answers, copies without lapsed servers, the change that a registration in the grace period is, and a further outage.

--- a/crates/serving/tests/directory.rs
+++ b/crates/serving/tests/directory.rs
@@ -82,6 +82,35 @@
     assert!(directory.get("s1").is_some());
 }
 
+// Guards against copies of the directory that keep the end of a grace period which a registration has ended.
+#[test]
+fn counts_the_end_of_a_grace_period_as_a_change() {
+    let mut directory = with_one_server();
+    directory.record_store_recovery(seconds(10));
+    directory.remove(seconds(10), &name("s1"));
+    let before = directory.generation();
+
+    let back = directory.upsert(listing("s1", 1, Phase::Ready));
+    let after = directory.generation();
+    let again = directory.upsert(listing("s1", 1, Phase::Ready));
+
+    assert_eq!((back, again), (Effect::Changed, Effect::Same));
+    assert!(before < after && after == directory.generation());
+}
+
+// Guards against servers that are dropped after a second outage, in which they could not register either.
+#[test]
+fn begins_a_grace_period_anew_after_a_further_outage() {
+    let mut directory = with_one_server();
+    directory.record_store_recovery(seconds(10));
+    directory.remove(seconds(10), &name("s1"));
+
+    directory.record_store_recovery(seconds(20));
+
+    assert!(directory.expire(seconds(21)).is_empty());
+    assert_eq!(directory.expire(seconds(20) + REREGISTRATION_GRACE), [name("s1")]);
+}
+
 #[test]
 fn gives_a_leaving_server_no_grace_period() {
     let mut directory = with_one_server();
--- a/crates/serving/tests/mirror.rs
+++ b/crates/serving/tests/mirror.rs
@@ -177,3 +177,22 @@
     assert_eq!((first, repeated), (3, 3));
     assert_eq!(mirror.generation(), 4);
 }
+
+// Guards against a server that was removed, and comes back from the copy of a peer that keeps it for a while.
+#[test]
+fn takes_no_lapsed_server_from_a_copy_without_them() {
+    let mut peer = Mirror::default();
+    peer.apply(NOW, Change::Server(ready("s1")));
+    peer.apply(NOW, Change::Server(ready("s2")));
+    peer.directory.record_store_recovery(NOW);
+    peer.apply(NOW, Change::ServerRemoved("s1".into()));
+    let mut copy = peer.to_peer_copy(NOW);
+    let mut mirror = Mirror::default();
+
+    copy.drop_lapsed();
+    mirror.merge(NOW, copy);
+
+    let listed: Vec<_> = mirror.directory.iter().map(|listing| listing.id.clone()).collect();
+    assert_eq!(listed, ["s2".into()]);
+    assert_eq!(mirror.directory.lapsed(NOW), []);
+}
--- a/crates/serving/tests/outage.rs
+++ b/crates/serving/tests/outage.rs
@@ -134,3 +134,29 @@
     assert_eq!(finding, Some(Finding::Returned(Duration::from_secs(5))));
     assert_eq!((began_later, ended_before), (None, None));
 }
+
+// Guards against a peer's belief in an outage that counts more than the answers of an instance that was never cut
+// off; and against an instance that has just started and denies an outage that it has not seen.
+#[test]
+fn knows_that_the_store_was_there_after_steady_answers_only() {
+    let steady_for = |length: Duration| {
+        let mut detector = Detector::default();
+        let mut now = Moment::ZERO;
+        while now <= length {
+            detector.record_answer(now);
+            now += Duration::from_millis(500);
+        }
+        detector.is_steady(length)
+    };
+    let mut cut_off = Detector::default();
+    cut_off.record_answer(Duration::from_secs(1));
+    let before_a_report = cut_off.is_steady(Duration::from_secs(20));
+    let report =
+        outage::Report { first: Duration::from_secs(19), last: Duration::from_millis(300) };
+    cut_off.record_report(Duration::from_secs(20), report);
+    let after_a_report = cut_off.is_steady(Duration::from_secs(20));
+    let after_silence = cut_off.is_steady(Duration::from_secs(23));
+
+    assert_eq!([1, 4, 5].map(|it| steady_for(Duration::from_secs(it))), [false, false, true]);
+    assert_eq!([before_a_report, after_a_report, after_silence], [false, true, false]);
+}
