Reject a stream at once whose version has only servers that were replaced

What callers saw: a take-up was held until its deadline ("no time is left", 3.0 s each) though each server of the version that began the stream had answered that another process has its name and address.

Cause: such an answer counted like a connection that failed, after which a stream waits for its servers. A process that was replaced never comes back; only a new listing changes that.

Change: a request remembers which listed processes were replaced, and its stream does not wait for them. Its limit was not changed.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -238,7 +238,8 @@
         let regions = entry.tunable().regions;
         let allowed =
             servers.iter().filter(|server| self.grant.allows_region(regions.get(&server.zone)));
-        let compatible = allowed.filter(|server| self.progress.admit(server).is_some());
+        let compatible = allowed
+            .filter(|server| self.progress.admit(server).is_some() && !self.is_replaced(server));
         let compatible = self.registered_first(entry, compatible.collect());
         let eligible = compatible.iter().filter(|server| !self.excluded.contains(&server.id));
         let eligible: Vec<&Listing> = eligible.copied().collect();
@@ -260,6 +261,11 @@
         }
     }
 
+    /// Returns whether the listed process of a server was found to be gone. It never comes back.
+    fn is_replaced(&self, server: &Listing) -> bool {
+        self.replaced.iter().any(|(id, born_ms)| *id == server.id && *born_ms == server.born_ms)
+    }
+
     /// Returns the servers whose versions are in the register if a resumable stream begins, unless
     /// there is none: what is not in the register is forgotten when all processes lose power.
     fn registered_first<'a>(&self, entry: &Entry, servers: Vec<&'a Listing>) -> Vec<&'a Listing> {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -60,6 +60,9 @@
     /// The request was not sent and did not run.
     #[snafu(display("the server could not be reached: {reason}"))]
     Unreachable { reason: String },
+    /// Another process has the server's name and address. The request was not sent.
+    #[snafu(display("another process has the server's name and address"))]
+    Replaced,
     /// The server states that it did not run the request.
     #[snafu(display("the server did not run the request and responded with status {status}"))]
     NotRun { status: u16, reason: NotRunReason },
@@ -112,7 +115,7 @@
 impl Failure {
     /// Returns whether the request certainly did not run.
     pub fn has_not_run(&self) -> bool {
-        matches!(self, Failure::Unreachable { .. } | Failure::NotRun { .. })
+        matches!(self, Failure::Unreachable { .. } | Failure::Replaced | Failure::NotRun { .. })
     }
 }
 
@@ -224,11 +227,7 @@
             let buffer = kernel.memory.buffer(MAX_STATE_BYTES);
             match identify(&mut connection, check, pass.server(), buffer).await {
                 Ok(Process::Listed) => {}
-                Ok(Process::Other) => {
-                    return Err(Failure::Unreachable {
-                        reason: "another process has its name and address".to_owned(),
-                    });
-                }
+                Ok(Process::Other) => return Err(Failure::Replaced),
                 Ok(Process::NotStated) if connection.is_reused => continue,
                 Ok(Process::NotStated) if !check.is_answer_due => {}
                 Ok(Process::NotStated) => {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -26,6 +26,7 @@
     pool::Connection,
 };
 use serving::{Moment, Name, directory::Listing, manifest::Grant, origin::Progress, selection};
+use smallvec::SmallVec;
 
 use crate::{
     answer::{self, Rejection, check_head, end_to_end},
@@ -71,6 +72,8 @@
     pub charge: Option<(u64, Moment)>,
     /// Servers that the request is not sent to again.
     pub excluded: ServerNames,
+    /// Processes that were found to be gone, though they are listed: server and start.
+    pub replaced: SmallVec<[(Name, u64); 2]>,
     /// Servers that have refused the request.
     refused_by: ServerNames,
     /// Number of attempts that may have run.
@@ -125,6 +128,7 @@
             progress: Progress::NotBegun,
             charge: None,
             excluded: ServerNames::new(),
+            replaced: SmallVec::new(),
             refused_by: ServerNames::new(),
             runs: 0,
             attempts: 0,
--- a/crates/gateway/src/job/failure.rs
+++ b/crates/gateway/src/job/failure.rs
@@ -47,8 +47,11 @@
                 return Ok(());
             }
             Failure::NotRun { reason: NotRunReason::Pausing, .. } => return Ok(()),
-            Failure::Unreachable { .. } => {
+            Failure::Unreachable { .. } | Failure::Replaced => {
                 self.attempts -= 1;
+                if matches!(failure, Failure::Replaced) {
+                    self.replaced.push((server.id.clone(), server.born_ms));
+                }
                 entry.pool.close_idle(server.address);
                 entry.record_failure(&server.id);
                 entry.presume_warmup(server);
