Rely on a reader for the origins of streams only while it is the same one

What callers saw: a zone's reader was cut off from the store, went on confirming origins that its followers entrusted to it, and after the loss of all processes none of these streams went on.

Cause: a confirmation says that the reader has the origins, not that the store does. A middle hop may hold back what it has confirmed, and nobody saw it.

Change: who follows another reader, or none, entrusts or writes all its origins again. The decisions moved to serving::archive, without a network (serving/tests/archive.rs), with metrics of what is entrusted and written.

--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -23,10 +23,10 @@
 
 use serving::{
     Moment, Name,
+    archive::Entrusted,
     origin::{self, Answer, Key, Origin, Record, Registry},
 };
 
-use self::archive::Entrusted;
 use crate::{
     entry::Entry,
     mesh,
--- a/crates/gateway/src/origin/archive.rs
+++ b/crates/gateway/src/origin/archive.rs
@@ -4,14 +4,13 @@
 //! store for their zones write the origins of their own streams and of those of their followers, which
 //! entrust them to the reader. An instance that follows nobody, or whose reader does not confirm, writes
 //! for itself. So the time until an origin is in the store depends on the number of zones, and not of
-//! instances, and writes are few and bounded, whatever the number of streams. A writer has two records,
-//! which it replaces as a whole: all origins, now and then, and those since then at short intervals.
+//! instances, and writes are few and bounded, whatever the number of streams (`serving::archive`).
 //!
 //! While there is one version only, nothing is written; the register of versions (`gateway::software`) tells
 //! it. Nobody follows the topic. An instance reads it for take-ups of streams that no process knows.
 
 use std::{
-    collections::{BTreeSet, HashMap, HashSet},
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -22,6 +21,7 @@
 use kernel::event::Event;
 use serving::{
     Moment, Name,
+    archive::{Part, Trust, Write, Written},
     mirror::Topic,
     origin::{Answer, Key, Origin, Record},
 };
@@ -37,18 +37,12 @@
 const FORMAT_PREFIX: &str = "origins.1.";
 /// Time between two writes of the whole fleet.
 const FLEET_WRITE_INTERVAL: Duration = Duration::from_millis(15);
-/// Time between two writes of all origins of a writer, if they are many.
-const FULL_WRITE_INTERVAL: Duration = Duration::from_secs(2);
-/// Number of origins up to which all are written each time.
-const MAX_SHORT_RECORD: usize = 100;
 /// Time after which an instance entrusts new origins to its reader.
 const ENTRUST_INTERVAL: Duration = Duration::from_millis(40);
 /// Time in which a reader may confirm that it was entrusted with origins.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(80);
 /// Times for which a reader is asked.
 const MAX_REQUESTS: usize = 2;
-/// Limit of the origins that others may entrust to an instance; they write further ones themselves.
-const MAX_ENTRUSTED: usize = 20_000;
 /// Time between checks whether several versions are listed.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two rounds while there is one version of each service.
@@ -58,27 +52,14 @@
 /// Limit of the streams in one record, which the store limits in size.
 const MAX_STREAMS: usize = 2000;
 
-/// What tells an archived record from others: the stream, and what is said of it.
-type Named = (Key, Origin);
-
-/// Origins that other instances have entrusted to this one, with their expiry.
-#[derive(Default)]
-pub struct Entrusted(HashMap<Named, Moment>);
-
 /// Versions that were listed lately, with the last time of each.
 #[derive(Default)]
 struct RecentVersions(HashMap<Origin, Moment>);
 
-/// What this instance has written to the store.
+/// The records of this instance in the store.
 struct Writer {
     key: String,
-    recent_key: String,
-    /// Origins under `key`.
-    written: HashSet<Named>,
-    /// Origins under `recent_key`, that were not under `key` then.
-    recent: HashSet<Named>,
-    /// Latest write of `key`.
-    written_at: Moment,
+    written: Written,
 }
 
 impl Entry {
@@ -137,7 +118,7 @@
     let mut services = BTreeSet::new();
     let mut next_review = Moment::ZERO;
     let mut writer = Writer::new(&entry);
-    let mut entrusted_to_reader = HashSet::new();
+    let mut trust = Trust::default();
     loop {
         entry.kernel.clock.sleep(interval(&entry, &services)).await;
         let now = entry.now();
@@ -145,16 +126,17 @@
             services = versions.services_with_several(&entry);
             next_review = now + REVIEW_INTERVAL;
         }
-        let mut records = entry.origins.archivable(now, &services);
-        let current: HashSet<Named> = records.iter().map(name_of).collect();
-        entrusted_to_reader.retain(|name| current.contains(name));
-        records.retain(|record| !entrusted_to_reader.contains(&name_of(record)));
-        if let Some(reader) = entry.followed_reader()
-            && !records.is_empty()
-            && entry.entrust(reader, &records).await
-        {
-            entrusted_to_reader.extend(records.iter().map(name_of));
-            records.clear();
+        let reader = entry.followed_reader();
+        let mut records = trust.remaining(reader, entry.origins.archivable(now, &services));
+        if let Some(reader) = reader.filter(|_| !records.is_empty()) {
+            let is_confirmed = entry.entrust(reader, &records).await;
+            let outcome = if is_confirmed { "confirmed" } else { "unconfirmed" };
+            metrics::counter!("chivelatch_entrusted_origins_total", "outcome" => outcome)
+                .increment(records.len() as u64);
+            if is_confirmed {
+                trust.record_confirmation(&records);
+                records.clear();
+            }
         }
         writer.write(&entry, &records).await;
         if services.is_empty() {
@@ -178,60 +160,46 @@
 impl Writer {
     fn new(entry: &Entry) -> Writer {
         let key = format!("{FORMAT_PREFIX}{}.{:x}", entry.settings.instance, entry.incarnation);
-        Writer {
-            recent_key: format!("{key}.recent"),
-            key,
-            written: HashSet::new(),
-            recent: HashSet::new(),
-            written_at: Moment::ZERO,
-        }
+        Writer { key, written: Written::default() }
     }
 
     /// Writes the records that are not in the store yet, if there are any.
     async fn write(&mut self, entry: &Entry, records: &[Record]) {
         let now = entry.now();
-        let is_new = |record: &&Record| !self.written.contains(&name_of(record));
-        let since_then: Vec<Record> = records.iter().filter(is_new).cloned().collect();
-        let names: HashSet<Named> = since_then.iter().map(name_of).collect();
-        if names.is_subset(&self.recent) {
-            return;
-        }
-        if records.len() <= MAX_SHORT_RECORD || self.written_at + FULL_WRITE_INTERVAL <= now {
-            if archive(entry, &self.key, records).await {
-                self.written = records.iter().map(name_of).collect();
-                self.recent.clear();
-                self.written_at = now;
-            }
-        } else if archive(entry, &self.recent_key, &since_then).await {
-            self.recent = names;
+        let Some(write) = self.written.next(now, records) else { return };
+        if self.replace(entry, write.part, &write.records).await {
+            self.written.record(now, &write);
         }
     }
 
     /// Drops what was written.
     async fn drop_records(&mut self, entry: &Entry) {
-        if !self.recent.is_empty() && archive(entry, &self.recent_key, &[]).await {
-            self.recent.clear();
-        }
-        if !self.written.is_empty() && archive(entry, &self.key, &[]).await {
-            self.written.clear();
+        let parts: Vec<Part> = self.written.parts().collect();
+        for part in parts {
+            if self.replace(entry, part, &[]).await {
+                self.written.record(entry.now(), &Write { part, records: Vec::new() });
+            }
         }
     }
-}
 
-/// Writes records to the store in place of those that a key had. Returns whether it has them.
-async fn archive(entry: &Entry, key: &str, records: &[Record]) -> bool {
-    let outcome = (entry.store.archive)(key, encode(records)).await;
-    if let Err(error) = &outcome {
-        log::warn!(
-            event = Event::Announce;
-            "cannot write the origins of streams to the store; retrying: {error}"
-        );
+    /// Replaces a record in the store. Returns whether the store has it.
+    async fn replace(&self, entry: &Entry, part: Part, records: &[Record]) -> bool {
+        let (key, part) = match part {
+            Part::Whole => (self.key.clone(), "whole"),
+            Part::Recent => (format!("{}.recent", self.key), "recent"),
+        };
+        let value = encode(records);
+        metrics::counter!("chivelatch_archive_writes_total", "part" => part).increment(1);
+        metrics::counter!("chivelatch_archive_written_bytes_total").increment(value.len() as u64);
+        let outcome = (entry.store.archive)(&key, value).await;
+        if let Err(error) = &outcome {
+            log::warn!(
+                event = Event::Announce, records = records.len();
+                "cannot write the origins of streams to the store; retrying: {error}"
+            );
+        }
+        outcome.is_ok()
     }
-    outcome.is_ok()
-}
-
-fn name_of(record: &Record) -> Named {
-    (record.key.clone(), record.origin.clone())
 }
 
 /// Encodes the records that expire last. An empty value drops the key.
@@ -259,31 +227,6 @@
     }
 }
 
-impl Entrusted {
-    /// Keeps records until they expire. Returns whether there is room for them.
-    fn record(&mut self, now: Moment, records: &[Record]) -> bool {
-        self.0.retain(|_, expires_at| now < *expires_at);
-        if MAX_ENTRUSTED < self.0.len() + records.len() {
-            return false;
-        }
-        self.0.extend(records.iter().map(|it| (name_of(it), now + it.remaining)));
-        true
-    }
-
-    /// Returns the records of some services that have not expired.
-    pub fn records(&self, now: Moment, services: &BTreeSet<Name>) -> Vec<Record> {
-        let living = self.0.iter().filter(|(_, expires_at)| now < **expires_at);
-        let wanted = living.filter(|((_, origin), _)| services.contains(&origin.service));
-        wanted
-            .map(|((key, origin), expires_at)| Record {
-                key: key.clone(),
-                origin: origin.clone(),
-                remaining: expires_at.saturating_sub(now),
-            })
-            .collect()
-    }
-}
-
 impl RecentVersions {
     /// Returns the services of which several versions were listed lately.
     fn services_with_several(&mut self, entry: &Entry) -> BTreeSet<Name> {
--- /dev/null
+++ b/crates/serving/src/archive.rs
@@ -0,0 +1,143 @@
+//! Which origins of streams (`origin`) an instance writes to the store, and which it leaves to the instance
+//! that reads the store for it.
+//!
+//! A follower entrusts new origins to its reader, which writes them with its own. It relies on that only
+//! while it follows the same reader: one that is followed no more may not have written what it confirmed,
+//! so all that was left to it is entrusted or written again. A writer has two records in the store, which it
+//! replaces as a whole: all its origins, now and then, and those that are not in the first one.
+
+use std::{
+    collections::{BTreeSet, HashMap, HashSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use crate::{
+    Moment, Name,
+    origin::{Key, Origin, Record},
+};
+
+/// Time between two writes of all origins of a writer, if they are many.
+const WHOLE_INTERVAL: Duration = Duration::from_secs(2);
+/// Number of origins up to which all are written each time.
+const MAX_SHORT_RECORD: usize = 100;
+/// Limit of the origins that others may entrust to an instance; they write further ones themselves.
+const MAX_ENTRUSTED: usize = 20_000;
+
+/// What a record says: the stream, and an origin of it. Two origins of a stream contradict each other.
+type Claim = (Key, Origin);
+
+/// Origins that other instances have entrusted to this one, with their expiry.
+#[derive(Debug, Default)]
+pub struct Entrusted(HashMap<Claim, Moment>);
+
+/// Origins that this instance has left to its reader.
+#[derive(Debug, Default)]
+pub struct Trust {
+    reader: Option<SocketAddr>,
+    confirmed: HashSet<Claim>,
+}
+
+/// Origins that this instance has in the store.
+#[derive(Debug, Default)]
+pub struct Written {
+    /// Those in the record of all.
+    whole: HashSet<Claim>,
+    /// Those in the record of the ones since then.
+    recent: HashSet<Claim>,
+    whole_at: Moment,
+}
+
+/// One of the two records of a writer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    Whole,
+    Recent,
+}
+
+/// Record that is to be written in place of the former one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Write {
+    pub part: Part,
+    pub records: Vec<Record>,
+}
+
+impl Entrusted {
+    /// Keeps records until they expire. Returns whether there is room for them.
+    pub fn record(&mut self, now: Moment, records: &[Record]) -> bool {
+        if MAX_ENTRUSTED < self.0.len() + records.len() {
+            return false;
+        }
+        self.0.extend(records.iter().map(|it| (claim(it), now + it.remaining)));
+        true
+    }
+
+    /// Returns the records of some services, and forgets those that have expired.
+    pub fn records(&mut self, now: Moment, services: &BTreeSet<Name>) -> Vec<Record> {
+        self.0.retain(|_, expires_at| now < *expires_at);
+        let wanted = self.0.iter().filter(|((_, origin), _)| services.contains(&origin.service));
+        wanted
+            .map(|((key, origin), expires_at)| Record {
+                key: key.clone(),
+                origin: origin.clone(),
+                remaining: expires_at.saturating_sub(now),
+            })
+            .collect()
+    }
+}
+
+impl Trust {
+    /// Returns the records that are not left to `reader`, the instance that this one follows now.
+    pub fn remaining(&mut self, reader: Option<SocketAddr>, records: Vec<Record>) -> Vec<Record> {
+        if self.reader != reader {
+            self.confirmed.clear();
+            self.reader = reader;
+        }
+        let current: HashSet<Claim> = records.iter().map(claim).collect();
+        self.confirmed.retain(|claim| current.contains(claim));
+        records.into_iter().filter(|record| !self.confirmed.contains(&claim(record))).collect()
+    }
+
+    /// Records that the reader takes care of these.
+    pub fn record_confirmation(&mut self, records: &[Record]) {
+        self.confirmed.extend(records.iter().map(claim));
+    }
+}
+
+impl Written {
+    /// Returns what has to be written so that the store has these records.
+    pub fn next(&self, now: Moment, records: &[Record]) -> Option<Write> {
+        let is_new = |record: &&Record| !self.whole.contains(&claim(record));
+        let since: Vec<Record> = records.iter().filter(is_new).cloned().collect();
+        if since.iter().all(|record| self.recent.contains(&claim(record))) {
+            return None;
+        }
+        if records.len() <= MAX_SHORT_RECORD || self.whole_at + WHOLE_INTERVAL <= now {
+            return Some(Write { part: Part::Whole, records: records.to_vec() });
+        }
+        Some(Write { part: Part::Recent, records: since })
+    }
+
+    /// Records that the store has what was to be written.
+    pub fn record(&mut self, now: Moment, write: &Write) {
+        let claims = write.records.iter().map(claim).collect();
+        match write.part {
+            Part::Whole => {
+                (self.whole, self.whole_at) = (claims, now);
+                self.recent.clear();
+            }
+            Part::Recent => self.recent = claims,
+        }
+    }
+
+    /// Returns the records in the store that have origins.
+    pub fn parts(&self) -> impl Iterator<Item = Part> {
+        let recent = (!self.recent.is_empty()).then_some(Part::Recent);
+        let whole = (!self.whole.is_empty()).then_some(Part::Whole);
+        [recent, whole].into_iter().flatten()
+    }
+}
+
+fn claim(record: &Record) -> Claim {
+    (record.key.clone(), record.origin.clone())
+}
--- /dev/null
+++ b/crates/serving/tests/archive.rs
@@ -0,0 +1,95 @@
+//! Who writes which origins of streams to the store.
+
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+
+use serving::{
+    Moment, Name,
+    archive::{Entrusted, Part, Trust, Write, Written},
+    origin::{Key, Origin, Record},
+};
+
+const NOW: Moment = Duration::from_secs(10);
+const LATER: Moment = Duration::from_secs(60);
+
+fn record(number: usize) -> Record {
+    let origin = Origin { service: "desk".into(), version: "v1".into() };
+    let key = Key::new(&"council".into(), &number.to_string());
+    Record { key, origin, remaining: Duration::from_secs(20) }
+}
+
+fn records(count: usize) -> Vec<Record> {
+    (0..count).map(record).collect()
+}
+
+fn reader(number: u8) -> Option<SocketAddr> {
+    Some(SocketAddr::from(([10, 0, 0, number], 7600)))
+}
+
+fn services() -> BTreeSet<Name> {
+    [Name::from("desk")].into()
+}
+
+// Guards against origins that a reader has confirmed and never written, as it was cut off from the store.
+#[test]
+fn leaves_origins_to_the_same_reader_only() {
+    for next in [reader(2), None] {
+        let mut trust = Trust::default();
+        let new = trust.remaining(reader(1), records(3));
+        trust.record_confirmation(&new);
+
+        let left = trust.remaining(reader(1), records(4));
+        let after_a_change = trust.remaining(next, records(4));
+
+        assert_eq!((new.len(), left.len(), after_a_change.len()), (3, 1, 4));
+    }
+}
+
+// Guards against an instance that others may fill without end, and against streams that nobody writes then.
+#[test]
+fn takes_no_more_origins_than_it_has_room_for() {
+    let mut entrusted = Entrusted::default();
+
+    let taken = (0..300).filter(|turn| {
+        let batch: Vec<Record> = (0..100).map(|it| record(turn * 100 + it)).collect();
+        entrusted.record(NOW, &batch)
+    });
+    let taken = taken.count();
+
+    assert_eq!(taken, 200);
+    assert_eq!(entrusted.records(NOW, &services()).len(), 20_000);
+    assert!(entrusted.records(LATER, &services()).is_empty());
+    assert!(entrusted.record(LATER, &records(1)));
+}
+
+#[test]
+fn writes_few_origins_as_a_whole_and_each_once() {
+    let mut written = Written::default();
+
+    let first = written.next(NOW, &records(3)).unwrap();
+    written.record(NOW, &first);
+    let again = written.next(NOW, &records(3));
+    let second = written.next(NOW, &records(4)).unwrap();
+
+    assert_eq!((first.part, again, second.part), (Part::Whole, None, Part::Whole));
+    assert_eq!(second.records.len(), 4);
+}
+
+// Guards against a record of all origins for each new one, and against one that leaves some out.
+#[test]
+fn writes_many_origins_in_two_records_that_have_all() {
+    let mut written = Written::default();
+    let whole = written.next(NOW, &records(500)).unwrap();
+    written.record(NOW, &whole);
+
+    let soon = written.next(NOW, &records(510)).unwrap();
+    written.record(NOW, &soon);
+    let soon_again = written.next(NOW, &records(511)).unwrap();
+    let later = written.next(LATER, &records(512)).unwrap();
+
+    assert_eq!((soon.part, soon.records.len()), (Part::Recent, 10));
+    assert_eq!((soon_again.part, soon_again.records.len()), (Part::Recent, 11));
+    assert_eq!((later.part, later.records.len()), (Part::Whole, 512));
+    assert_eq!(written.parts().collect::<Vec<_>>(), [Part::Recent, Part::Whole]);
+    written.record(LATER, &Write { part: Part::Whole, records: Vec::new() });
+    assert_eq!(written.parts().count(), 0);
+}
