--- a/crates/serving/src/limit.rs
+++ b/crates/serving/src/limit.rs
@@ -15,6 +15,8 @@
 //! grants permits to whoever asks for them, also while it does not know itself that the server is
 //! warming up.
 
+mod order_pace;
+
 use std::{collections::HashMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
@@ -22,6 +24,8 @@
 
 use crate::{Moment, Name, directory::Listing, manifest::Warmup, warmup};
 
+pub use order_pace::OrderPace;
+
 /// Rate from which a limit binds nobody, in requests per second.
 const UNLIMITED_RATE: f64 = 1e6;
 /// Lowest rate, in requests per second. A server that takes none still gets a request now and then,
@@ -29,12 +33,8 @@
 const MIN_RATE: f64 = 0.1;
 /// Share of a limit for callers' requests.
 const REQUEST_SHARE: f64 = 0.9;
-/// Share of a limit for orders of the server's side process.
-const ORDER_SHARE: f64 = 0.1;
 /// Delay of a permit's start that the next one makes up for, as a share of the time between two.
 const LATE_START_SHARE: f64 = 0.5;
-/// Orders that may follow each other at once: an eviction and the load that needs it.
-const ORDER_BURST: f64 = 2.0;
 /// Longest time from the grant of a permit to its start.
 pub const MAX_RESERVATION: Duration = Duration::from_secs(3);
 /// Longest time from the grant of a permit to its start if only the warm-up of the server binds. A new
@@ -139,15 +139,6 @@
     pub source: warmup::Source,
 }
 
-/// Pace of a side process's orders to an engine that named a limit.
-#[derive(Clone, Debug, Default)]
-pub struct OrderPace {
-    rate: Option<Rate>,
-    /// Orders that may be sent now, as of `counted_at`.
-    available: f64,
-    counted_at: Moment,
-}
-
 impl Rate {
     /// Returns the rate, or `None` for one that is negative or no number.
     pub fn new(per_second: f64) -> Option<Rate> {
@@ -558,37 +549,6 @@
     }
 }
 
-impl OrderPace {
-    /// Sets the engine's limit, or that it has none.
-    pub fn set(&mut self, now: Moment, rate: Option<Rate>) {
-        self.count(now);
-        if self.rate.is_none() {
-            self.available = ORDER_BURST;
-        }
-        self.rate = rate;
-    }
-
-    /// Returns whether an order may be sent now, and counts it if so.
-    pub fn admit(&mut self, now: Moment) -> bool {
-        self.count(now);
-        if self.rate.is_none() {
-            return true;
-        }
-        let may_send = 1.0 <= self.available;
-        self.available -= if may_send { 1.0 } else { 0.0 };
-        may_send
-    }
-
-    fn count(&mut self, now: Moment) {
-        let elapsed = now.saturating_sub(self.counted_at).as_secs_f64();
-        self.counted_at = now;
-        if let Some(rate) = self.rate {
-            let added = elapsed * rate.0.max(MIN_RATE) * ORDER_SHARE;
-            self.available = (self.available + added).min(ORDER_BURST);
-        }
-    }
-}
-
 /// Returns the lower one of two rates, where `None` binds nobody.
 fn lower(a: Option<Rate>, b: Option<Rate>) -> Option<Rate> {
     match (a, b) {
