Rely on a reader's process, not on its address, for the origins of streams

A reader that has started again does not know what its former process confirmed. serving/tests/archive.rs, leaves_origins_to_the_same_reader_only, plays it (found by reading; the case of another reader failed before).

--- a/crates/gateway/src/origin/archive.rs
+++ b/crates/gateway/src/origin/archive.rs
@@ -24,6 +24,7 @@
     archive::{Part, Trust, Write, Written},
     mirror::Topic,
     origin::{Answer, Key, Origin, Record},
+    reader::Followed,
 };
 
 use crate::{
@@ -68,10 +69,9 @@
         self.origins.entrusted.lock().record(self.now(), &notice.records)
     }
 
-    /// Returns the instance that reads the store for this one.
-    fn followed_reader(&self) -> Option<SocketAddr> {
-        let (now, readers) = (self.now(), self.readers.lock());
-        readers.source(now).filter(|_| readers.followed_silence(now).is_some())
+    /// Returns the process that reads the store for this instance.
+    fn followed_reader(&self) -> Option<Followed> {
+        self.readers.lock().followed(self.now())
     }
 
     /// Entrusts records to a reader. Returns whether it has confirmed all of them.
@@ -129,7 +129,7 @@
         let reader = entry.followed_reader();
         let mut records = trust.remaining(reader, entry.origins.archivable(now, &services));
         if let Some(reader) = reader.filter(|_| !records.is_empty()) {
-            let is_confirmed = entry.entrust(reader, &records).await;
+            let is_confirmed = entry.entrust(reader.address, &records).await;
             let outcome = if is_confirmed { "confirmed" } else { "unconfirmed" };
             metrics::counter!("chivelatch_entrusted_origins_total", "outcome" => outcome)
                 .increment(records.len() as u64);
--- a/crates/serving/src/archive.rs
+++ b/crates/serving/src/archive.rs
@@ -2,19 +2,19 @@
 //! that reads the store for it.
 //!
 //! A follower entrusts new origins to its reader, which writes them with its own. It relies on that only
-//! while it follows the same reader: one that is followed no more may not have written what it confirmed,
-//! so all that was left to it is entrusted or written again. A writer has two records in the store, which it
+//! while it follows the same process: one that is followed no more, or has started again, may not have written
+//! what it confirmed, so all that was left to it is entrusted or written again. A writer has two records in the store, which it
 //! replaces as a whole: all its origins, now and then, and those that are not in the first one.
 
 use std::{
     collections::{BTreeSet, HashMap, HashSet},
-    net::SocketAddr,
     time::Duration,
 };
 
 use crate::{
     Moment, Name,
     origin::{Key, Origin, Record},
+    reader::Followed,
 };
 
 /// Time between two writes of all origins of a writer, if they are many.
@@ -34,7 +34,7 @@
 /// Origins that this instance has left to its reader.
 #[derive(Debug, Default)]
 pub struct Trust {
-    reader: Option<SocketAddr>,
+    reader: Option<Followed>,
     confirmed: HashSet<Claim>,
 }
 
@@ -87,8 +87,8 @@
 }
 
 impl Trust {
-    /// Returns the records that are not left to `reader`, the instance that this one follows now.
-    pub fn remaining(&mut self, reader: Option<SocketAddr>, records: Vec<Record>) -> Vec<Record> {
+    /// Returns the records that are not left to `reader`, the process that this instance follows now.
+    pub fn remaining(&mut self, reader: Option<Followed>, records: Vec<Record>) -> Vec<Record> {
         if self.reader != reader {
             self.confirmed.clear();
             self.reader = reader;
--- a/crates/serving/src/reader.rs
+++ b/crates/serving/src/reader.rs
@@ -45,6 +45,13 @@
     pub generation: u64,
 }
 
+/// Process that reads the store for another instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Followed {
+    pub address: SocketAddr,
+    pub incarnation: u64,
+}
+
 /// The readers of the zone, as one instance hears them.
 #[derive(Debug)]
 pub struct Zone {
@@ -135,6 +142,14 @@
         self.readers.get(&source).map(|reader| reader.silence(now))
     }
 
+    /// Returns the process that reads the store for this instance, if there is one.
+    pub fn followed(&self, now: Moment) -> Option<Followed> {
+        self.followed_silence(now)?;
+        let address = self.source(now)?;
+        let incarnation = self.readers.get(&address)?.report.incarnation;
+        Some(Followed { address, incarnation })
+    }
+
     /// Returns whether the mirror is the one that the followed reader has told of last.
     pub fn is_current(&self, from: SocketAddr) -> bool {
         let report = self.readers.get(&from).map(|reader| reader.report.version());
--- a/crates/serving/tests/archive.rs
+++ b/crates/serving/tests/archive.rs
@@ -6,6 +6,7 @@
     Moment, Name,
     archive::{Entrusted, Part, Trust, Write, Written},
     origin::{Key, Origin, Record},
+    reader::Followed,
 };
 
 const NOW: Moment = Duration::from_secs(10);
@@ -21,23 +22,25 @@
     (0..count).map(record).collect()
 }
 
-fn reader(number: u8) -> Option<SocketAddr> {
-    Some(SocketAddr::from(([10, 0, 0, number], 7600)))
+fn reader(number: u8, incarnation: u64) -> Option<Followed> {
+    let address = SocketAddr::from(([10, 0, 0, number], 7600));
+    Some(Followed { address, incarnation })
 }
 
 fn services() -> BTreeSet<Name> {
     [Name::from("desk")].into()
 }
 
-// Guards against origins that a reader has confirmed and never written, as it was cut off from the store.
+// Guards against origins that a reader has confirmed and never written, as it was cut off from the store or
+// started again.
 #[test]
 fn leaves_origins_to_the_same_reader_only() {
-    for next in [reader(2), None] {
+    for next in [reader(2, 1), reader(1, 2), None] {
         let mut trust = Trust::default();
-        let new = trust.remaining(reader(1), records(3));
+        let new = trust.remaining(reader(1, 1), records(3));
         trust.record_confirmation(&new);
 
-        let left = trust.remaining(reader(1), records(4));
+        let left = trust.remaining(reader(1, 1), records(4));
         let after_a_change = trust.remaining(next, records(4));
 
         assert_eq!((new.len(), left.len(), after_a_change.len()), (3, 1, 4));
