Confirm origins of streams once the store has them, and relay them in large fleets only

Cause: the confirmation came from the middle hop and not from the store; and a way made for large fleets was taken by all.

Change: a receipt is sent when the record that has the origins was written. Up to ten instances write for themselves, each 15 ms times the instances, as before. Origins that do not fit into the first record count as not written.

--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -105,11 +105,7 @@
                 entry.record_origins(&notice);
                 send(&socket, from, &Message::OriginReceipt { id: notice.id }).await;
             }
-            Message::ArchiveRequest(notice) => {
-                if entry.record_entrusted(&notice) {
-                    send(&socket, from, &Message::OriginReceipt { id: notice.id }).await;
-                }
-            }
+            Message::ArchiveRequest(notice) => entry.record_entrusted(from, &notice),
             Message::OriginReceipt { id } => entry.record_origin_receipt(id),
             Message::OriginRequest { id, key } => {
                 let reply = OriginReply { id, answer: entry.known_origin(&key) };
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -67,7 +67,7 @@
     TrialReply(TrialReply),
     /// From an entry instance to the holders of its streams' origins.
     OriginNotice(OriginNotice),
-    /// Confirms a notice.
+    /// Confirms a notice, or that the store has the origins of an archive request.
     OriginReceipt {
         id: u64,
     },
--- a/crates/gateway/src/origin/archive.rs
+++ b/crates/gateway/src/origin/archive.rs
@@ -1,10 +1,10 @@
 //! Origins of streams in the platform's store, so that they outlast all processes of the system.
 //!
-//! While streams of a service may have begun at more than one software version, the instances that read the
-//! store for their zones write the origins of their own streams and of those of their followers, which
-//! entrust them to the reader. An instance that follows nobody, or whose reader does not confirm, writes
-//! for itself. So the time until an origin is in the store depends on the number of zones, and not of
-//! instances, and writes are few and bounded, whatever the number of streams (`serving::archive`).
+//! While streams of a service may have begun at more than one software version, each instance of a small fleet
+//! writes the origins of its own streams. In a larger one, the instances that read the store for their zones
+//! write them for their followers, too, which entrust them to the reader. An instance that follows nobody, or
+//! whose reader does not confirm, writes for itself. So writes are few and bounded, whatever the number of
+//! streams, and the time until an origin is in the store does not grow with the fleet (`serving::archive`).
 //!
 //! While there is one version only, nothing is written; the register of versions (`gateway::software`) tells
 //! it. Nobody follows the topic. An instance reads it for take-ups of streams that no process knows.
@@ -21,7 +21,7 @@
 use kernel::event::Event;
 use serving::{
     Moment, Name,
-    archive::{Part, Trust, Write, Written},
+    archive::{Part, Receipt, Trust, Write, Written},
     mirror::Topic,
     origin::{Answer, Key, Origin, Record},
     reader::Followed,
@@ -38,10 +38,12 @@
 const FORMAT_PREFIX: &str = "origins.1.";
 /// Time between two writes of the whole fleet.
 const FLEET_WRITE_INTERVAL: Duration = Duration::from_millis(15);
+/// Longest time between two writes of an instance in a fleet whose instances all write for themselves.
+const MAX_OWN_INTERVAL: Duration = Duration::from_millis(150);
 /// Time after which an instance entrusts new origins to its reader.
 const ENTRUST_INTERVAL: Duration = Duration::from_millis(40);
-/// Time in which a reader may confirm that it was entrusted with origins.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(80);
+/// Time in which a reader may confirm that the store has origins: until its next write, and for that.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(200);
 /// Times for which a reader is asked.
 const MAX_REQUESTS: usize = 2;
 /// Time between checks whether several versions are listed.
@@ -50,8 +52,6 @@
 const IDLE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which a caller may take a stream up after its version has left the list.
 const MAX_RETURN_TIME: Duration = Duration::from_secs(60);
-/// Limit of the streams in one record, which the store limits in size.
-const MAX_STREAMS: usize = 2000;
 
 /// Versions that were listed lately, with the last time of each.
 #[derive(Default)]
@@ -64,9 +64,10 @@
 }
 
 impl Entry {
-    /// Records what another instance entrusts to this one. Returns whether this one takes care of it.
-    pub fn record_entrusted(&self, notice: &OriginNotice) -> bool {
-        self.origins.entrusted.lock().record(self.now(), &notice.records)
+    /// Records what another instance entrusts to this one, which confirms it once the store has it.
+    pub fn record_entrusted(&self, from: SocketAddr, notice: &OriginNotice) {
+        let receipt = Receipt { to: from, id: notice.id };
+        self.origins.entrusted.lock().record(self.now(), receipt, &notice.records);
     }
 
     /// Returns the process that reads the store for this instance.
@@ -126,7 +127,7 @@
             services = versions.services_with_several(&entry);
             next_review = now + REVIEW_INTERVAL;
         }
-        let reader = entry.followed_reader();
+        let reader = writing_reader(&entry);
         let mut records = trust.remaining(reader, entry.origins.archivable(now, &services));
         if let Some(reader) = reader.filter(|_| !records.is_empty()) {
             let is_confirmed = entry.entrust(reader.address, &records).await;
@@ -139,17 +140,31 @@
             }
         }
         writer.write(&entry, &records).await;
+        send_receipts(&entry, &writer.written, &trust).await;
         if services.is_empty() {
             writer.drop_records(&entry).await;
         }
     }
 }
 
+/// Tells other instances that the store has what they have entrusted to this one.
+async fn send_receipts(entry: &Entry, written: &Written, trust: &Trust) {
+    let Some(socket) = entry.mesh_socket.get() else { return };
+    let receipts = entry.origins.entrusted.lock().take_receipts(entry.now(), written, trust);
+    for Receipt { to, id } in receipts {
+        mesh::send(socket, to, &Message::OriginReceipt { id }).await;
+    }
+}
+
 /// Returns the time until an instance looks for new origins.
 fn interval(entry: &Entry, services: &BTreeSet<Name>) -> Duration {
     if services.is_empty() {
         return IDLE_INTERVAL;
     }
+    let own_interval = own_interval(entry);
+    if own_interval <= MAX_OWN_INTERVAL {
+        return own_interval;
+    }
     if entry.followed_reader().is_some() {
         return ENTRUST_INTERVAL;
     }
@@ -157,6 +172,17 @@
     FLEET_WRITE_INTERVAL * zones as u32
 }
 
+/// Returns the time between two writes of an instance, if all of them write for themselves.
+fn own_interval(entry: &Entry) -> Duration {
+    let instances = entry.limiter.lock().instance_count(entry.now());
+    FLEET_WRITE_INTERVAL * (instances as u32).max(1)
+}
+
+/// Returns the process that writes the origins of this instance's streams, if it is another one.
+fn writing_reader(entry: &Entry) -> Option<Followed> {
+    entry.followed_reader().filter(|_| MAX_OWN_INTERVAL < own_interval(entry))
+}
+
 impl Writer {
     fn new(entry: &Entry) -> Writer {
         let key = format!("{FORMAT_PREFIX}{}.{:x}", entry.settings.instance, entry.incarnation);
@@ -202,15 +228,12 @@
     }
 }
 
-/// Encodes the records that expire last. An empty value drops the key.
+/// Encodes the records of one key. An empty value drops the key.
 fn encode(records: &[Record]) -> Bytes {
     if records.is_empty() {
         return Bytes::new();
     }
-    let mut records = records.to_vec();
-    records.sort_by_key(|record| std::cmp::Reverse(record.remaining));
-    records.truncate(MAX_STREAMS);
-    postcard::to_stdvec(&records).map(Bytes::from).unwrap_or_default()
+    postcard::to_stdvec(records).map(Bytes::from).unwrap_or_default()
 }
 
 /// Records all origins of the archive.
--- a/crates/serving/tests/archive.rs
+++ b/crates/serving/tests/archive.rs
@@ -4,7 +4,7 @@
 
 use serving::{
     Moment, Name,
-    archive::{Entrusted, Part, Trust, Write, Written},
+    archive::{Entrusted, MAX_STREAMS, Part, Receipt, Trust, Write, Written},
     origin::{Key, Origin, Record},
     reader::Followed,
 };
@@ -27,6 +27,10 @@
     Some(Followed { address, incarnation })
 }
 
+fn receipt(id: usize) -> Receipt {
+    Receipt { to: SocketAddr::from(([10, 0, 0, 9], 7600)), id: id as u64 }
+}
+
 fn services() -> BTreeSet<Name> {
     [Name::from("desk")].into()
 }
@@ -52,16 +56,53 @@
 fn takes_no_more_origins_than_it_has_room_for() {
     let mut entrusted = Entrusted::default();
 
-    let taken = (0..300).filter(|turn| {
+    for turn in 0..300 {
         let batch: Vec<Record> = (0..100).map(|it| record(turn * 100 + it)).collect();
-        entrusted.record(NOW, &batch)
-    });
-    let taken = taken.count();
+        entrusted.record(NOW, receipt(turn), &batch);
+    }
+    let kept = entrusted.records(NOW, &services());
+    let mut written = Written::default();
+    written.record(NOW, &Write { part: Part::Whole, records: kept.clone() });
 
-    assert_eq!(taken, 200);
-    assert_eq!(entrusted.records(NOW, &services()).len(), 20_000);
+    assert_eq!(kept.len(), 20_000);
+    assert_eq!(entrusted.take_receipts(NOW, &written, &Trust::default()).len(), 200);
     assert!(entrusted.records(LATER, &services()).is_empty());
-    assert!(entrusted.record(LATER, &records(1)));
+}
+
+// Guards against a confirmation of origins that the store does not have.
+#[test]
+fn confirms_what_the_store_has() {
+    let mut entrusted = Entrusted::default();
+    let (mut written, mut trust) = (Written::default(), Trust::default());
+    entrusted.record(NOW, receipt(1), &records(3));
+    entrusted.record(NOW, receipt(2), &[record(7)]);
+    entrusted.record(NOW, receipt(3), &[record(8)]);
+
+    let before = entrusted.take_receipts(NOW, &written, &trust);
+    written.record(NOW, &Write { part: Part::Whole, records: records(2) });
+    let after_a_part = entrusted.take_receipts(NOW, &written, &trust);
+    written.record(NOW, &Write { part: Part::Recent, records: vec![record(2)] });
+    trust.record_confirmation(&[record(7)]);
+    let after_all = entrusted.take_receipts(NOW, &written, &trust);
+    let too_late = entrusted.take_receipts(LATER, &written, &trust);
+
+    assert_eq!((before, after_a_part), (vec![], vec![]));
+    assert_eq!(after_all, [receipt(1), receipt(2)]);
+    assert_eq!(too_late, []);
+}
+
+// Guards against origins that count as written, though the store limits the size of a record.
+#[test]
+fn leaves_what_does_not_fit_to_the_second_record() {
+    let mut written = Written::default();
+    let all = records(MAX_STREAMS + 10);
+
+    let whole = written.next(LATER, &all).unwrap();
+    written.record(LATER, &whole);
+    let rest = written.next(LATER, &all).unwrap();
+
+    assert_eq!((whole.part, whole.records.len()), (Part::Whole, MAX_STREAMS));
+    assert_eq!((rest.part, rest.records.len()), (Part::Recent, 10));
 }
 
 #[test]
