--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -164,7 +164,7 @@
                 Selection::AwaitExcluded => {
                     load_request = None;
                     let pause = self.remaining(entry).min(EXCLUSION_PERIOD);
-                    let _last_call = entry.timeout(pause, future::pending::<()>()).await;
+                    let _drain_over = entry.timeout(pause, future::pending::<()>()).await;
                     self.excluded.clear();
                     continue;
                 }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -139,7 +139,7 @@
         }
     }
 
-    /// Returns the time until the deadline, or until the last call of a stopping instance.
+    /// Returns the time until the deadline, or until the drain timeout of a stopping instance.
     pub fn remaining(&self, entry: &Entry) -> Duration {
         entry.stop.limit(self.deadline).saturating_sub(entry.now())
     }
--- a/crates/gateway/src/job/rejection.rs
+++ b/crates/gateway/src/job/rejection.rs
@@ -34,9 +34,9 @@
                     self.charge = Some((units, now));
                     return Ok(());
                 }
-                Admission::Wait(_) if entry.stop.is_last_call() => return Err(stop::rejection()),
+                Admission::Wait(_) if entry.stop.is_drain_over() => return Err(stop::rejection()),
                 Admission::Wait(pause) => {
-                    let _last_call = entry.timeout(pause, future::pending::<()>()).await;
+                    let _drain_over = entry.timeout(pause, future::pending::<()>()).await;
                 }
                 Admission::Rejected(retry_after) => {
                     return Err(self.over_rate(&account, units, retry_after));
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -3,7 +3,7 @@
 //! (`gossip`).
 //!
 //! The platform has no certificate store, so datagrams are not encrypted. Like the platform, the
-//! processes trust the network of the machines.
+//! processes delegation the network of the machines.
 
 mod demand;
 mod gossip;
@@ -105,7 +105,7 @@
                 entry.record_origins(&notice);
                 send(&socket, from, &Message::OriginReceipt { id: notice.id }).await;
             }
-            Message::ArchiveRequest(notice) => entry.record_entrusted(from, &notice),
+            Message::ArchiveRequest(notice) => entry.record_delegated(from, &notice),
             Message::OriginReceipt { id } => entry.record_origin_receipt(id),
             Message::OriginRequest { id, key } => {
                 let reply = OriginReply { id, answer: entry.known_origin(&key) };
--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -23,7 +23,7 @@
 
 use serving::{
     Moment, Name,
-    archive::Entrusted,
+    archive::Delegated,
     origin::{self, Answer, Key, Origin, Record, Registry},
 };
 
@@ -68,7 +68,7 @@
     confirmations: Replies<()>,
     lookups: Mutex<HashMap<u64, Lookup>>,
     archive_reads: Reads<()>,
-    entrusted: Mutex<Entrusted>,
+    delegated: Mutex<Delegated>,
     /// Notified when a question is answered.
     answered: event_listener::Event,
 }
@@ -363,7 +363,7 @@
     /// Returns the origins of streams of some services that this instance keeps in the store.
     fn archivable(&self, now: Moment, services: &BTreeSet<Name>) -> Vec<Record> {
         let mut records = self.own_records(now, services);
-        records.extend(self.entrusted.lock().records(now, services));
+        records.extend(self.delegated.lock().records(now, services));
         records
     }
 
--- a/crates/gateway/src/origin/archive.rs
+++ b/crates/gateway/src/origin/archive.rs
@@ -2,7 +2,7 @@
 //!
 //! While streams of a service may have begun at more than one software version, each instance of a small fleet
 //! writes the origins of its own streams. In a larger one, the instances that read the store for their zones
-//! write them for their followers, too, which entrust them to the reader. An instance that follows nobody, or
+//! write them for their followers, too, which delegate them to the reader. An instance that follows nobody, or
 //! whose reader does not confirm, writes for itself. So writes are few and bounded, whatever the number of
 //! streams, and the time until an origin is in the store does not grow with the fleet (`serving::archive`).
 //!
@@ -21,7 +21,7 @@
 use kernel::event::Event;
 use serving::{
     Moment, Name,
-    archive::{Part, Receipt, Trust, Write, Written},
+    archive::{Delegation, Part, Receipt, Write, Written},
     mirror::Topic,
     origin::{Answer, Key, Origin, Record},
     reader::Followed,
@@ -40,8 +40,8 @@
 const FLEET_WRITE_INTERVAL: Duration = Duration::from_millis(15);
 /// Longest time between two writes of an instance in a fleet whose instances all write for themselves.
 const MAX_OWN_INTERVAL: Duration = Duration::from_millis(150);
-/// Time after which an instance entrusts new origins to its reader.
-const ENTRUST_INTERVAL: Duration = Duration::from_millis(40);
+/// Time after which an instance delegates new origins to its reader.
+const DELEGATION_INTERVAL: Duration = Duration::from_millis(40);
 /// Time in which a reader may confirm that the store has origins: until its next write, and for that.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(200);
 /// Times for which a reader is asked.
@@ -64,10 +64,10 @@
 }
 
 impl Entry {
-    /// Records what another instance entrusts to this one, which confirms it once the store has it.
-    pub fn record_entrusted(&self, from: SocketAddr, notice: &OriginNotice) {
+    /// Records what another instance delegates to this one, which confirms it once the store has it.
+    pub fn record_delegated(&self, from: SocketAddr, notice: &OriginNotice) {
         let receipt = Receipt { to: from, id: notice.id };
-        self.origins.entrusted.lock().record(self.now(), receipt, &notice.records);
+        self.origins.delegated.lock().record(self.now(), receipt, &notice.records);
     }
 
     /// Returns the process that reads the store for this instance.
@@ -75,8 +75,8 @@
         self.readers.lock().followed(self.now())
     }
 
-    /// Entrusts records to a reader. Returns whether it has confirmed all of them.
-    async fn entrust(&self, reader: SocketAddr, records: &[Record]) -> bool {
+    /// Delegates records to a reader. Returns whether it has confirmed all of them.
+    async fn delegate(&self, reader: SocketAddr, records: &[Record]) -> bool {
         let Some(socket) = self.mesh_socket.get() else { return false };
         for batch in mesh::batches(records.iter().cloned()) {
             let id = rand::random();
@@ -112,14 +112,14 @@
     entry.origins.archive_reads.serve(&entry, Topic::Streams, record_all).await;
 }
 
-/// Writes the origins of streams while there are several versions of a service, or entrusts them to the
+/// Writes the origins of streams while there are several versions of a service, or delegates them to the
 /// instance that reads the store for this one.
 pub async fn run(entry: Arc<Entry>) {
     let mut versions = RecentVersions::default();
     let mut services = BTreeSet::new();
     let mut next_review = Moment::ZERO;
     let mut writer = Writer::new(&entry);
-    let mut trust = Trust::default();
+    let mut delegation = Delegation::default();
     loop {
         entry.kernel.clock.sleep(interval(&entry, &services)).await;
         let now = entry.now();
@@ -128,29 +128,29 @@
             next_review = now + REVIEW_INTERVAL;
         }
         let reader = writing_reader(&entry);
-        let mut records = trust.remaining(reader, entry.origins.archivable(now, &services));
+        let mut records = delegation.remaining(reader, entry.origins.archivable(now, &services));
         if let Some(reader) = reader.filter(|_| !records.is_empty()) {
-            let is_confirmed = entry.entrust(reader.address, &records).await;
+            let is_confirmed = entry.delegate(reader.address, &records).await;
             let outcome = if is_confirmed { "confirmed" } else { "unconfirmed" };
-            metrics::counter!("chivelatch_entrusted_origins_total", "outcome" => outcome)
+            metrics::counter!("chivelatch_delegated_origins_total", "outcome" => outcome)
                 .increment(records.len() as u64);
             if is_confirmed {
-                trust.record_confirmation(&records);
+                delegation.record_confirmation(&records);
                 records.clear();
             }
         }
         writer.write(&entry, &records).await;
-        send_receipts(&entry, &writer.written, &trust).await;
+        send_receipts(&entry, &writer.written, &delegation).await;
         if services.is_empty() {
             writer.drop_records(&entry).await;
         }
     }
 }
 
-/// Tells other instances that the store has what they have entrusted to this one.
-async fn send_receipts(entry: &Entry, written: &Written, trust: &Trust) {
+/// Tells other instances that the store has what they have delegated to this one.
+async fn send_receipts(entry: &Entry, written: &Written, delegation: &Delegation) {
     let Some(socket) = entry.mesh_socket.get() else { return };
-    let receipts = entry.origins.entrusted.lock().take_receipts(entry.now(), written, trust);
+    let receipts = entry.origins.delegated.lock().take_receipts(entry.now(), written, delegation);
     for Receipt { to, id } in receipts {
         mesh::send(socket, to, &Message::OriginReceipt { id }).await;
     }
@@ -166,7 +166,7 @@
         return own_interval;
     }
     if entry.followed_reader().is_some() {
-        return ENTRUST_INTERVAL;
+        return DELEGATION_INTERVAL;
     }
     let zones = entry.peers.lock().zone_count(&entry.settings.zone, entry.now());
     FLEET_WRITE_INTERVAL * zones as u32
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -1,10 +1,10 @@
 //! Planned stop of an entry instance.
 //!
 //! After the stop signal the instance is not ready. It takes new connections until the load balancer has
-//! noticed, and then ends each connection after its current request. What is still open at the last call,
+//! noticed, and then ends each connection after its current request. What is still open at the drain timeout,
 //! a moment before the process exits, is answered: a request that was not sent to a server is rejected
 //! as not run, one that a server may have run gets a gateway error, and a stream that has begun is broken
-//! off. So no request that was read ends without an answer, and no wait goes on beyond the last call.
+//! off. So no request that was read ends without an answer, and no wait goes on beyond the drain timeout.
 
 use std::{
     sync::atomic::{AtomicBool, Ordering},
@@ -30,7 +30,7 @@
 /// reacts only to the second failed health check.
 const BALANCER_DELAY: Duration = Duration::from_millis(2500);
 /// Share of the stop limit after which all that is open is answered.
-const LAST_CALL_SHARE: f64 = 0.9;
+const DRAIN_SHARE: f64 = 0.9;
 /// Share of the stop limit after which the process exits, whether or not the answers were taken.
 const EXIT_SHARE: f64 = 0.96;
 
@@ -38,9 +38,9 @@
 #[derive(Debug, Default)]
 pub struct Stop {
     has_begun: AtomicBool,
-    /// Time of the last call; `None` before the stop signal.
-    last_call_at: Mutex<Option<Moment>>,
-    last_call: Drain,
+    /// Time of the drain timeout; `None` before the stop signal.
+    drain_timeout_at: Mutex<Option<Moment>>,
+    drain_over: Drain,
 }
 
 impl Stop {
@@ -49,40 +49,42 @@
     }
 
     /// Returns whether all that is open has to be answered now.
-    pub fn is_last_call(&self) -> bool {
-        self.last_call.is_stopping()
+    pub fn is_drain_over(&self) -> bool {
+        self.drain_over.is_stopping()
     }
 
-    /// Returns a deadline, or the time of the last call if that comes before.
+    /// Returns a deadline, or the time of the drain timeout if that comes before.
     pub fn limit(&self, deadline: Moment) -> Moment {
-        self.last_call_at.lock().map_or(deadline, |last_call_at| deadline.min(last_call_at))
+        self.drain_timeout_at
+            .lock()
+            .map_or(deadline, |drain_timeout_at| deadline.min(drain_timeout_at))
     }
 
-    /// Waits for `future` for at most `limit`, and not beyond the last call.
+    /// Waits for `future` for at most `limit`, and not beyond the drain timeout.
     ///
     /// # Errors
     ///
-    /// [`Timeout`] when `limit` passes first, or at the last call; `future` is dropped.
+    /// [`Timeout`] when `limit` passes first, or at the drain timeout; `future` is dropped.
     pub async fn timeout<T>(
         &self,
         clock: &Clock,
         limit: Duration,
         future: impl Future<Output = T>,
     ) -> Result<T, Timeout> {
-        let last_call = async {
-            self.last_call.stopped().await;
+        let drain_over = async {
+            self.drain_over.stopped().await;
             Err(Timeout { limit })
         };
-        future::or(clock.timeout(limit, future), last_call).await
+        future::or(clock.timeout(limit, future), drain_over).await
     }
 }
 
 impl Entry {
-    /// Waits for `future` for at most `limit`, and not beyond the last call of a planned stop.
+    /// Waits for `future` for at most `limit`, and not beyond the drain timeout of a planned stop.
     ///
     /// # Errors
     ///
-    /// [`Timeout`] when `limit` passes first, or at the last call; `future` is dropped.
+    /// [`Timeout`] when `limit` passes first, or at the drain timeout; `future` is dropped.
     pub async fn timeout<T>(
         &self,
         limit: Duration,
@@ -101,23 +103,23 @@
 pub async fn run(entry: &Entry) {
     let clock = &entry.kernel.clock;
     let limit = entry.tunable().stop_limit;
-    let (last_call, exit) = (limit.mul_f64(LAST_CALL_SHARE), limit.mul_f64(EXIT_SHARE));
+    let (drain_timeout, exit) = (limit.mul_f64(DRAIN_SHARE), limit.mul_f64(EXIT_SHARE));
     log::info!(
-        event = Event::Stop, limit_ms = last_call.as_millis() as u64;
+        event = Event::Stop, limit_ms = drain_timeout.as_millis() as u64;
         "stopping; the instance is no longer ready"
     );
-    *entry.stop.last_call_at.lock() = Some(entry.now() + last_call);
+    *entry.stop.drain_timeout_at.lock() = Some(entry.now() + drain_timeout);
     entry.stop.has_begun.store(true, Ordering::Relaxed);
     // Waiting requests learn how much time is left.
     entry.state_changed.notify(usize::MAX);
-    let delay = BALANCER_DELAY.min(last_call / 2);
+    let delay = BALANCER_DELAY.min(drain_timeout / 2);
     clock.sleep(delay).await;
     entry.drain.stop();
-    let mut is_finished = entry.drain.finish(clock, last_call - delay).await;
+    let mut is_finished = entry.drain.finish(clock, drain_timeout - delay).await;
     if !is_finished {
         log::info!(event = Event::Stop; "answering all requests that are still open");
-        entry.stop.last_call.stop();
-        is_finished = entry.drain.finish(clock, exit - last_call).await;
+        entry.stop.drain_over.stop();
+        is_finished = entry.drain.finish(clock, exit - drain_timeout).await;
     }
     log::info!(event = Event::Stop, is_finished; "stopped");
     log::logger().flush();
--- a/crates/serving/src/archive.rs
+++ b/crates/serving/src/archive.rs
@@ -1,8 +1,8 @@
 //! Which origins of streams (`origin`) an instance writes to the store, and which it leaves to the instance
 //! that reads the store for it.
 //!
-//! A follower entrusts new origins to its reader, which writes them with its own and confirms them once the
-//! store has them. The follower relies on that only while it follows the same process; then it entrusts or
+//! A follower delegates new origins to its reader, which writes them with its own and confirms them once the
+//! store has them. The follower relies on that while it follows the same process; after that it delegates or
 //! writes all that it has again. A writer has two records in the store, which it
 //! replaces as a whole: all its origins, now and then, and those that are not in the first one.
 
@@ -25,8 +25,8 @@
 const WHOLE_INTERVAL: Duration = Duration::from_secs(2);
 /// Number of origins up to which all are written each time.
 const MAX_SHORT_RECORD: usize = 100;
-/// Limit of the origins that others may entrust to an instance; they write further ones themselves.
-const MAX_ENTRUSTED: usize = 20_000;
+/// Limit of the origins that others may delegate to an instance; they write further ones themselves.
+const MAX_DELEGATED: usize = 20_000;
 /// Limit of the requests that wait for their confirmation.
 const MAX_AWAITING: usize = 1024;
 /// Time after which a request is no more confirmed; its sender has written its origins itself.
@@ -35,9 +35,9 @@
 /// What a record says: the stream, and an origin of it. Two origins of a stream contradict each other.
 type Claim = (Key, Origin);
 
-/// Origins that other instances have entrusted to this one.
+/// Origins that other instances have delegated to this one.
 #[derive(Debug, Default)]
-pub struct Entrusted {
+pub struct Delegated {
     /// Origins with their expiry.
     claims: HashMap<Claim, Moment>,
     awaiting: Vec<Awaiting>,
@@ -61,7 +61,7 @@
 
 /// Origins that this instance has left to its reader.
 #[derive(Debug, Default)]
-pub struct Trust {
+pub struct Delegation {
     reader: Option<Followed>,
     confirmed: HashSet<Claim>,
 }
@@ -90,10 +90,10 @@
     pub records: Vec<Record>,
 }
 
-impl Entrusted {
+impl Delegated {
     /// Keeps the records of a request until they expire, if there is room for them.
     pub fn record(&mut self, now: Moment, receipt: Receipt, records: &[Record]) {
-        let is_full = MAX_ENTRUSTED < self.claims.len() + records.len();
+        let is_full = MAX_DELEGATED < self.claims.len() + records.len();
         if is_full || MAX_AWAITING <= self.awaiting.len() {
             return;
         }
@@ -104,9 +104,14 @@
 
     /// Returns the confirmations of the requests whose origins the store has by now, as written by this
     /// instance or by the one that it has left them to.
-    pub fn take_receipts(&mut self, now: Moment, written: &Written, trust: &Trust) -> Vec<Receipt> {
+    pub fn take_receipts(
+        &mut self,
+        now: Moment,
+        written: &Written,
+        delegation: &Delegation,
+    ) -> Vec<Receipt> {
         self.awaiting.retain(|awaiting| now < awaiting.arrived_at + AWAITING_TIMEOUT);
-        let is_kept = |claim: &Claim| written.has(claim) || trust.confirmed.contains(claim);
+        let is_kept = |claim: &Claim| written.has(claim) || delegation.confirmed.contains(claim);
         let kept = self.awaiting.extract_if(.., |awaiting| awaiting.claims.iter().all(is_kept));
         kept.map(|awaiting| awaiting.receipt).collect()
     }
@@ -126,7 +131,7 @@
     }
 }
 
-impl Trust {
+impl Delegation {
     /// Returns the records that are not left to `reader`, the process that this instance follows now.
     pub fn remaining(&mut self, reader: Option<Followed>, records: Vec<Record>) -> Vec<Record> {
         if self.reader != reader {
--- a/crates/serving/tests/archive.rs
+++ b/crates/serving/tests/archive.rs
@@ -4,7 +4,7 @@
 
 use serving::{
     Moment, Name,
-    archive::{Entrusted, MAX_STREAMS, Part, Receipt, Trust, Write, Written},
+    archive::{Delegated, Delegation, MAX_STREAMS, Part, Receipt, Write, Written},
     origin::{Key, Origin, Record},
     reader::Followed,
 };
@@ -40,12 +40,12 @@
 #[test]
 fn leaves_origins_to_the_same_reader_only() {
     for next in [reader(2, 1), reader(1, 2), None] {
-        let mut trust = Trust::default();
-        let new = trust.remaining(reader(1, 1), records(3));
-        trust.record_confirmation(&new);
+        let mut delegation = Delegation::default();
+        let new = delegation.remaining(reader(1, 1), records(3));
+        delegation.record_confirmation(&new);
 
-        let left = trust.remaining(reader(1, 1), records(4));
-        let after_a_change = trust.remaining(next, records(4));
+        let left = delegation.remaining(reader(1, 1), records(4));
+        let after_a_change = delegation.remaining(next, records(4));
 
         assert_eq!((new.len(), left.len(), after_a_change.len()), (3, 1, 4));
     }
@@ -54,37 +54,37 @@
 // Guards against an instance that others may fill without end, and against streams that nobody writes then.
 #[test]
 fn takes_no_more_origins_than_it_has_room_for() {
-    let mut entrusted = Entrusted::default();
+    let mut delegated = Delegated::default();
 
     for turn in 0..300 {
         let batch: Vec<Record> = (0..100).map(|it| record(turn * 100 + it)).collect();
-        entrusted.record(NOW, receipt(turn), &batch);
+        delegated.record(NOW, receipt(turn), &batch);
     }
-    let kept = entrusted.records(NOW, &services());
+    let kept = delegated.records(NOW, &services());
     let mut written = Written::default();
     written.record(NOW, &Write { part: Part::Whole, records: kept.clone() });
 
     assert_eq!(kept.len(), 20_000);
-    assert_eq!(entrusted.take_receipts(NOW, &written, &Trust::default()).len(), 200);
-    assert!(entrusted.records(LATER, &services()).is_empty());
+    assert_eq!(delegated.take_receipts(NOW, &written, &Delegation::default()).len(), 200);
+    assert!(delegated.records(LATER, &services()).is_empty());
 }
 
 // Guards against a confirmation of origins that the store does not have.
 #[test]
 fn confirms_what_the_store_has() {
-    let mut entrusted = Entrusted::default();
-    let (mut written, mut trust) = (Written::default(), Trust::default());
-    entrusted.record(NOW, receipt(1), &records(3));
-    entrusted.record(NOW, receipt(2), &[record(7)]);
-    entrusted.record(NOW, receipt(3), &[record(8)]);
+    let mut delegated = Delegated::default();
+    let (mut written, mut delegation) = (Written::default(), Delegation::default());
+    delegated.record(NOW, receipt(1), &records(3));
+    delegated.record(NOW, receipt(2), &[record(7)]);
+    delegated.record(NOW, receipt(3), &[record(8)]);
 
-    let before = entrusted.take_receipts(NOW, &written, &trust);
+    let before = delegated.take_receipts(NOW, &written, &delegation);
     written.record(NOW, &Write { part: Part::Whole, records: records(2) });
-    let after_a_part = entrusted.take_receipts(NOW, &written, &trust);
+    let after_a_part = delegated.take_receipts(NOW, &written, &delegation);
     written.record(NOW, &Write { part: Part::Recent, records: vec![record(2)] });
-    trust.record_confirmation(&[record(7)]);
-    let after_all = entrusted.take_receipts(NOW, &written, &trust);
-    let too_late = entrusted.take_receipts(LATER, &written, &trust);
+    delegation.record_confirmation(&[record(7)]);
+    let after_all = delegated.take_receipts(NOW, &written, &delegation);
+    let too_late = delegated.take_receipts(LATER, &written, &delegation);
 
     assert_eq!((before, after_a_part), (vec![], vec![]));
     assert_eq!(after_all, [receipt(1), receipt(2)]);
