--- a/review/stage-2/src/bin/unframed.rs
+++ b/review/stage-2/src/bin/unframed.rs
@@ -72,9 +72,28 @@
     }
 }
 
-fn start_replica(address: SocketAddr) -> std::io::Result<Child> {
+/// Process of a replica, which ends with this.
+struct Replica(Child);
+
+impl Replica {
+    /// Ends the process with SIGKILL.
+    fn kill(&mut self) {
+        let _ended = self.0.kill();
+        let _reaped = self.0.wait();
+    }
+}
+
+impl Drop for Replica {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn start_replica(address: SocketAddr) -> std::io::Result<Replica> {
     let program = std::env::current_exe()?;
-    Command::new(program).args(["replica", &address.to_string()]).stdin(Stdio::null()).spawn()
+    let mut command = Command::new(program);
+    let child = command.args(["replica", &address.to_string()]).stdin(Stdio::null()).spawn()?;
+    Ok(Replica(child))
 }
 
 fn run(root: PathBuf, folder: PathBuf) -> std::io::Result<ExitCode> {
@@ -183,8 +202,7 @@
         round += 1;
         if has_trouble() {
             log.line(&format!("replica i-{index} is killed"));
-            let _ended = replicas[index].kill();
-            let _reaped = replicas[index].wait();
+            replicas[index].kill();
             listed.lock().unwrap()[index] = None;
         }
         thread::sleep(DOWN);
@@ -199,10 +217,7 @@
     is_over.store(true, Ordering::Relaxed);
     thread::sleep(Duration::from_secs(1));
     machine.kill();
-    for replica in &mut replicas {
-        let _ended = replica.kill();
-        let _reaped = replica.wait();
-    }
+    replicas.clear();
     let mut counts: Vec<_> = counts.lock().unwrap().clone().into_iter().collect();
     counts.sort();
     log.line(&format!("answers: {counts:?}"));
