--- a/review/stage-2/src/bin/stops.rs
+++ b/review/stage-2/src/bin/stops.rs
@@ -25,8 +25,12 @@
 const GRACE_S: u64 = 8;
 const ENTRIES: u8 = 3;
 const REPLICAS: u8 = 4;
-/// Requests a second from all clients.
-const RATE: f64 = 600.0;
+/// Requests a second from all clients, at first.
+const FIRST_RATE: f64 = 600.0;
+/// Lowest and highest rate to which it is changed, so that the allowance is used up on machines of any speed.
+const RATES: [f64; 2] = [60.0, 2500.0];
+/// Share of the tenths of a second in which the allowance is to be used up.
+const BUSY_SHARES: [f64; 2] = [0.8, 0.97];
 /// Threads that send them.
 const SENDERS: usize = 150;
 /// Time that a client waits.
@@ -178,6 +182,32 @@
             }
         });
     }
+    let rate = Arc::new(Mutex::new(FIRST_RATE));
+    {
+        let (rate, throttled, is_over, log) =
+            (rate.clone(), throttled.clone(), is_over.clone(), log.clone());
+        thread::spawn(move || {
+            let mut before = 0;
+            for second in 1u64.. {
+                thread::sleep(Duration::from_secs(1));
+                if is_over.load(Ordering::Relaxed) {
+                    return;
+                }
+                let now = throttled.load(Ordering::Relaxed);
+                let share = (now - before) as f64 / (10 * u64::from(ENTRIES)) as f64;
+                before = now;
+                let mut rate = rate.lock().unwrap();
+                if share < BUSY_SHARES[0] {
+                    *rate = (*rate * 1.05).min(RATES[1]);
+                } else if BUSY_SHARES[1] < share {
+                    *rate = (*rate * 0.97).max(RATES[0]);
+                }
+                if second % 10 == 0 {
+                    log.line(&format!("{:.0} requests a second; the allowance was used up in {share:.2} of the last one", *rate));
+                }
+            }
+        });
+    }
     // Clients, each request on a new channel.
     let counts: Arc<Mutex<HashMap<String, u64>>> = Arc::default();
     let lost: Arc<Mutex<Vec<String>>> = Arc::default();
@@ -193,7 +223,7 @@
             stops.clone(),
         );
         let number = Arc::new(AtomicU64::new(0));
-        let begin = Instant::now();
+        let next = Arc::new(Mutex::new(Instant::now()));
         for _ in 0..SENDERS {
             let (nodes, is_over, counts, lost, log, runs, stops, number) = (
                 nodes.clone(),
@@ -205,10 +235,16 @@
                 stops.clone(),
                 number.clone(),
             );
+            let (next, rate) = (next.clone(), rate.clone());
             thread::spawn(move || {
                 while !is_over.load(Ordering::Relaxed) {
                     let number = number.fetch_add(1, Ordering::Relaxed);
-                    let at = begin + Duration::from_secs_f64(number as f64 / RATE);
+                    let at = {
+                        let mut next = next.lock().unwrap();
+                        let at = (*next).max(Instant::now() - Duration::from_millis(50));
+                        *next = at + Duration::from_secs_f64(1.0 / *rate.lock().unwrap());
+                        at
+                    };
                     thread::sleep(at.saturating_duration_since(Instant::now()));
                     let draw = number.wrapping_mul(0x9E37_79B9_7F4A_7C15);
                     let (index, front) = choose(&nodes.lock().unwrap(), draw >> 33);
