--- a/review/stage-3/src/client.rs
+++ b/review/stage-3/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use crate::{record::Record, wire::Connection};
+use crate::{engine::Sizes, record::Record, wire::Connection};
 
 pub const HOST: &str = "portal.example";
 pub const KEY: &str = "key-of-the-council";
@@ -25,7 +25,7 @@
 }
 
 /// Sends a request for a stream and reads it to its end.
-pub fn stream(record: &Record, address: SocketAddr, path: &str, request: &str, tokens: (u64, u64), deadline: Duration) -> Seen {
+pub fn stream(record: &Record, address: SocketAddr, model: &str, request: &str, tokens: (u64, u64), deadline: Duration) -> Seen {
     let mut seen = Seen {
         request: request.to_owned(),
         status: 0,
@@ -36,7 +36,7 @@
         ended_at: Duration::ZERO,
     };
     record.line(format!("client: sends {request} to {address} ({} tokens in, {} out)", tokens.0, tokens.1));
-    let error = read(&mut seen, address, path, tokens, deadline).err();
+    let error = read(&mut seen, address, model, tokens, deadline).err();
     seen.gave_up = error.as_ref().is_some_and(|it| matches!(it.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut));
     seen.ended_at = record.now();
     let how = match (seen.is_complete, seen.gave_up) {
@@ -53,13 +53,13 @@
     seen
 }
 
-fn read(seen: &mut Seen, address: SocketAddr, path: &str, tokens: (u64, u64), deadline: Duration) -> std::io::Result<()> {
+fn read(seen: &mut Seen, address: SocketAddr, model: &str, tokens: (u64, u64), deadline: Duration) -> std::io::Result<()> {
     let mut connection = Connection::open(address, Duration::from_secs(1))?;
     connection.stream.set_read_timeout(Some(PATIENCE))?;
     connection.write(&format!(
-        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Chivelatch-Request-Id: {}\r\nX-Chivelatch-Model: {}\r\nX-Chivelatch-Token-Count: {},{}\r\nX-Chivelatch-Prefix-Hash: 5c1e07a2:100,{:x}:{}\r\nX-Chivelatch-Deadline-Ms: {}\r\nAuthorization: Token {KEY}\r\nContent-Length: 2\r\n\r\nhi",
+        "POST /answer/a HTTP/1.1\r\nHost: {HOST}\r\nX-Chivelatch-Request-Id: {}\r\nX-Chivelatch-Model: {}\r\nX-Chivelatch-Token-Count: {},{}\r\nX-Chivelatch-Prefix-Hash: 5c1e07a2:100,{:x}:{}\r\nX-Chivelatch-Deadline-Ms: {}\r\nAuthorization: Token {KEY}\r\nContent-Length: 2\r\n\r\nhi",
         seen.request,
-        crate::engine::MODEL,
+        model,
         tokens.0,
         tokens.1,
         seen.request.bytes().fold(7u64, |sum, byte| sum.wrapping_mul(31).wrapping_add(u64::from(byte))),
@@ -90,10 +90,11 @@
 }
 
 /// Returns the operators' configuration: one service of a model, one route of streams that may be resumed.
-pub fn manifest() -> String {
+pub fn manifest(sizes: Sizes) -> String {
+    let Sizes { size_mb, model_mb, lora_mb, lora_slots } = sizes;
     format!(
         r#"{{"cfg_ver":3,"routes":[{{"name":"answers","hostname":"{HOST}","path_prefix":"/answer/","type":"stream","timeout_ms":20000,"slo_ms":1000,"prio":1,"svc":"answers","attempts":2,"public":false,"sticky":true,"resumable":true,"gap_target_ms":400}}],
-"svcs":[{{"name":"answers","health_path":"/healthz","max_conns":360,"protocol":"h1","tls":false,"engine":{{"slots":4,"kv_capacity":4000,"stride":2,"models":[{{"name":"{}","size_mb":72700.0,"load_s":5.7,"loras":3000,"lora_mb":66.0,"warm_s":1.3,"disk_s":2.3}}],"size_mb":74600.0,"lora_slots":6,"loads_per_s":2.8}}}}],
+"svcs":[{{"name":"answers","health_path":"/healthz","max_conns":360,"protocol":"h1","tls":false,"engine":{{"slots":4,"kv_capacity":4000,"stride":2,"models":[{{"name":"{}","size_mb":{model_mb},"load_s":5.7,"loras":3000,"lora_mb":{lora_mb},"warm_s":1.3,"disk_s":2.3}}],"size_mb":{size_mb},"lora_slots":{lora_slots},"loads_per_s":2.8}}}}],
 "limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},
 "tenants":[{{"name":"council","api_keys":["{KEY}"],"prio":1,"unit":"generate","raw_tokens":200,"rate_per_s":61991,"burst":61991}}]}}"#,
         crate::engine::MODEL
--- a/review/stage-3/src/engine.rs
+++ b/review/stage-3/src/engine.rs
@@ -23,6 +23,8 @@
 /// Prompt tokens that are read in a millisecond.
 const READ_TOKENS_PER_MS: u64 = 19;
 const HEARTBEAT: Duration = Duration::from_millis(1200);
+/// Time in which an adapter is loaded.
+const ADAPTER_LOAD: Duration = Duration::from_millis(250);
 pub const MODEL: &str = "m0";
 
 #[derive(Clone)]
@@ -37,6 +39,30 @@
     born: u64,
     record: Record,
     runs: Arc<Mutex<Runs>>,
+    sizes: Sizes,
+    adapters: Arc<Mutex<Adapters>>,
+}
+
+/// What a replica holds at most, and the sizes of its model and of an adapter, in MB.
+#[derive(Clone, Copy)]
+pub struct Sizes {
+    pub size_mb: u64,
+    pub model_mb: u64,
+    pub lora_mb: u64,
+    pub lora_slots: usize,
+}
+
+/// Sizes of the site brunnen-ch.
+pub const SITE_SIZES: Sizes = Sizes { size_mb: 74_600, model_mb: 72_700, lora_mb: 66, lora_slots: 6 };
+
+#[derive(Default)]
+struct Adapters {
+    held: Vec<String>,
+    /// Adapters that are being loaded, with the end of that.
+    pending: Vec<(String, Instant)>,
+    orders: u64,
+    /// The order that was for more than the replica holds.
+    excess: Option<String>,
 }
 
 #[derive(Default)]
@@ -79,6 +105,7 @@
         id: &str,
         address: SocketAddr,
         (slots, queue, memory): (usize, usize, u64),
+        sizes: Sizes,
         store: &Store,
         record: &Record,
     ) -> io::Result<Engine> {
@@ -95,10 +122,16 @@
             born,
             record: record.clone(),
             runs: Arc::default(),
+            sizes,
+            adapters: Arc::default(),
         };
         let shared = engine.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if shared.excess().is_some() {
+                    // A replica that has crashed takes nothing.
+                    return;
+                }
                 let engine = shared.clone();
                 thread::spawn(move || engine.serve(Connection::new(stream)));
             }
@@ -113,6 +146,9 @@
         let (shared, store) = (engine.clone(), store.clone());
         thread::spawn(move || {
             for seq in 1.. {
+                if shared.excess().is_some() {
+                    return;
+                }
                 store.put("keyed.servers", &shared.id, shared.entry(seq));
                 thread::sleep(HEARTBEAT);
             }
@@ -183,12 +219,23 @@
     fn serve(&self, mut connection: Connection) -> Option<()> {
         loop {
             let head = connection.read_head().ok()?;
-            connection.read_body(&head).ok()?;
+            let body = connection.read_body(&head).ok()?;
+            if self.excess().is_some() {
+                return None;
+            }
             let path = head.path().split('?').next()?;
             let page = match path {
                 "/chivelatch/report" => Some(self.report()),
                 "/healthz" => Some("ok".to_owned()),
-                "/chivelatch/order" => Some("{}".to_owned()),
+                "/chivelatch/order" => {
+                    let status = self.order(&String::from_utf8_lossy(&body));
+                    if self.excess().is_some() {
+                        return None;
+                    }
+                    let text = format!("HTTP/1.1 {status}\r\nX-Chivelatch-Replica-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+                    connection.write(&text).ok()?;
+                    continue;
+                }
                 _ => None,
             };
             if let Some(page) = page {
@@ -204,12 +251,73 @@
         }
     }
 
+    /// Returns the order that has crashed the replica, if one has.
+    pub fn excess(&self) -> Option<String> {
+        self.adapters.lock().unwrap().excess.clone()
+    }
+
+    /// Carries an order out, or turns it away; crashes if it is to load more than the replica holds.
+    fn order(&self, body: &str) -> &'static str {
+        let text = |name: &str| {
+            let rest = body.split_once(&format!("\"{name}\":"))?.1;
+            let value = rest.split([',', '}']).next()?;
+            Some(value.trim_matches('"').to_owned())
+        };
+        let (Some(op), Some(lora), Some(_), Some(_)) = (text("op"), text("lora"), text("holder"), text("fence")) else {
+            return "400 Bad Request";
+        };
+        let mut state = self.adapters.lock().unwrap();
+        let is_stale = text("expect").is_some_and(|expect| expect != state.orders.to_string());
+        let now = Instant::now();
+        if is_stale {
+            return "409 Conflict";
+        }
+        if op == "unload" {
+            state.orders += 1;
+            state.held.retain(|held| *held != lora);
+            self.log(format!("is ordered to unload {lora}; holds {:?}", state.held));
+            return "200 OK";
+        }
+        if state.held.contains(&lora) || state.pending.iter().any(|(pending, _)| *pending == lora) {
+            return "200 OK";
+        }
+        state.orders += 1;
+        state.pending.push((lora.clone(), now + ADAPTER_LOAD));
+        let count = state.held.len() + state.pending.len();
+        let Sizes { size_mb, model_mb, lora_mb, lora_slots } = self.sizes;
+        let sum = model_mb + lora_mb * count as u64;
+        self.log(format!(
+            "is ordered to load {lora}: {count} adapters of {lora_slots}, {model_mb} + {count} x {lora_mb} = {sum} MB of {size_mb}"
+        ));
+        if size_mb < sum || lora_slots < count {
+            self.log("CRASHES: it was ordered to load more than it holds".to_owned());
+            state.excess = Some(body.to_owned());
+        }
+        "202 Accepted"
+    }
+
+    /// Returns the adapters that are held and those that are being loaded.
+    fn adapters(&self) -> (Vec<String>, Vec<String>) {
+        let mut state = self.adapters.lock().unwrap();
+        let now = Instant::now();
+        let (loaded, pending) = std::mem::take(&mut state.pending).into_iter().partition(|(_, end)| *end <= now);
+        state.pending = pending;
+        let loaded: Vec<(String, Instant)> = loaded;
+        state.held.extend(loaded.into_iter().map(|(lora, _)| lora));
+        (state.held.clone(), state.pending.iter().map(|(lora, _)| lora.clone()).collect())
+    }
+
     fn report(&self) -> String {
+        let (held, pending) = self.adapters();
+        let held: Vec<String> = held.iter().map(|lora| format!("\"{lora}@1\"")).collect();
+        let pending: Vec<String> = pending.iter().map(|lora| format!("\"{MODEL}/{lora}@1\"")).collect();
+        let (held, pending) = (held.join(","), pending.join(","));
+        let orders = self.adapters.lock().unwrap().orders;
         let state = self.runs.lock().unwrap();
         let active: Vec<&Run> = state.runs.iter().filter(|it| it.ready_at.is_some()).collect();
         let used: u64 = active.iter().map(|it| it.tokens()).sum();
         format!(
-            r#"{{"stage":"mixed","models":[{{"name":"{MODEL}","cfg_ver":1,"loras":[]}}],"busy":false,"seq":1,"queued":{},"active":{},"kv_used":{used},"kv_total":{},"handles":0,"born":{},"state":"ready"}}"#,
+            r#"{{"stage":"mixed","models":[{{"name":"{MODEL}","cfg_ver":1,"loras":[{held}]}}],"pending":[{pending}],"busy":false,"seq":{orders},"queued":{},"active":{},"kv_used":{used},"kv_total":{},"handles":0,"born":{},"state":"ready"}}"#,
             state.runs.len() - active.len(),
             active.len(),
             self.memory,
@@ -220,7 +328,9 @@
     /// Answers a request with a stream, or turns it away.
     fn answer(&self, connection: &mut Connection, head: &Head) -> Option<()> {
         let request = head.get("x-chivelatch-request-id").to_owned();
-        if head.get("x-chivelatch-expect-replica") != self.id {
+        let lora = head.get("x-chivelatch-model").split_once('/').map(|(_, lora)| lora.to_owned());
+        let is_missing = lora.is_some_and(|lora| !self.adapters().0.contains(&lora));
+        if is_missing || head.get("x-chivelatch-expect-replica") != self.id {
             return connection
                 .write(&format!(
                     "HTTP/1.1 421 Misdirected Request\r\nX-Chivelatch-Replica-Id: {}\r\nX-Chivelatch-Request-Id: {request}\r\nContent-Length: 0\r\n\r\n",
@@ -270,6 +380,7 @@
             let how = match (was_left, run.made == run.total) {
                 (true, _) => "its connection was closed by the other side",
                 (false, true) => "complete",
+                (false, false) if self.excess().is_some() => "the replica has crashed",
                 (false, false) => "its deadline has passed",
             };
             self.log(format!("run {number} of {request} ends after event {} of {}: {how}", run.made, run.total));
@@ -314,6 +425,9 @@
             if connection.is_closed() {
                 return None;
             }
+            if self.excess().is_some() {
+                return Some(false);
+            }
             if deadline < Instant::now() {
                 return Some(false);
             }
--- a/review/stage-3/src/main.rs
+++ b/review/stage-3/src/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod record;
 mod silence;
+mod sizes;
 mod store;
 mod wire;
 
@@ -30,6 +31,7 @@
         record.line(format!("case {case}, TROUBLE={}", u8::from(has_trouble)));
         let outcome = match case.as_str() {
             "silence" => silence::run(&root, &record, has_trouble),
+            "sizes" => sizes::run(&root, &record, has_trouble),
             _ => Err(std::io::Error::other("no such case")),
         };
         match &outcome {
--- a/review/stage-3/src/silence.rs
+++ b/review/stage-3/src/silence.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Verdict, client,
-    engine::Engine,
+    engine::{Engine, SITE_SIZES},
     fleet::{self, Net, Process},
     record::Record,
     store::Store,
@@ -23,9 +23,9 @@
 pub fn run(root: &Path, record: &Record, has_trouble: bool) -> io::Result<Verdict> {
     let net = Net::new()?;
     let store = Store::start(net.address(1, 0))?;
-    store.put("keyed.op", "config", client::manifest());
+    store.put("keyed.op", "config", client::manifest(SITE_SIZES));
     let memory = if has_trouble { SCARCE_MEMORY } else { AMPLE_MEMORY };
-    let engine = Engine::start("i-7f3a91c2", net.app(21), (4, 2, memory), &store, record)?;
+    let engine = Engine::start("i-7f3a91c2", net.app(21), (4, 2, memory), SITE_SIZES, &store, record)?;
     let _side = Process::start(root, &net, store.address, "side", 21, "a")?;
     let mut stopping = Process::start(root, &net, store.address, "entry", 11, "a")?;
     let _staying = Process::start(root, &net, store.address, "entry", 12, "a")?;
@@ -37,7 +37,7 @@
     record.line("all machines have been ready for contact_ms and more");
     let send = |machine: u8, name: &'static str, tokens: (u64, u64)| {
         let (record, address) = (record.clone(), net.front(machine));
-        thread::spawn(move || client::stream(&record, address, "/answer/a", name, tokens, Duration::from_secs(20)))
+        thread::spawn(move || client::stream(&record, address, "m0", name, tokens, Duration::from_secs(20)))
     };
     // An older request that grows until it is complete, after 3 s.
     let older = send(12, "older", (1800, 600));
