--- a/review/stage-3/src/engine.rs
+++ b/review/stage-3/src/engine.rs
@@ -53,7 +53,8 @@
 }
 
 /// Sizes of the site brunnen-ch.
-pub const SITE_SIZES: Sizes = Sizes { size_mb: 74_600, model_mb: 72_700, lora_mb: 66, lora_slots: 6 };
+pub const SITE_SIZES: Sizes =
+    Sizes { size_mb: 74_600, model_mb: 72_700, lora_mb: 66, lora_slots: 6 };
 
 #[derive(Default)]
 struct Adapters {
@@ -110,7 +111,8 @@
         record: &Record,
     ) -> io::Result<Engine> {
         let listener = TcpListener::bind(address)?;
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let born =
+            SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
         let engine = Engine {
             id: id.to_owned(),
             address,
@@ -182,7 +184,8 @@
             }
         }
         loop {
-            let used: u64 = state.runs.iter().filter(|it| it.ready_at.is_some()).map(Run::tokens).sum();
+            let used: u64 =
+                state.runs.iter().filter(|it| it.ready_at.is_some()).map(Run::tokens).sum();
             let running = state.runs.iter().filter(|it| it.ready_at.is_some()).count();
             if used <= self.memory || running < 2 {
                 break;
@@ -201,7 +204,8 @@
 
     fn begin_waiting(&self, state: &mut Runs) {
         loop {
-            let used: u64 = state.runs.iter().filter(|it| it.ready_at.is_some()).map(Run::tokens).sum();
+            let used: u64 =
+                state.runs.iter().filter(|it| it.ready_at.is_some()).map(Run::tokens).sum();
             let running = state.runs.iter().filter(|it| it.ready_at.is_some()).count();
             let waiting = state.runs.iter_mut().filter(|it| it.ready_at.is_none());
             // First in, first out; a preempted one is the oldest of those that wait.
@@ -211,7 +215,12 @@
             }
             let reading = Duration::from_millis(next.tokens() / READ_TOKENS_PER_MS);
             next.ready_at = Some(Instant::now() + reading);
-            let text = format!("{} {} at event {}", next.request, if next.was_preempted { "goes on" } else { "begins" }, next.made);
+            let text = format!(
+                "{} {} at event {}",
+                next.request,
+                if next.was_preempted { "goes on" } else { "begins" },
+                next.made
+            );
             self.log(text);
         }
     }
@@ -232,7 +241,10 @@
                     if self.excess().is_some() {
                         return None;
                     }
-                    let text = format!("HTTP/1.1 {status}\r\nX-Chivelatch-Replica-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+                    let text = format!(
+                        "HTTP/1.1 {status}\r\nX-Chivelatch-Replica-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                        self.id
+                    );
                     connection.write(&text).ok()?;
                     continue;
                 }
@@ -263,7 +275,9 @@
             let value = rest.split([',', '}']).next()?;
             Some(value.trim_matches('"').to_owned())
         };
-        let (Some(op), Some(lora), Some(_), Some(_)) = (text("op"), text("lora"), text("holder"), text("fence")) else {
+        let (Some(op), Some(lora), Some(_), Some(_)) =
+            (text("op"), text("lora"), text("holder"), text("fence"))
+        else {
             return "400 Bad Request";
         };
         let mut state = self.adapters.lock().unwrap();
@@ -300,7 +314,8 @@
     fn adapters(&self) -> (Vec<String>, Vec<String>) {
         let mut state = self.adapters.lock().unwrap();
         let now = Instant::now();
-        let (loaded, pending) = std::mem::take(&mut state.pending).into_iter().partition(|(_, end)| *end <= now);
+        let (loaded, pending) =
+            std::mem::take(&mut state.pending).into_iter().partition(|(_, end)| *end <= now);
         state.pending = pending;
         let loaded: Vec<(String, Instant)> = loaded;
         state.held.extend(loaded.into_iter().map(|(lora, _)| lora));
@@ -310,7 +325,8 @@
     fn report(&self) -> String {
         let (held, pending) = self.adapters();
         let held: Vec<String> = held.iter().map(|lora| format!("\"{lora}@1\"")).collect();
-        let pending: Vec<String> = pending.iter().map(|lora| format!("\"{MODEL}/{lora}@1\"")).collect();
+        let pending: Vec<String> =
+            pending.iter().map(|lora| format!("\"{MODEL}/{lora}@1\"")).collect();
         let (held, pending) = (held.join(","), pending.join(","));
         let orders = self.adapters.lock().unwrap().orders;
         let state = self.runs.lock().unwrap();
@@ -341,13 +357,16 @@
         let (prompt, output) = head.get("x-chivelatch-token-count").split_once(',')?;
         let (prompt, output): (u64, u64) = (prompt.parse().ok()?, output.parse().ok()?);
         let made = head.get("last-event-id").parse().unwrap_or(0);
-        let deadline = Instant::now() + Duration::from_millis(head.get("x-chivelatch-deadline-ms").parse().unwrap_or(30_000));
+        let deadline = Instant::now()
+            + Duration::from_millis(head.get("x-chivelatch-deadline-ms").parse().unwrap_or(30_000));
         let number = {
             let mut state = self.runs.lock().unwrap();
             let waiting = state.runs.iter().filter(|it| it.ready_at.is_none()).count();
             let running = state.runs.len() - waiting;
             if self.queue <= waiting {
-                let text = format!("{request} arrives (last event {made}); {running} run and {waiting} wait: turned away as full");
+                let text = format!(
+                    "{request} arrives (last event {made}); {running} run and {waiting} wait: turned away as full"
+                );
                 drop(state);
                 self.log(text);
                 return connection
@@ -368,7 +387,10 @@
                 ready_at: None,
                 was_preempted: false,
             });
-            self.log(format!("{request} arrives as run {number} (last event {made}, priority {})", head.get("x-chivelatch-request-priority")));
+            self.log(format!(
+                "{request} arrives as run {number} (last event {made}, priority {})",
+                head.get("x-chivelatch-request-priority")
+            ));
             self.begin_waiting(&mut state);
             number
         };
@@ -383,7 +405,10 @@
                 (false, false) if self.excess().is_some() => "the replica has crashed",
                 (false, false) => "its deadline has passed",
             };
-            self.log(format!("run {number} of {request} ends after event {} of {}: {how}", run.made, run.total));
+            self.log(format!(
+                "run {number} of {request} ends after event {} of {}: {how}",
+                run.made, run.total
+            ));
             state.done.push(Done {
                 request: run.request,
                 was_preempted: run.was_preempted,
@@ -396,7 +421,14 @@
 
     /// Sends the events of a run as they are made. Returns whether it is complete, or `None` if the other
     /// side closed the connection before.
-    fn stream(&self, connection: &mut Connection, number: u64, request: &str, from: u64, deadline: Instant) -> Option<bool> {
+    fn stream(
+        &self,
+        connection: &mut Connection,
+        number: u64,
+        request: &str,
+        from: u64,
+        deadline: Instant,
+    ) -> Option<bool> {
         let mut sent = from;
         let mut has_begun = false;
         loop {
--- a/review/stage-3/src/fleet.rs
+++ b/review/stage-3/src/fleet.rs
@@ -63,7 +63,8 @@
 impl Net {
     /// Returns the lines of a process's log that contain one of these texts.
     pub fn log_lines(&self, process: &str, texts: &[&str]) -> Vec<String> {
-        let log = fs::read_to_string(self.folder.join(format!("{process}.log"))).unwrap_or_default();
+        let log =
+            fs::read_to_string(self.folder.join(format!("{process}.log"))).unwrap_or_default();
         let lines = log.lines().filter(|line| texts.iter().any(|text| line.contains(text)));
         lines.map(str::to_owned).collect()
     }
@@ -83,7 +84,14 @@
 
 impl Process {
     /// Starts a process of a role with the command of the deploy file.
-    pub fn start(root: &Path, net: &Net, store: SocketAddr, role: &str, machine: u8, zone: &str) -> io::Result<Process> {
+    pub fn start(
+        root: &Path,
+        net: &Net,
+        store: SocketAddr,
+        role: &str,
+        machine: u8,
+        zone: &str,
+    ) -> io::Result<Process> {
         let name = format!("{role}-{zone}-{machine}");
         let (listen, app) = match role {
             "entry" => (
@@ -92,7 +100,8 @@
             ),
             _ => ("{}".to_owned(), format!(r#""app":"{}","svc":"answers","#, net.app(machine))),
         };
-        let (class, cpu, ram) = if role == "entry" { ("edge", 0.19, 260) } else { ("side", 0.2, 192) };
+        let (class, cpu, ram) =
+            if role == "entry" { ("edge", 0.19, 260) } else { ("side", 0.2, 192) };
         let port = net.port + 10;
         let settings = format!(
             r#"{{"node_name":"{name}","role":"{role}","node_class":"{class}","serves":["{class}"],
@@ -124,7 +133,10 @@
 
     /// Sends a signal by its name to this process.
     pub fn signal(&self, name: &str) -> io::Result<()> {
-        let sent = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status()?;
+        let sent = Command::new("sh")
+            .arg("-c")
+            .arg(format!("kill -{name} {}", self.child.id()))
+            .status()?;
         if sent.success() { Ok(()) } else { Err(io::Error::other("the signal was not sent")) }
     }
 
--- a/review/stage-3/src/silence.rs
+++ b/review/stage-3/src/silence.rs
@@ -15,6 +15,8 @@
     store::Store,
 };
 
+const SLOTS: usize = 4;
+const QUEUE: usize = 4;
 const GRACE: Duration = Duration::from_secs(8);
 /// Memory of the replica in tokens, if it runs out while both streams run, and if it does not.
 const SCARCE_MEMORY: u64 = 3700;
@@ -23,9 +25,16 @@
 pub fn run(root: &Path, record: &Record, has_trouble: bool) -> io::Result<Verdict> {
     let net = Net::new()?;
     let store = Store::start(net.address(1, 0))?;
-    store.put("keyed.op", "config", client::manifest(SITE_SIZES));
     let memory = if has_trouble { SCARCE_MEMORY } else { AMPLE_MEMORY };
-    let engine = Engine::start("i-7f3a91c2", net.app(21), (4, 2, memory), SITE_SIZES, &store, record)?;
+    store.put("keyed.op", "config", client::manifest(SITE_SIZES, SLOTS, memory));
+    let engine = Engine::start(
+        "i-7f3a91c2",
+        net.app(21),
+        (SLOTS, QUEUE, memory),
+        SITE_SIZES,
+        &store,
+        record,
+    )?;
     let _side = Process::start(root, &net, store.address, "side", 21, "a")?;
     let mut stopping = Process::start(root, &net, store.address, "entry", 11, "a")?;
     let _staying = Process::start(root, &net, store.address, "entry", 12, "a")?;
@@ -37,10 +46,12 @@
     record.line("all machines have been ready for contact_ms and more");
     let send = |machine: u8, name: &'static str, tokens: (u64, u64)| {
         let (record, address) = (record.clone(), net.front(machine));
-        thread::spawn(move || client::stream(&record, address, "m0", name, tokens, Duration::from_secs(20)))
+        thread::spawn(move || {
+            client::stream(&record, address, "m0", name, tokens, Duration::from_secs(20))
+        })
     };
-    // An older request that grows until it is complete, after 3 s.
-    let older = send(12, "older", (1800, 600));
+    // An older request that grows until it is complete, after 4 s.
+    let older = send(12, "older", (1800, 800));
     thread::sleep(Duration::from_millis(200));
     let stream = send(11, "stream", (1460, 500));
     thread::sleep(Duration::from_millis(500));
@@ -48,10 +59,10 @@
     record.line(format!("operator: SIGTERM to {}", stopping.name));
     stopping.signal("TERM")?;
     thread::sleep(Duration::from_millis(700));
-    // One more request waits behind the preempted one.
-    let waiting = send(12, "waiting", (500, 100));
+    // Three more requests wait behind the preempted one.
+    let waiting = ["waiting-1", "waiting-2", "waiting-3"].map(|name| send(12, name, (500, 100)));
     let seen = stream.join().map_err(|_| io::Error::other("a client has failed"))?;
-    for other in [older, waiting] {
+    for other in [older].into_iter().chain(waiting) {
         let _seen = other.join();
     }
     let end = Instant::now() + GRACE;
@@ -62,7 +73,9 @@
     record.line(format!("{} has ended: {ended:?}", stopping.name));
     thread::sleep(Duration::from_millis(100));
     let own = ["\"request\":\"stream\""];
-    net.log_lines(&stopping.name, &own).iter().for_each(|line| record.line(format!("log of {}: {line}", stopping.name)));
+    net.log_lines(&stopping.name, &own)
+        .iter()
+        .for_each(|line| record.line(format!("log of {}: {line}", stopping.name)));
     let runs: Vec<_> = engine.done().into_iter().filter(|it| it.request == "stream").collect();
     if seen.status != 200 || seen.events.is_empty() || runs.is_empty() {
         return Err(io::Error::other("the stream did not begin"));
@@ -80,7 +93,9 @@
     ));
     let was_in_order = seen.events.iter().copied().eq(1..=seen.events.len() as u64);
     // The replica did not break the stream off: its run had neither ended nor reached its deadline.
-    let is_lost = !seen.is_complete && runs[0].was_left && seen.ended_at < stopped_at + GRACE + Duration::from_secs(1);
+    let is_lost = !seen.is_complete
+        && runs[0].was_left
+        && seen.ended_at < stopped_at + GRACE + Duration::from_secs(1);
     let is_late_work = stopped_at + GRACE.mul_f64(5.0 / 6.0) < seen.ended_at;
     if !seen.is_complete && (!is_lost || is_late_work) {
         return Err(io::Error::other("the stream ended early for a reason that the rule excuses"));
--- a/review/stage-3/src/sizes.rs
+++ b/review/stage-3/src/sizes.rs
@@ -13,23 +13,34 @@
 /// The sizes of the site, with larger adapters: four fit beside the model, and there are places for six.
 const SIZES: Sizes = Sizes { lora_mb: 400, ..SITE_SIZES };
 
+/// Slots and memory in tokens of the replicas of the site.
+const SLOTS: usize = 64;
+const MEMORY: u64 = 127_623;
+
 pub fn run(root: &Path, record: &Record, has_trouble: bool) -> io::Result<Verdict> {
     let net = Net::new()?;
     let store = Store::start(net.address(1, 0))?;
-    store.put("keyed.op", "config", client::manifest(SIZES));
-    let engine = Engine::start("i-7f3a91c2", net.app(21), (64, 192, 127_623), SIZES, &store, record)?;
+    store.put("keyed.op", "config", client::manifest(SIZES, SLOTS, MEMORY));
+    let engine =
+        Engine::start("i-7f3a91c2", net.app(21), (SLOTS, 192, MEMORY), SIZES, &store, record)?;
     let _side = Process::start(root, &net, store.address, "side", 21, "a")?;
     let _entry = Process::start(root, &net, store.address, "entry", 11, "a")?;
     fleet::wait_until_ready(net.ready(11), Duration::from_secs(15))?;
     thread::sleep(Duration::from_millis(2000));
     let send = |model: &'static str, name: &'static str, out: u64| {
         let (record, address) = (record.clone(), net.front(11));
-        thread::spawn(move || client::stream(&record, address, model, name, (500, out), Duration::from_secs(20)))
+        thread::spawn(move || {
+            client::stream(&record, address, model, name, (500, out), Duration::from_secs(20))
+        })
     };
     let long = send("m0/a1", "long", 1600);
     let mut short = Vec::new();
-    // Demand moves on: without the trouble, it stays with the adapters that fit.
-    let models = if has_trouble { ["m0/a2", "m0/a3", "m0/a4", "m0/a5"] } else { ["m0/a2", "m0/a3", "m0/a4", "m0/a2"] };
+    // After the second one, demand moves on by two adapters; without the trouble, it stays.
+    let models = if has_trouble {
+        ["m0/a2", "m0/a3", "m0/a4", "m0/a5"]
+    } else {
+        ["m0/a2", "m0/a3", "m0/a2", "m0/a3"]
+    };
     for (model, name) in models.into_iter().zip(["first", "second", "third", "fourth"]) {
         thread::sleep(Duration::from_millis(1500));
         short.push(send(model, name, 100));
@@ -42,11 +53,19 @@
         return Err(io::Error::other("the long stream did not begin"));
     }
     let orders = ["\"event\":\"order\""];
-    net.log_lines("side-a-21", &orders).iter().for_each(|line| record.line(format!("log of side-a-21: {line}")));
+    net.log_lines("side-a-21", &orders)
+        .iter()
+        .for_each(|line| record.line(format!("log of side-a-21: {line}")));
     Ok(match engine.excess() {
         Some(order) => {
-            record.line(format!("judged: the replica was ordered to load more than size_mb holds: {order}"));
-            record.line(format!("the long stream, which ran there: {} events of 80, complete: {}", seen.events.len(), seen.is_complete));
+            record.line(format!(
+                "judged: the replica was ordered to load more than size_mb holds: {order}"
+            ));
+            record.line(format!(
+                "the long stream, which ran there: {} events of 80, complete: {}",
+                seen.events.len(),
+                seen.is_complete
+            ));
             Verdict::Broken
         }
         None => Verdict::Held,
--- a/review/stage-3/src/store.rs
+++ b/review/stage-3/src/store.rs
@@ -52,9 +52,14 @@
                 "/chivelatch/log-read" => {
                     let from = head.query("from").and_then(|it| it.parse().ok()).unwrap_or(0);
                     let wait = head.query("wait_ms").and_then(|it| it.parse().ok()).unwrap_or(0);
-                    ("application/octet-stream", self.read(&topic, from, Duration::from_millis(wait)))
+                    (
+                        "application/octet-stream",
+                        self.read(&topic, from, Duration::from_millis(wait)),
+                    )
+                }
+                "/chivelatch/log-append" => {
+                    ("application/json", self.append(&topic, &body)?.into_bytes())
                 }
-                "/chivelatch/log-append" => ("application/json", self.append(&topic, &body)?.into_bytes()),
                 _ => ("text/plain", Vec::new()),
             };
             let length = answer.len();
@@ -127,7 +132,8 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for group in bytes.chunks(3) {
-        let bits = group.iter().fold(0u32, |bits, byte| bits << 8 | u32::from(*byte)) << (8 * (3 - group.len()));
+        let bits = group.iter().fold(0u32, |bits, byte| bits << 8 | u32::from(*byte))
+            << (8 * (3 - group.len()));
         for index in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * index) & 63) as usize];
             text.push(if index <= group.len() { digit as char } else { '=' });
--- a/review/stage-3/src/wire.rs
+++ b/review/stage-3/src/wire.rs
@@ -30,7 +30,11 @@
     /// Returns a value of the query.
     pub fn query(&self, name: &str) -> Option<&str> {
         let query = self.path().split_once('?')?.1;
-        query.split('&').filter_map(|it| it.split_once('=')).find(|(key, _)| *key == name).map(|it| it.1)
+        query
+            .split('&')
+            .filter_map(|it| it.split_once('='))
+            .find(|(key, _)| *key == name)
+            .map(|it| it.1)
     }
 }
 
