--- a/review/stage-3/src/engine.rs
+++ b/review/stage-3/src/engine.rs
@@ -5,7 +5,10 @@
 use std::{
     io,
     net::{SocketAddr, TcpListener},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -41,6 +44,7 @@
     runs: Arc<Mutex<Runs>>,
     sizes: Sizes,
     adapters: Arc<Mutex<Adapters>>,
+    is_draining: Arc<AtomicBool>,
 }
 
 /// What a replica holds at most, and the sizes of its model and of an adapter, in MB.
@@ -103,7 +107,7 @@
 
 impl Engine {
     pub fn start(
-        id: &str,
+        (id, version): (&str, &str),
         address: SocketAddr,
         (slots, queue, memory): (usize, usize, u64),
         sizes: Sizes,
@@ -116,7 +120,7 @@
         let engine = Engine {
             id: id.to_owned(),
             address,
-            version: "v1".to_owned(),
+            version: version.to_owned(),
             zone: "a".to_owned(),
             slots,
             queue,
@@ -126,6 +130,7 @@
             runs: Arc::default(),
             sizes,
             adapters: Arc::default(),
+            is_draining: Arc::default(),
         };
         let shared = engine.clone();
         thread::spawn(move || {
@@ -158,10 +163,18 @@
         Ok(engine)
     }
 
+    /// Reports that the replica drains; it goes on with what it has.
+    pub fn drain(&self, store: &Store) {
+        self.is_draining.store(true, Ordering::Relaxed);
+        store.put("keyed.servers", &self.id, self.entry(1000));
+        self.log("reports that it is draining".to_owned());
+    }
+
     fn entry(&self, seq: u64) -> String {
+        let state = if self.is_draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
         format!(
-            r#"{{"svc":"answers","address":"{}","zone":"{}","cfg_ver":"{}","slots":{},"state":"ready","cold_left_ms":0,"stage":"mixed","models":[{{"name":"{MODEL}","cfg_ver":1,"loras":[]}}],"seq":{seq},"born":{}}}"#,
-            self.address, self.zone, self.version, self.slots, self.born
+            r#"{{"svc":"answers","address":"{}","zone":"{}","cfg_ver":"{}","slots":{},"state":"{}","cold_left_ms":0,"stage":"mixed","models":[{{"name":"{MODEL}","cfg_ver":1,"loras":[]}}],"seq":{seq},"born":{}}}"#,
+            self.address, self.zone, self.version, self.slots, state, self.born
         )
     }
 
--- a/review/stage-3/src/silence.rs
+++ b/review/stage-3/src/silence.rs
@@ -23,14 +23,17 @@
 const AMPLE_MEMORY: u64 = 9000;
 
 pub fn run(root: &Path, record: &Record, has_trouble: bool) -> io::Result<Verdict> {
+    // The other way: the servers are not full, but a release has begun, and the new ones are of another version.
+    let is_release = std::env::var("WAY").is_ok_and(|it| it == "release");
+    let queue = if is_release { 192 } else { QUEUE };
     let net = Net::new()?;
     let store = Store::start(net.address(1, 0))?;
     let memory = if has_trouble { SCARCE_MEMORY } else { AMPLE_MEMORY };
     store.put("keyed.op", "config", client::manifest(SITE_SIZES, SLOTS, memory));
     let engine = Engine::start(
-        "i-7f3a91c2",
+        ("i-7f3a91c2", "v1"),
         net.app(21),
-        (SLOTS, QUEUE, memory),
+        (SLOTS, queue, memory),
         SITE_SIZES,
         &store,
         record,
@@ -54,13 +57,29 @@
     let older = send(12, "older", (1800, 800));
     thread::sleep(Duration::from_millis(200));
     let stream = send(11, "stream", (1460, 500));
+    let mut next = None;
+    if is_release {
+        let release = ("i-02d9e6b4", "v2");
+        next = Some(Engine::start(
+            release,
+            net.app(22),
+            (SLOTS, queue, memory),
+            SITE_SIZES,
+            &store,
+            record,
+        )?);
+        record.line("operator: a release begins; replica i-02d9e6b4 of v2 starts");
+        thread::sleep(Duration::from_millis(200));
+        engine.drain(&store);
+    }
     thread::sleep(Duration::from_millis(500));
     let stopped_at = record.now();
     record.line(format!("operator: SIGTERM to {}", stopping.name));
     stopping.signal("TERM")?;
     thread::sleep(Duration::from_millis(700));
     // Three more requests wait behind the preempted one.
-    let waiting = ["waiting-1", "waiting-2", "waiting-3"].map(|name| send(12, name, (500, 100)));
+    let waiting: &[&str] = if is_release { &[] } else { &["waiting-1", "waiting-2", "waiting-3"] };
+    let waiting: Vec<_> = waiting.iter().map(|name| send(12, name, (500, 100))).collect();
     let seen = stream.join().map_err(|_| io::Error::other("a client has failed"))?;
     for other in [older].into_iter().chain(waiting) {
         let _seen = other.join();
@@ -76,6 +95,7 @@
     net.log_lines(&stopping.name, &own)
         .iter()
         .for_each(|line| record.line(format!("log of {}: {line}", stopping.name)));
+    drop(next);
     let runs: Vec<_> = engine.done().into_iter().filter(|it| it.request == "stream").collect();
     if seen.status != 200 || seen.events.is_empty() || runs.is_empty() {
         return Err(io::Error::other("the stream did not begin"));
--- a/review/stage-3/src/sizes.rs
+++ b/review/stage-3/src/sizes.rs
@@ -21,8 +21,14 @@
     let net = Net::new()?;
     let store = Store::start(net.address(1, 0))?;
     store.put("keyed.op", "config", client::manifest(SIZES, SLOTS, MEMORY));
-    let engine =
-        Engine::start("i-7f3a91c2", net.app(21), (SLOTS, 192, MEMORY), SIZES, &store, record)?;
+    let engine = Engine::start(
+        ("i-7f3a91c2", "v1"),
+        net.app(21),
+        (SLOTS, 192, MEMORY),
+        SIZES,
+        &store,
+        record,
+    )?;
     let _side = Process::start(root, &net, store.address, "side", 21, "a")?;
     let _entry = Process::start(root, &net, store.address, "entry", 11, "a")?;
     fleet::wait_until_ready(net.ready(11), Duration::from_secs(15))?;
