Open a second attempt beside a silent one, and leave the first only for data of the second

Cause: the relay (three gaps without an event) and the attempt timeouts (twice the objective) took silence for the loss of the run. They had then only the second attempt, and each way in which that is not opened ended the answer. In the case the second attempt went to the very server that held the run, whose refusals used up the attempts.

Change: serving::hedge decides which attempt is left, gateway::hedge drives the race, for plain answers, first events and streams alike (job/attempt.rs, relay.rs). The server that holds the open run is not asked again; the first attempt is left at the first whole event, or whole answer, of the second; all other ends of the second return to the first.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -239,7 +239,8 @@
         let allowed =
             servers.iter().filter(|server| self.grant.allows_region(regions.get(&server.zone)));
         let compatible = allowed
-            .filter(|server| self.progress.admit(server).is_some() && !self.is_replaced(server));
+            .filter(|server| self.progress.admit(server).is_some() && !self.is_replaced(server))
+            .filter(|server| !self.is_held_by(server));
         let compatible = self.registered_first(entry, compatible.collect());
         let eligible = compatible.iter().filter(|server| !self.excluded.contains(&server.id));
         let eligible: Vec<&Listing> = eligible.copied().collect();
@@ -289,8 +290,15 @@
     }
 
     /// Returns the selection if earlier attempts have ruled out all servers that the request may
-    /// run on. A stream that has begun may go on at no others, so it waits for them.
+    /// run on. A stream that has begun may go on at no others, so it waits for them, unless another
+    /// attempt is open.
     fn without_eligible(&self, compatible: &[&Listing]) -> Selection {
+        if self.is_hedging() {
+            return Selection::Reject {
+                retry_after: DEFAULT_RETRY_AFTER,
+                reason: "no server but the silent one is left",
+            };
+        }
         match (self.progress.has_begun(), compatible.is_empty()) {
             (true, false) => Selection::AwaitExcluded,
             (true, true) => Selection::Reject {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,7 +3,14 @@
 //! Architecture Invariant: each failure states whether the request may have run. A refusal counts only
 //! if it can be about no other request (`serving::refusal`), and its connection carries no further one.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -43,8 +50,14 @@
     pub limit: Duration,
     /// Planned stop of this instance, which may end the attempt before.
     pub stop: &'a Stop,
+    pub is_sent: &'a SentFlag,
 }
 
+/// Whether the request of an attempt may have reached its server. Shared with the job, which needs to know
+/// if it drops the attempt.
+#[derive(Clone, Debug, Default)]
+pub struct SentFlag(Arc<AtomicBool>);
+
 /// Head of a response, with the body to be read.
 #[derive(Debug)]
 pub struct Reply {
@@ -112,6 +125,16 @@
     WrongServer,
 }
 
+impl SentFlag {
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn set(&self, is_sent: bool) {
+        self.0.store(is_sent, Ordering::Relaxed);
+    }
+}
+
 impl Failure {
     /// Returns whether the request certainly did not run.
     pub fn has_not_run(&self) -> bool {
@@ -135,12 +158,12 @@
     let server = &outbound.pass.server().clone();
     let (request_id, limit, stop) = (outbound.id, outbound.limit, outbound.stop);
     let (is_refused_again, is_checked) = (outbound.is_refused_before, outbound.check.is_some());
-    let mut is_sent = false;
-    let response = send_request(kernel, pool, outbound, &mut is_sent);
+    let is_sent = outbound.is_sent;
+    let response = send_request(kernel, pool, outbound);
     let outcome = stop.timeout(&kernel.clock, limit, response).await;
     let (response, connection) = match outcome {
         Ok(outcome) => outcome?,
-        Err(_) if is_sent => return Err(Failure::TimedOut),
+        Err(_) if is_sent.get() => return Err(Failure::TimedOut),
         Err(_) => {
             return Err(Failure::Unreachable {
                 reason: "no connection before the timeout".to_owned(),
@@ -208,15 +231,14 @@
 }
 
 /// Sends a request on a pooled or new connection. A pooled connection that was closed before the
-/// request was sent is replaced. `is_sent` is set while the request may have reached the server, so
+/// request was sent is replaced. The flag is set while the request may have reached the server, so
 /// that the caller can tell after a timeout.
 async fn send_request(
     kernel: &Kernel,
     pool: &Pool,
     outbound: Outbound<'_>,
-    is_sent: &mut bool,
 ) -> Result<(hyper::Response<Body>, Connection), Failure> {
-    let Outbound { mut pass, check, mut request, limit, .. } = outbound;
+    let Outbound { mut pass, check, mut request, limit, is_sent, .. } = outbound;
     let address = pass.server().address;
     loop {
         let mut connection = match pool.take(address, MAX_REUSE_IDLE) {
@@ -239,7 +261,7 @@
                 Err(error) => return Err(Failure::Unreachable { reason: error.to_string() }),
             }
         }
-        *is_sent = true;
+        is_sent.set(true);
         pass.record_use();
         match connection.send(request).await {
             Ok(response) => return Ok((response, connection)),
@@ -253,7 +275,7 @@
                 });
             }
             Err(SendError::NotSent(unsent)) => {
-                *is_sent = false;
+                is_sent.set(false);
                 request = *unsent;
             }
         }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -4,6 +4,7 @@
 //! retry budget and the servers allow it. One that may have run is sent again
 //! only if its route's retry policy and number of attempts allow that, too.
 
+pub mod attempt;
 mod failure;
 mod rejection;
 mod take_up;
@@ -22,30 +23,25 @@
 use fleet::suspect::Identity;
 use kernel::event::Event;
 use services::{
-    body::{self, Incomplete, Tail},
+    body::{self, Tail},
     pool::Connection,
 };
 use serving::{Moment, Name, directory::Listing, manifest::Grant, origin::Progress, selection};
 use smallvec::SmallVec;
 
 use crate::{
-    answer::{self, Rejection, check_head, end_to_end},
+    answer::{self, Rejection, end_to_end},
     end::End,
     entry::Entry,
-    exchange::{self, Failure, Outbound, Reply},
-    gate::Pass,
+    exchange::SentFlag,
     in_flight::InFlight,
+    job::attempt::{Held, Unanswered, Whole},
     ports::{self, RequestMeta, ResponseMeta, ServerNames},
     quarantine::{self, HeldTrial},
-    serve::DEFAULT_RETRY_AFTER,
 };
 
 /// Assumed number of prompt tokens if the request does not state it.
 const DEFAULT_PROMPT_TOKENS: u64 = 500;
-/// Largest plain response, in bytes; it is kept until it is whole.
-const MAX_PLAIN_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
-/// Multiple of the route's objective after which an attempt times out, if another one is allowed.
-const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
 /// Number of urgency levels of routes. The account's urgency takes precedence over them.
 const ROUTE_URGENCY_LEVELS: u8 = 3;
 /// Typical latency of a plain service, as a share of the route's objective.
@@ -76,7 +72,7 @@
     pub replaced: SmallVec<[(Name, u64); 2]>,
     /// Servers that have refused the request.
     refused_by: ServerNames,
-    /// Number of attempts that may have run.
+    /// Number of attempts that may have run, open ones included.
     pub runs: u32,
     /// Number of attempts, without those whose server was unreachable.
     pub attempts: u32,
@@ -86,6 +82,10 @@
     pub trial: Option<HeldTrial>,
     /// Server of the current attempt.
     server: Option<Listing>,
+    /// Whether the request of the current attempt was sent.
+    sent: SentFlag,
+    /// Attempts that are open beside the current one, since their servers are silent.
+    held: SmallVec<[Held; 1]>,
     /// Whether the caller got a whole response or a rejection.
     is_finished: bool,
 }
@@ -135,6 +135,8 @@
             has_timed_out: false,
             trial: None,
             server: None,
+            sent: SentFlag::default(),
+            held: SmallVec::new(),
             is_finished: false,
         }
     }
@@ -159,6 +161,11 @@
         self.can_rerun() && self.runs < self.grant.route.attempts
     }
 
+    /// Returns whether a stream that has begun may go on in another attempt.
+    pub fn can_resume(&self) -> bool {
+        self.can_retry() && self.progress != Progress::Unknown
+    }
+
     /// Sends a stream's request until a server sends the first chunk.
     ///
     /// # Errors
@@ -168,17 +175,9 @@
         &mut self,
         entry: &Arc<Entry>,
     ) -> Result<(Upstream, Bytes), Rejection> {
-        loop {
-            let mut upstream = self.send_until_accepted(entry).await?;
-            match self.first_chunk(entry, &mut upstream).await {
-                Ok(chunk) => {
-                    upstream.in_flight.record_first_event();
-                    return Ok((upstream, chunk));
-                }
-                Err(failure) => {
-                    self.handle_broken_response(entry, &upstream.server, &failure).await?;
-                }
-            }
+        match self.run(entry, &attempt::STREAM).await {
+            Ok(opened) | Err(Unanswered::Failed(opened)) => Ok(opened),
+            Err(Unanswered::Rejected(rejection)) => Err(rejection),
         }
     }
 
@@ -189,101 +188,26 @@
     ///
     /// Returns the rejection if there was no whole response.
     pub async fn fetch(&mut self, entry: &Arc<Entry>) -> Result<Response<Body>, Rejection> {
-        let mut last_error_response: Option<Response<Body>> = None;
-        loop {
-            let upstream = match self.send_until_accepted(entry).await {
-                Ok(upstream) => upstream,
-                Err(rejection) => return last_error_response.ok_or(rejection),
-            };
-            let server = upstream.server.clone();
-            match self.read_response(entry, upstream).await {
-                Ok(response) if response.status().is_server_error() && self.can_retry() => {
-                    log::info!(
-                        event = Event::ServerError, request = &*self.meta.id, server = &*server.id,
-                        status = response.status().as_u16();
-                        "the server failed the request; retrying on another one"
-                    );
-                    self.excluded.push(server.id);
-                    last_error_response = Some(response);
-                }
-                Ok(response) => return Ok(response),
-                Err(failure) => {
-                    let handled = self.handle_broken_response(entry, &server, &failure).await;
-                    if let Err(rejection) = handled {
-                        return last_error_response.ok_or(rejection);
-                    }
-                }
-            }
+        match self.run(entry, &attempt::PLAIN).await {
+            Ok(whole) | Err(Unanswered::Failed(whole)) => Ok(self.respond(entry, whole)),
+            Err(Unanswered::Rejected(rejection)) => Err(rejection),
         }
     }
 
-    /// Sends the request until a server accepts it. Returns the head of the response.
-    async fn send_until_accepted(&mut self, entry: &Arc<Entry>) -> Result<Upstream, Rejection> {
-        loop {
-            let (server, tokens_ahead, pass) = self.select(entry).await?;
-            if 0 < self.attempts && !self.try_spend_retry(entry, &server) {
-                return Err(
-                    self.final_rejection("the budget of repeats is used up", DEFAULT_RETRY_AFTER)
-                );
-            }
-            match self.send(entry, &server, tokens_ahead, pass).await {
-                Ok(upstream) => {
-                    self.runs += 1;
-                    return Ok(upstream);
-                }
-                Err(failure) => self.handle_send_failure(entry, &server, &failure).await?,
-            }
-        }
-    }
-
-    /// Sends the request to one server.
-    async fn send(
-        &mut self,
-        entry: &Arc<Entry>,
-        server: &Listing,
-        tokens_ahead: u64,
-        pass: Pass,
-    ) -> Result<Upstream, Failure> {
-        let sent_at = entry.now();
-        let remaining = self.remaining(entry);
-        let in_flight = InFlight::new(entry, server, self, tokens_ahead);
-        let request = self.build_request(entry, server, remaining);
-        log::info!(
-            event = Event::Sent, request = &*self.meta.id, server = &*server.id,
-            version = &*server.version, resumes = self.meta.first_attempt.as_deref().unwrap_or(""),
-            last_event = &*self.last_event_name(),
-            fingerprint:% = self.identity.fingerprint.short(),
-            attributes = self.identity.attribute_names(),
-            left_ms = remaining.as_millis() as u64, tokens_ahead, sends = self.attempts,
-            account = self.account_name(), units = self.charge.map_or(0, |(units, _)| units);
-            "sending the request to a server"
-        );
-        metrics::counter!("chivelatch_sends_total").increment(1);
-        self.attempts += 1;
-        self.server = Some(server.clone());
-        let outbound = Outbound {
-            pass,
-            check: self.process_check(entry, server),
-            id: &self.meta.id,
-            is_refused_before: self.refused_by.contains(&server.id),
-            request,
-            limit: self.attempt_timeout(entry, self.runs + 1),
-            stop: &entry.stop,
-        };
-        let read_head =
-            |head: &response::Parts| entry.read_head(server, &self.meta.id, sent_at, head);
-        let reply = exchange::send(&entry.kernel, &entry.pool, outbound, read_head);
-        let Reply { head, meta, mut body, connection } =
-            reply.await.map_err(|failure| match failure {
-                Failure::TimedOut => self.timeout_failure(entry),
-                failure => failure,
-            })?;
-        entry.record_sign_of_life(server, entry.moment(connection.opened_at), sent_at);
-        let server = server.clone();
-        if self.grant.route.retry_policy.is_stream() && head.status.is_success() {
-            body.expect_events();
-        }
-        Ok(Upstream { head, meta, body, connection, in_flight, server })
+    /// Returns the response to the caller of a plain request.
+    fn respond(&mut self, entry: &Entry, whole: Whole) -> Response<Body> {
+        let Whole { head, body, framing, server } = whole;
+        self.record_completion(entry, head.status);
+        let outcome = answer::outcome(head.status);
+        let end = End { outcome, framing, tail: Tail::NoEvents, bytes: body.len() as u64 };
+        self.log_end(entry, &server.id, &end);
+        let mut headers = end_to_end(&head.headers);
+        headers.remove(CONTENT_LENGTH);
+        let body = Full::new(body).map_err(|never| match never {}).boxed_unsync();
+        let mut response = Response::new(body);
+        *response.status_mut() = head.status;
+        *response.headers_mut() = headers;
+        response
     }
 
     fn build_request(
@@ -307,75 +231,6 @@
         request
     }
 
-    /// Reads a plain response to its end.
-    async fn read_response(
-        &mut self,
-        entry: &Entry,
-        upstream: Upstream,
-    ) -> Result<Response<Body>, Failure> {
-        let Upstream { head, meta, body, connection, mut in_flight, server } = upstream;
-        let framing = body.framing();
-        let body = body.collect_into(entry.kernel.memory.buffer(MAX_PLAIN_RESPONSE_BYTES));
-        let body = entry.timeout(self.attempt_timeout(entry, self.runs), body).await;
-        let body = body.map_err(|_| self.timeout_failure(entry))?;
-        let body = body.map_err(|error| Failure::Disconnected { reason: error.to_string() })?;
-        check_head(&head, &meta)?;
-        in_flight.record_first_event();
-        in_flight.end();
-        if !meta.closes_connection {
-            entry.pool.release(connection, meta.keep_alive);
-        }
-        entry.record_response(&server.id, head.status.is_server_error());
-        self.record_completion(entry, head.status);
-        let outcome = answer::outcome(head.status);
-        let end = End { outcome, framing, tail: Tail::NoEvents, bytes: body.len() as u64 };
-        self.log_end(entry, &server.id, &end);
-        let mut headers = end_to_end(&head.headers);
-        headers.remove(CONTENT_LENGTH);
-        let body = Full::new(body).map_err(|never| match never {}).boxed_unsync();
-        let mut response = Response::new(body);
-        *response.status_mut() = head.status;
-        *response.headers_mut() = headers;
-        Ok(response)
-    }
-
-    /// Waits for the first chunk of a stream. The body of an error response may be empty.
-    async fn first_chunk(&self, entry: &Entry, upstream: &mut Upstream) -> Result<Bytes, Failure> {
-        check_head(&upstream.head, &upstream.meta)?;
-        let limit = self.attempt_timeout(entry, self.runs);
-        let frame = entry.timeout(limit, upstream.body.frame()).await;
-        match frame {
-            Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
-            Ok(None) => Ok(Bytes::new()),
-            Ok(Some(Err(error @ Incomplete::NoEvent))) => {
-                Err(Failure::Broken { reason: error.to_string() })
-            }
-            Ok(Some(Err(error))) => Err(Failure::Disconnected { reason: error.to_string() }),
-            Err(_) => Err(self.timeout_failure(entry)),
-        }
-    }
-
-    /// Returns the timeout of an attempt: the remaining time, or less if another one is allowed.
-    /// `runs` counts the attempts that may have run, this one included.
-    fn attempt_timeout(&self, entry: &Entry, runs: u32) -> Duration {
-        let remaining = self.remaining(entry);
-        if !self.can_rerun() || self.grant.route.attempts <= runs {
-            return remaining;
-        }
-        remaining.min(self.grant.route.objective * ATTEMPT_TIMEOUT_FACTOR)
-    }
-
-    /// Returns the failure of an attempt that timed out: [`Failure::TimedOut`] at the deadline of
-    /// the request, or else [`Failure::Broken`], so that another attempt may follow.
-    fn timeout_failure(&self, entry: &Entry) -> Failure {
-        if self.remaining(entry).is_zero() {
-            return Failure::TimedOut;
-        }
-        Failure::Broken {
-            reason: "no complete response before the timeout of the attempt".to_owned(),
-        }
-    }
-
     fn try_spend_retry(&self, entry: &Entry, server: &Listing) -> bool {
         let now = entry.now();
         let instances = entry.limiter.lock().instance_count(now);
@@ -446,8 +301,10 @@
                 runs = self.runs;
                 "the client disconnected before its response was complete"
             );
-            if let Some(server) = self.server.take() {
-                let (attempt, trial) = self.take_attempt();
+            let trial = self.trial.take();
+            let current = self.server.take().map(|server| Held { server, trial });
+            for Held { server, trial } in self.held.drain(..).chain(current) {
+                let attempt = failure::attempt(&self.identity, trial.as_ref(), self.entry.now());
                 let (entry, request) = (Arc::clone(&self.entry), self.meta.id.clone());
                 self.entry.kernel.spawn_detached(async move {
                     entry.examine_abandoned(request, server, attempt).await;
--- /dev/null
+++ b/crates/gateway/src/job/attempt.rs
@@ -0,0 +1,433 @@
+//! Attempts of a request at backend servers. While one is silent, another one may be opened beside it.
+//!
+//! Architecture Invariant: an attempt that is open is dropped only if another one yields data, if its own
+//! outcome is known, at the request's deadline, or when the caller leaves.
+
+use std::{pin::Pin, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::{StatusCode, http::response::Parts};
+
+use kernel::event::Event;
+use services::{BoxFuture, body::Incomplete, framing::Framing};
+use serving::{
+    Moment,
+    directory::Listing,
+    hedge::{self, Outcome},
+};
+
+use crate::{
+    answer::{Rejection, check_head},
+    entry::Entry,
+    exchange::{self, Failure, Outbound, Reply, SentFlag},
+    gate::Pass,
+    hedge::race,
+    in_flight::InFlight,
+    job::{Job, Upstream},
+    quarantine::HeldTrial,
+    serve::DEFAULT_RETRY_AFTER,
+};
+
+/// Largest plain response, in bytes; it is kept until it is whole.
+const MAX_PLAIN_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+
+/// Reads a response as far as needed before anything of it goes to the caller, until the deadline.
+type Read<T> = fn(Arc<Entry>, Upstream, Moment) -> BoxFuture<Result<T, Failure>>;
+
+/// How the responses of attempts are read.
+pub(super) struct Reading<T> {
+    read: Read<T>,
+    status: fn(&T) -> StatusCode,
+    /// Whether a response with this status yields only if there is no other one.
+    is_failure: fn(StatusCode) -> bool,
+    /// Whether the request is sent again after a failure that a server states.
+    retries_failures: bool,
+}
+
+/// Streams, up to the first chunk.
+pub(super) static STREAM: Reading<(Upstream, Bytes)> = Reading {
+    read: |entry, upstream, deadline| Box::pin(read_first_chunk(entry, upstream, deadline)),
+    status: |(upstream, _)| upstream.head.status,
+    is_failure: |status| !status.is_success(),
+    retries_failures: false,
+};
+
+/// Plain responses, to the end.
+pub(super) static PLAIN: Reading<Whole> = Reading {
+    read: |entry, upstream, deadline| Box::pin(read_whole(entry, upstream, deadline)),
+    status: |whole| whole.head.status,
+    is_failure: |status| status.is_server_error(),
+    retries_failures: true,
+};
+
+/// Whole plain response.
+pub(super) struct Whole {
+    pub head: Parts,
+    pub body: Bytes,
+    pub framing: Framing,
+    pub server: Listing,
+}
+
+/// Attempt that is open while another one is opened beside it.
+pub struct Held {
+    pub server: Listing,
+    pub(super) trial: Option<HeldTrial>,
+}
+
+/// Reason why no attempt yields a usable answer.
+pub(super) enum Unanswered<T> {
+    /// The server's own failure.
+    Failed(T),
+    Rejected(Rejection),
+}
+
+/// End of the race between a silent attempt and the one opened beside it.
+#[derive(Clone, Copy, Debug)]
+pub enum HedgeEnd {
+    /// The silent one goes on.
+    First,
+    /// The other one has taken over.
+    Second,
+    /// The other one was not opened, for this reason. The silent one is still open.
+    ReadOn(&'static str),
+    /// The silent one was lost, and the other one was not opened.
+    Neither(&'static str),
+}
+
+/// Attempt that is under way.
+struct Attempt<T> {
+    server: Listing,
+    outcome: BoxFuture<Result<T, Failure>>,
+}
+
+/// Future of [`Job::run`], which may run itself for a second attempt.
+type Run<'a, T> = Pin<Box<dyn Future<Output = Result<T, Unanswered<T>>> + Send + 'a>>;
+
+impl Job {
+    /// Sends the request until an attempt yields a usable answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Unanswered`] if no further attempt is possible.
+    pub(super) fn run<'a, T: Send + 'static>(
+        &'a mut self,
+        entry: &'a Arc<Entry>,
+        reading: &'static Reading<T>,
+    ) -> Run<'a, T> {
+        Box::pin(async move {
+            let mut failed: Option<T> = None;
+            loop {
+                let attempt = match self.start(entry, reading).await {
+                    Ok(attempt) => attempt,
+                    Err(rejection) => return Err(Unanswered::new(failed, rejection)),
+                };
+                let server = attempt.server.clone();
+                let outcome = self.finish(entry, attempt, reading, &mut failed).await;
+                let answer = match outcome {
+                    Ok(answer) => answer,
+                    Err(failure) => match self.handle_failure(entry, &server, &failure).await {
+                        Ok(()) => continue,
+                        Err(rejection) => return Err(Unanswered::new(failed, rejection)),
+                    },
+                };
+                let status = (reading.status)(&answer);
+                if !(reading.is_failure)(status) {
+                    return Ok(answer);
+                }
+                if !reading.retries_failures || !self.can_retry() {
+                    return Err(Unanswered::Failed(answer));
+                }
+                self.exclude_failing(entry, &server, status);
+                failed = Some(answer);
+            }
+        })
+    }
+
+    /// Sends the request to a server, once one takes it.
+    async fn start<T: Send + 'static>(
+        &mut self,
+        entry: &Arc<Entry>,
+        reading: &'static Reading<T>,
+    ) -> Result<Attempt<T>, Rejection> {
+        let (server, tokens_ahead, pass) = self.select(entry).await?;
+        if 0 < self.attempts && !self.try_spend_retry(entry, &server) {
+            return Err(
+                self.final_rejection("the budget of repeats is used up", DEFAULT_RETRY_AFTER)
+            );
+        }
+        let upstream = self.send(entry, &server, tokens_ahead, pass);
+        let (entry, deadline) = (Arc::clone(entry), self.deadline);
+        let outcome = Box::pin(async move {
+            let upstream = upstream.await?;
+            (reading.read)(entry, upstream, deadline).await
+        });
+        Ok(Attempt { server, outcome })
+    }
+
+    /// Waits for the outcome of an attempt. If it is silent, opens another one meanwhile. `failed` is set if
+    /// the other one's server fails the request.
+    async fn finish<T: Send + 'static>(
+        &mut self,
+        entry: &Arc<Entry>,
+        mut attempt: Attempt<T>,
+        reading: &'static Reading<T>,
+        failed: &mut Option<T>,
+    ) -> Result<T, Failure> {
+        let mut is_suspected = false;
+        loop {
+            if let Some(outcome) = self.outcome_before_silence(entry, &mut attempt).await {
+                return outcome;
+            }
+            if !std::mem::replace(&mut is_suspected, true) {
+                entry.record_failure(&attempt.server.id);
+            }
+            let depth = self.begin_hedge(&attempt.server);
+            let first = async {
+                match attempt.outcome.as_mut().await {
+                    Ok(answer) if !(reading.is_failure)((reading.status)(&answer)) => Ok(answer),
+                    lost => Err(lost),
+                }
+            };
+            match race(first, self.run(entry, reading)).await {
+                Outcome::First(answer) => {
+                    self.end_hedge(depth, HedgeEnd::First);
+                    return Ok(answer);
+                }
+                Outcome::Second { data, lost } => {
+                    let held = self.leave_held(depth);
+                    if let Some(Err(Failure::Disconnected { .. })) = lost {
+                        self.examine_detached(entry, held);
+                    }
+                    return Ok(data);
+                }
+                Outcome::ReadOn(unanswered) => {
+                    self.end_hedge(depth, HedgeEnd::ReadOn(unanswered.reason()));
+                    *failed = unanswered.into_failed().or(failed.take());
+                }
+                Outcome::Neither { lost, refused } => {
+                    self.end_hedge(depth, HedgeEnd::Neither(refused.reason()));
+                    *failed = refused.into_failed().or(failed.take());
+                    return lost;
+                }
+            }
+        }
+    }
+
+    /// Waits for the outcome of an attempt. Returns `None` if it is silent for so long that another one may
+    /// be opened.
+    async fn outcome_before_silence<T>(
+        &self,
+        entry: &Entry,
+        attempt: &mut Attempt<T>,
+    ) -> Option<Result<T, Failure>> {
+        if !self.can_retry() {
+            return Some(attempt.outcome.as_mut().await);
+        }
+        let limit = hedge::answer_silence(self.grant.route.objective);
+        entry.kernel.clock.timeout(limit, attempt.outcome.as_mut()).await.ok()
+    }
+
+    /// Sets the current attempt, whose server is silent, aside while another one is opened. Returns how many
+    /// were set aside before.
+    pub fn begin_hedge(&mut self, server: &Listing) -> usize {
+        log::info!(
+            event = Event::Hedge, request = &*self.meta.id, server = &*server.id, outcome = "begun";
+            "the server is silent; opening another attempt"
+        );
+        self.server = None;
+        self.held.push(Held { server: server.clone(), trial: self.trial.take() });
+        self.held.len() - 1
+    }
+
+    /// Returns to the attempt that was set aside. One that was opened beside it is dropped.
+    pub fn end_hedge(&mut self, depth: usize, end: HedgeEnd) {
+        if self.server.is_some() && !self.sent.get() {
+            self.runs -= 1;
+        }
+        let Some(Held { server, trial }) = self.take_held(depth, end) else { return };
+        self.server = Some(server);
+        self.trial = trial;
+        // They may be tried again at the next silence.
+        self.excluded.clear();
+    }
+
+    /// Returns the attempt that was set aside, since another one has taken over.
+    pub fn leave_held(&mut self, depth: usize) -> Option<Held> {
+        self.take_held(depth, HedgeEnd::Second)
+    }
+
+    fn take_held(&mut self, depth: usize, end: HedgeEnd) -> Option<Held> {
+        let (outcome, reason) = (end.name(), end.reason());
+        metrics::counter!("chivelatch_hedges_total", "outcome" => outcome).increment(1);
+        let held = self.held.drain(depth..).next()?;
+        log::info!(
+            event = Event::Hedge, request = &*self.meta.id, server = &*held.server.id, outcome,
+            reason;
+            "the race with the silent server has ended"
+        );
+        Some(held)
+    }
+
+    /// Returns whether an attempt is being opened beside a silent one.
+    pub fn is_hedging(&self) -> bool {
+        !self.held.is_empty()
+    }
+
+    /// Returns whether an attempt is open at a server while another one is opened.
+    pub fn is_held_by(&self, server: &Listing) -> bool {
+        let is_same =
+            |held: &Held| (&held.server.id, held.server.born_ms) == (&server.id, server.born_ms);
+        self.held.iter().any(is_same)
+    }
+
+    /// Excludes a server that failed the request, which is sent to another one.
+    fn exclude_failing(&mut self, entry: &Entry, server: &Listing, status: StatusCode) {
+        log::info!(
+            event = Event::ServerError, request = &*self.meta.id, server = &*server.id,
+            status = status.as_u16();
+            "the server failed the request; retrying on another one"
+        );
+        self.record_completion(entry, status);
+        self.excluded.push(server.id.clone());
+    }
+
+    /// Sends the request to one server. The future yields the response up to its head; the request is sent
+    /// when it is first polled.
+    fn send(
+        &mut self,
+        entry: &Arc<Entry>,
+        server: &Listing,
+        tokens_ahead: u64,
+        pass: Pass,
+    ) -> impl Future<Output = Result<Upstream, Failure>> + Send + use<> {
+        let (sent_at, remaining) = (entry.now(), self.remaining(entry));
+        let in_flight = InFlight::new(entry, server, self, tokens_ahead);
+        let request = self.build_request(entry, server, remaining);
+        self.log_send(server, remaining, tokens_ahead);
+        self.attempts += 1;
+        self.runs += 1;
+        self.server = Some(server.clone());
+        self.sent = SentFlag::default();
+        let (check, is_sent) = (self.process_check(entry, server), self.sent.clone());
+        let is_refused_before = self.refused_by.contains(&server.id);
+        let is_stream = self.grant.route.retry_policy.is_stream();
+        let (entry, server, id) = (Arc::clone(entry), server.clone(), self.meta.id.clone());
+        async move {
+            let outbound = Outbound {
+                pass,
+                check,
+                id: &id,
+                is_refused_before,
+                request,
+                limit: remaining,
+                stop: &entry.stop,
+                is_sent: &is_sent,
+            };
+            let read_head = |head: &Parts| entry.read_head(&server, &id, sent_at, head);
+            let reply = exchange::send(&entry.kernel, &entry.pool, outbound, read_head).await?;
+            let Reply { head, meta, mut body, connection } = reply;
+            entry.record_sign_of_life(&server, entry.moment(connection.opened_at), sent_at);
+            if is_stream && head.status.is_success() {
+                body.expect_events();
+            }
+            Ok(Upstream { head, meta, body, connection, in_flight, server })
+        }
+    }
+
+    fn log_send(&self, server: &Listing, remaining: Duration, tokens_ahead: u64) {
+        log::info!(
+            event = Event::Sent, request = &*self.meta.id, server = &*server.id,
+            version = &*server.version, resumes = self.meta.first_attempt.as_deref().unwrap_or(""),
+            last_event = &*self.last_event_name(),
+            fingerprint:% = self.identity.fingerprint.short(),
+            attributes = self.identity.attribute_names(),
+            left_ms = remaining.as_millis() as u64, tokens_ahead, sends = self.attempts,
+            account = self.account_name(), units = self.charge.map_or(0, |(units, _)| units);
+            "sending the request to a server"
+        );
+        metrics::counter!("chivelatch_sends_total").increment(1);
+    }
+}
+
+impl<T> Unanswered<T> {
+    /// Prefers a server's own failure to a rejection.
+    fn new(failed: Option<T>, rejection: Rejection) -> Unanswered<T> {
+        failed.map_or(Unanswered::Rejected(rejection), Unanswered::Failed)
+    }
+
+    fn reason(&self) -> &'static str {
+        match self {
+            Unanswered::Failed(_) => "the other server failed the request",
+            Unanswered::Rejected(rejection) => rejection.reason,
+        }
+    }
+
+    fn into_failed(self) -> Option<T> {
+        match self {
+            Unanswered::Failed(answer) => Some(answer),
+            Unanswered::Rejected(_) => None,
+        }
+    }
+}
+
+impl HedgeEnd {
+    /// Returns the name for logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            HedgeEnd::First => "first",
+            HedgeEnd::Second => "second",
+            HedgeEnd::ReadOn(_) => "not_opened",
+            HedgeEnd::Neither(_) => "neither",
+        }
+    }
+
+    /// Returns why the other attempt was not opened, for logs.
+    fn reason(self) -> &'static str {
+        match self {
+            HedgeEnd::First | HedgeEnd::Second => "",
+            HedgeEnd::ReadOn(reason) | HedgeEnd::Neither(reason) => reason,
+        }
+    }
+}
+
+/// Waits for the first chunk of a stream. The body of an error response may be empty.
+async fn read_first_chunk(
+    entry: Arc<Entry>,
+    mut upstream: Upstream,
+    deadline: Moment,
+) -> Result<(Upstream, Bytes), Failure> {
+    check_head(&upstream.head, &upstream.meta)?;
+    let frame = entry.timeout_at(deadline, upstream.body.frame()).await;
+    let chunk = match frame.map_err(|_| Failure::TimedOut)? {
+        Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        None => Bytes::new(),
+        Some(Err(error @ Incomplete::NoEvent)) => {
+            return Err(Failure::Broken { reason: error.to_string() });
+        }
+        Some(Err(error)) => return Err(Failure::Disconnected { reason: error.to_string() }),
+    };
+    upstream.in_flight.record_first_event();
+    Ok((upstream, chunk))
+}
+
+/// Reads a plain response to its end, and returns its connection to the pool.
+async fn read_whole(
+    entry: Arc<Entry>,
+    upstream: Upstream,
+    deadline: Moment,
+) -> Result<Whole, Failure> {
+    let Upstream { head, meta, body, connection, mut in_flight, server } = upstream;
+    let framing = body.framing();
+    let body = body.collect_into(entry.kernel.memory.buffer(MAX_PLAIN_RESPONSE_BYTES));
+    let body = entry.timeout_at(deadline, body).await.map_err(|_| Failure::TimedOut)?;
+    let body = body.map_err(|error| Failure::Disconnected { reason: error.to_string() })?;
+    check_head(&head, &meta)?;
+    in_flight.record_first_event();
+    in_flight.end();
+    if !meta.closes_connection {
+        entry.pool.release(connection, meta.keep_alive);
+    }
+    entry.record_response(&server.id, head.status.is_server_error());
+    Ok(Whole { head, body, framing, server })
+}
--- a/crates/gateway/src/job/failure.rs
+++ b/crates/gateway/src/job/failure.rs
@@ -3,36 +3,39 @@
 
 use std::sync::Arc;
 
+use event_listener::EventListener;
+use fleet::suspect::Identity;
 use hyper::StatusCode;
+
 use kernel::event::Event;
-use serving::{breakage::Attempt, directory::Listing};
+use serving::{Moment, breakage::Attempt, directory::Listing};
 
 use crate::{
     answer::Rejection,
     entry::Entry,
     exchange::{Failure, NotRunReason},
-    job::Job,
+    job::{Job, attempt::Held},
     quarantine::HeldTrial,
     serve::DEFAULT_RETRY_AFTER,
 };
 
 impl Job {
-    /// Handles an attempt that yielded no usable response head.
+    /// Handles an attempt that yielded no usable response.
     ///
     /// # Errors
     ///
     /// Returns the rejection if no further attempt is possible.
-    pub(super) async fn handle_send_failure(
+    pub(super) async fn handle_failure(
         &mut self,
         entry: &Arc<Entry>,
         server: &Listing,
         failure: &Failure,
     ) -> Result<(), Rejection> {
         if !failure.has_not_run() {
-            self.runs += 1;
             return self.handle_broken_response(entry, server, failure).await;
         }
         self.server = None;
+        self.runs -= 1;
         metrics::counter!("chivelatch_not_run_total").increment(1);
         log::info!(
             event = Event::NotRun, request = &*self.meta.id, server = &*server.id;
@@ -68,7 +71,7 @@
     /// # Errors
     ///
     /// Returns the rejection if no further attempt is possible.
-    pub(super) async fn handle_broken_response(
+    async fn handle_broken_response(
         &mut self,
         entry: &Arc<Entry>,
         server: &Listing,
@@ -98,10 +101,29 @@
     /// Finds out whether a server has crashed under this request, before it is sent to another one.
     /// The caller may leave meanwhile.
     pub async fn examine_break(&mut self, entry: &Arc<Entry>, server: &Listing) {
-        let (attempt, trial) = self.take_attempt();
+        let trial = self.trial.take();
         self.server = None;
-        let examination =
-            Arc::clone(entry).examine_break(self.meta.id.clone(), server.clone(), attempt);
+        let examined = self.start_examination(entry, server.clone(), trial);
+        if self.can_retry() {
+            let _ended_or_no_time_left = entry.timeout(self.remaining(entry), examined).await;
+        }
+    }
+
+    /// Finds out whether a server has crashed under an attempt that another one has replaced.
+    pub fn examine_detached(&self, entry: &Arc<Entry>, held: Option<Held>) {
+        let Some(Held { server, trial }) = held else { return };
+        let _examined = self.start_examination(entry, server, trial);
+    }
+
+    /// Starts to find out whether a server has crashed under an attempt. Returns the end of that.
+    fn start_examination(
+        &self,
+        entry: &Arc<Entry>,
+        server: Listing,
+        trial: Option<HeldTrial>,
+    ) -> EventListener {
+        let attempt = attempt(&self.identity, trial.as_ref(), entry.now());
+        let examination = Arc::clone(entry).examine_break(self.meta.id.clone(), server, attempt);
         let ended = Arc::new(event_listener::Event::new());
         let end = ended.listen();
         entry.kernel.spawn_detached(async move {
@@ -110,17 +132,7 @@
             drop(trial);
             ended.notify(usize::MAX);
         });
-        if self.can_retry() {
-            let _ended_or_no_time_left = entry.timeout(self.remaining(entry), end).await;
-        }
-    }
-
-    /// Returns the current attempt as a suspect, with its trial.
-    pub(super) fn take_attempt(&mut self) -> (Attempt, Option<HeldTrial>) {
-        let trial = self.trial.take();
-        let on_trial =
-            trial.as_ref().map(|held| held.trial.suspects(self.entry.now())).unwrap_or_default();
-        (Attempt { request: self.identity.clone(), on_trial }, trial)
+        end
     }
 
     /// Records that a server completed a run of this request.
@@ -146,3 +158,9 @@
         });
     }
 }
+
+/// Returns an attempt of a request as a suspect.
+pub(super) fn attempt(request: &Identity, trial: Option<&HeldTrial>, now: Moment) -> Attempt {
+    let on_trial = trial.map(|held| held.trial.suspects(now)).unwrap_or_default();
+    Attempt { request: request.clone(), on_trial }
+}
--- a/crates/gateway/src/job/take_up.rs
+++ b/crates/gateway/src/job/take_up.rs
@@ -169,6 +169,11 @@
         }
     }
 
+    /// Records that the server of a stream has ended it while another one was about to take it.
+    pub fn record_broken_off(&self, entry: &Entry) {
+        entry.record_broken_off(&self.stream_key(&self.meta.id));
+    }
+
     /// Returns the check of a server's process before a stream goes on there, unless its listing
     /// states no start.
     pub(super) fn process_check(&self, entry: &Entry, server: &Listing) -> Option<ProcessCheck> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod gate;
+pub mod hedge;
 pub mod in_flight;
 pub mod job;
 pub mod listen;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,8 +3,11 @@
 //! A resumable stream is forwarded in whole events, so that after a failure the
 //! next server can continue after the last event that the caller has. Any other
 //! stream is forwarded as it arrives and ends with the server's connection.
+//!
+//! While a server is silent, the stream is opened at another one, and read on from
+//! whichever yields an event first.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use front::body::{self, Body, Truncated};
@@ -18,19 +21,21 @@
     event_stream::{self, Splitter},
     pool::Connection,
 };
-use serving::{directory::Listing, origin::Progress};
+use serving::{
+    Moment,
+    directory::Listing,
+    hedge::{self, Outcome},
+};
 
 use crate::{
     end::End,
     entry::Entry,
+    hedge::race,
     in_flight::InFlight,
-    job::{Job, Upstream},
+    job::{Job, Upstream, attempt::HedgeEnd},
     ports::ResponseMeta,
 };
 
-/// Silence after which a stream is resumed on another server, as a multiple of the expected gap
-/// between events.
-const SILENCE_FACTOR: u32 = 3;
 /// Largest event of a resumable stream, in bytes; it is kept until it is whole.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
@@ -39,12 +44,8 @@
     entry: Arc<Entry>,
     job: Job,
     source: Source,
-    /// Set for resumable streams only.
-    events: Option<EventBuffer>,
-    /// Memory of the event that is not whole yet.
-    memory: Reservation,
-    /// Data that was read and not forwarded yet.
-    buffered: Option<Bytes>,
+    /// What was read and not forwarded yet.
+    buffered: Option<Step>,
     forwarded_bytes: u64,
 }
 
@@ -56,6 +57,10 @@
     connection: Connection,
     in_flight: InFlight,
     server: Listing,
+    /// Set for resumable streams only.
+    events: Option<EventBuffer>,
+    /// Memory of the event that is not whole yet.
+    memory: Reservation,
 }
 
 /// Buffer that splits a stream into whole events.
@@ -65,10 +70,15 @@
     last_id: Option<Bytes>,
 }
 
-/// Result of reading from the source.
+/// What a source yields.
 enum Step {
     Chunk(Bytes),
     End,
+}
+
+/// Reason why nothing more comes from a source.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
     Broken(&'static str),
     /// The connection ended before the response was whole.
     Disconnected(&'static str),
@@ -78,18 +88,9 @@
 impl Relay {
     /// Starts to relay a response whose first chunk has arrived.
     pub fn new(entry: &Arc<Entry>, job: Job, upstream: Upstream, first: Bytes) -> Relay {
-        let is_resumable = job.can_rerun();
-        let mut relay = Relay {
-            entry: Arc::clone(entry),
-            job,
-            source: Source::new(upstream),
-            events: is_resumable.then(EventBuffer::default),
-            memory: entry.kernel.memory.reserve(),
-            buffered: None,
-            forwarded_bytes: 0,
-        };
-        relay.buffered = relay.complete_events(first);
-        relay
+        let mut source = Source::new(entry, &job, upstream);
+        let buffered = source.complete_events(first).map(Step::Chunk);
+        Relay { entry: Arc::clone(entry), job, source, buffered, forwarded_bytes: 0 }
     }
 
     /// Returns the body of the response to the caller.
@@ -112,30 +113,21 @@
     async fn next(&mut self) -> Option<Result<Bytes, Truncated>> {
         loop {
             let step = match self.buffered.take() {
-                Some(chunk) => Step::Chunk(chunk),
-                None => self.read_step().await,
+                Some(step) => Ok(step),
+                None => self.read().await,
             };
             match step {
-                Step::Chunk(chunk) => {
-                    if self.events.is_some() {
+                Ok(Step::Chunk(chunk)) => {
+                    if self.source.events.is_some() {
                         self.job.begin_stream(&self.entry, &self.source.server).await;
                     }
                     self.forwarded_bytes += chunk.len() as u64;
                     return Some(Ok(chunk));
                 }
-                Step::End => return None,
-                Step::TimedOut => {
-                    self.log_end("timed_out");
-                    return Some(Err(Truncated));
-                }
-                Step::Broken(reason) | Step::Disconnected(reason) => {
-                    let is_broken_off = matches!(step, Step::Disconnected(_));
-                    self.job.review_progress(&self.entry, is_broken_off).await;
-                    if is_broken_off {
-                        self.job.examine_break(&self.entry, &self.source.server).await;
-                    }
-                    if !self.resume(reason).await {
-                        self.log_end(reason);
+                Ok(Step::End) => return None,
+                Err(loss) => {
+                    if !self.resume(loss).await {
+                        self.log_end(loss.name());
                         return Some(Err(Truncated));
                     }
                 }
@@ -143,95 +135,108 @@
         }
     }
 
-    /// Reads until there is something to forward or the source ends.
-    async fn read_step(&mut self) -> Step {
-        // Bytes of an event that does not get whole are no sign of life.
-        let silent_at = self.silence_limit().map(|silence| self.entry.now() + silence);
+    /// Reads from the source. While it is silent, opens the stream at another server, which may become the
+    /// source.
+    async fn read(&mut self) -> Result<Step, Loss> {
+        let mut is_suspected = false;
         loop {
-            let remaining = self.job.remaining(&self.entry);
-            let silence = silent_at.map(|at| at.saturating_sub(self.entry.now()));
-            let limit = silence.map_or(remaining, |silence| silence.min(remaining));
-            let frame = self.entry.timeout(limit, self.source.body.frame()).await;
-            let chunk = match frame {
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(Some(Err(incomplete @ Incomplete::NoEvent))) => {
-                    return Step::Broken(incomplete.name());
-                }
-                Ok(Some(Err(incomplete))) => return Step::Disconnected(incomplete.name()),
-                Ok(None) => return self.end_of_source(),
-                Err(_) if self.job.remaining(&self.entry).is_zero() => return Step::TimedOut,
-                Err(_) => return Step::Broken("silent"),
-            };
-            if let Some(chunk) = self.complete_events(chunk) {
-                return Step::Chunk(chunk);
+            if let Some(step) = self.read_before_silence().await {
+                return step;
             }
-            let rest = self.events.as_ref().map_or(0, |events| events.splitter.rest_len());
-            if MAX_EVENT_BYTES < rest || self.memory.resize(rest).is_err() {
-                return Step::Broken("event_too_large");
+            if !std::mem::replace(&mut is_suspected, true) {
+                self.entry.record_failure(&self.source.server.id);
+            }
+            self.name_last_event();
+            let deadline = self.job.deadline;
+            let depth = self.job.begin_hedge(&self.source.server);
+            let second = open_elsewhere(&self.entry, &mut self.job);
+            match race(self.source.read(&self.entry, deadline), second).await {
+                Outcome::First(step) => {
+                    self.job.end_hedge(depth, HedgeEnd::First);
+                    return Ok(step);
+                }
+                Outcome::Second { data, lost } => {
+                    self.leave_source(depth, lost);
+                    let (source, step) = data;
+                    self.source = source;
+                    return Ok(step);
+                }
+                Outcome::ReadOn(reason) => {
+                    self.job.end_hedge(depth, HedgeEnd::ReadOn(reason));
+                }
+                Outcome::Neither { lost, refused } => {
+                    self.job.end_hedge(depth, HedgeEnd::Neither(refused));
+                    return Err(lost);
+                }
             }
         }
     }
 
-    /// Returns the step at the end of the source. What may follow the last event, such as a
-    /// comment, is forwarded as it is.
-    fn end_of_source(&mut self) -> Step {
-        let rest = self.events.as_mut().map(|events| events.splitter.take_rest());
-        match rest.filter(|rest| !rest.is_empty()) {
-            Some(rest) => Step::Chunk(rest),
-            None => Step::End,
+    /// Reads from the source. Returns `None` if it is silent for so long that another attempt may be opened.
+    /// A stream that cannot be resumed may be silent until its deadline.
+    async fn read_before_silence(&mut self) -> Option<Result<Step, Loss>> {
+        let deadline = self.job.deadline;
+        let read = self.source.read(&self.entry, deadline);
+        if !self.job.can_resume() {
+            return Some(read.await);
         }
+        let limit = hedge::stream_silence(self.job.event_gap());
+        self.entry.kernel.clock.timeout(limit, read).await.ok()
     }
 
-    /// Returns the silence after which the stream is resumed. A stream that cannot be resumed may
-    /// be silent until its deadline.
-    fn silence_limit(&self) -> Option<Duration> {
-        self.events.as_ref()?;
-        self.job.can_retry().then(|| self.job.event_gap() * SILENCE_FACTOR)
+    /// Names the last whole event in further attempts.
+    fn name_last_event(&mut self) {
+        let last_id = self.source.events.as_ref().and_then(|events| events.last_id.clone());
+        self.job.last_event_id = last_id.or(self.job.last_event_id.take());
     }
 
-    /// Returns the data to forward after reading `chunk`, if there is any.
-    fn complete_events(&mut self, chunk: Bytes) -> Option<Bytes> {
-        let chunk = match &mut self.events {
-            Some(events) => events.push(&chunk),
-            None => chunk,
-        };
-        (!chunk.is_empty()).then_some(chunk)
+    /// Records that another attempt takes over from the source, which may have been lost meanwhile.
+    fn leave_source(&mut self, depth: usize, lost: Option<Loss>) {
+        let held = self.job.leave_held(depth);
+        if let Some(Loss::Disconnected(_)) = lost {
+            self.job.record_broken_off(&self.entry);
+            self.job.examine_detached(&self.entry, held);
+        }
     }
 
-    /// Resumes the stream on another server after the last whole event. Returns `false` if that is
-    /// not possible.
-    async fn resume(&mut self, reason: &'static str) -> bool {
-        let Some(events) = &mut self.events else { return false };
-        if !self.job.can_retry() || self.job.progress == Progress::Unknown {
+    /// Resumes the stream on another server after the last whole event, since the source is lost. Returns
+    /// `false` if that is not possible.
+    async fn resume(&mut self, loss: Loss) -> bool {
+        if let Loss::TimedOut = loss {
             return false;
         }
-        events.splitter = Splitter::default();
-        self.job.last_event_id = events.last_id.clone().or(self.job.last_event_id.take());
+        let is_broken_off = matches!(loss, Loss::Disconnected(_));
+        self.job.review_progress(&self.entry, is_broken_off).await;
+        if is_broken_off {
+            self.job.examine_break(&self.entry, &self.source.server).await;
+        }
+        if !self.job.can_resume() {
+            return false;
+        }
+        self.name_last_event();
         log::info!(
             event = Event::Resume, request = &*self.job.meta.id,
-            server = &*self.source.server.id, version = &*self.source.server.version, reason;
+            server = &*self.source.server.id, version = &*self.source.server.version,
+            reason = loss.name();
             "resuming the stream on another server"
         );
         self.entry.record_failure(&self.source.server.id);
         self.source.in_flight.end();
-        let (upstream, first) = match self.job.open_stream(&self.entry).await {
-            Ok(opened) => opened,
-            Err(rejection) => {
+        match open_source(&self.entry, &mut self.job).await {
+            Ok((source, step)) => {
+                self.source = source;
+                self.buffered = Some(step);
+                true
+            }
+            Err(reason) => {
                 log::info!(
                     event = Event::Resume, request = &*self.job.meta.id,
-                    version = self.job.progress.version().map_or("", |it| &**it),
-                    reason = rejection.reason;
+                    version = self.job.progress.version().map_or("", |it| &**it), reason;
                     "the stream cannot be resumed"
                 );
-                return false;
+                false
             }
-        };
-        if !upstream.head.status.is_success() {
-            return false;
         }
-        self.source = Source::new(upstream);
-        self.buffered = self.complete_events(first);
-        true
     }
 
     /// Records the complete response and returns the connection to the pool.
@@ -257,7 +262,7 @@
 }
 
 impl Source {
-    fn new(upstream: Upstream) -> Source {
+    fn new(entry: &Entry, job: &Job, upstream: Upstream) -> Source {
         Source {
             status: upstream.head.status,
             body: upstream.body,
@@ -265,6 +270,60 @@
             connection: upstream.connection,
             in_flight: upstream.in_flight,
             server: upstream.server,
+            events: job.can_rerun().then(EventBuffer::default),
+            memory: entry.kernel.memory.reserve(),
+        }
+    }
+
+    /// Reads until there is something to forward or the source ends. Nothing is lost if the future is
+    /// dropped.
+    async fn read(&mut self, entry: &Entry, deadline: Moment) -> Result<Step, Loss> {
+        loop {
+            let frame = entry.timeout_at(deadline, self.body.frame()).await;
+            let chunk = match frame.map_err(|_| Loss::TimedOut)? {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(incomplete @ Incomplete::NoEvent)) => {
+                    return Err(Loss::Broken(incomplete.name()));
+                }
+                Some(Err(incomplete)) => return Err(Loss::Disconnected(incomplete.name())),
+                None => return Ok(self.end()),
+            };
+            if let Some(chunk) = self.complete_events(chunk) {
+                return Ok(Step::Chunk(chunk));
+            }
+            let rest = self.events.as_ref().map_or(0, |events| events.splitter.rest_len());
+            if MAX_EVENT_BYTES < rest || self.memory.resize(rest).is_err() {
+                return Err(Loss::Broken("event_too_large"));
+            }
+        }
+    }
+
+    /// Returns the step at the end of the source. What may follow the last event, such as a
+    /// comment, is forwarded as it is.
+    fn end(&mut self) -> Step {
+        let rest = self.events.as_mut().map(|events| events.splitter.take_rest());
+        match rest.filter(|rest| !rest.is_empty()) {
+            Some(rest) => Step::Chunk(rest),
+            None => Step::End,
+        }
+    }
+
+    /// Returns the data to forward after reading `chunk`, if there is any.
+    fn complete_events(&mut self, chunk: Bytes) -> Option<Bytes> {
+        let chunk = match &mut self.events {
+            Some(events) => events.push(&chunk),
+            None => chunk,
+        };
+        (!chunk.is_empty()).then_some(chunk)
+    }
+}
+
+impl Loss {
+    /// Returns the name for logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Loss::Broken(name) | Loss::Disconnected(name) => name,
+            Loss::TimedOut => "timed_out",
         }
     }
 }
@@ -289,3 +348,40 @@
 fn last_id(events: &Bytes) -> Option<Bytes> {
     event_stream::field(events, b"id").last().map(|id| events.slice_ref(id))
 }
+
+/// Opens a stream that has begun at another server than the silent one. Returns why not, if so.
+async fn open_elsewhere(entry: &Arc<Entry>, job: &mut Job) -> Result<(Source, Step), &'static str> {
+    job.review_progress(entry, false).await;
+    if !job.can_resume() {
+        return Err("the version that began the stream is in doubt");
+    }
+    open_source(entry, job).await
+}
+
+/// Opens a stream that has begun at another server, and reads up to the first step there. Returns why
+/// not, if so.
+async fn open_source(entry: &Arc<Entry>, job: &mut Job) -> Result<(Source, Step), &'static str> {
+    loop {
+        let opened = job.open_stream(entry).await;
+        let (upstream, first) = opened.map_err(|rejection| rejection.reason)?;
+        if !upstream.head.status.is_success() {
+            return Err("the server failed the request");
+        }
+        let mut source = Source::new(entry, job, upstream);
+        if let Some(chunk) = source.complete_events(first) {
+            return Ok((source, Step::Chunk(chunk)));
+        }
+        let loss = match source.read(entry, job.deadline).await {
+            Ok(step) => return Ok((source, step)),
+            Err(loss) => loss,
+        };
+        entry.record_failure(&source.server.id);
+        if let Loss::Disconnected(_) = loss {
+            job.examine_break(entry, &source.server).await;
+        }
+        if !job.can_resume() {
+            return Err(loss.name());
+        }
+        job.excluded.push(source.server.id);
+    }
+}
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -92,6 +92,20 @@
     ) -> Result<T, Timeout> {
         self.stop.timeout(&self.kernel.clock, limit, future).await
     }
+
+    /// The same until a deadline.
+    ///
+    /// # Errors
+    ///
+    /// [`Timeout`], see [`Entry::timeout`].
+    pub async fn timeout_at<T>(
+        &self,
+        deadline: Moment,
+        future: impl Future<Output = T>,
+    ) -> Result<T, Timeout> {
+        let limit = self.stop.limit(deadline).saturating_sub(self.now());
+        self.timeout(limit, future).await
+    }
 }
 
 /// Returns the rejection of a request that the instance cannot serve before it exits.
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -105,6 +105,9 @@
     Quarantine = "quarantine",
     /// A server answered a request with an error; it is retried on another server.
     ServerError = "server_error",
+    /// A server is silent and another attempt is opened beside its own, or that has ended: `outcome` is the
+    /// attempt that is left.
+    Hedge = "hedge",
     /// A stream resumes on another server.
     Resume = "resume",
     /// A caller takes up a stream that began in an earlier attempt.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod demand;
 pub mod directory;
 pub mod evacuation;
+pub mod hedge;
 pub mod limit;
 pub mod manifest;
 pub mod mirror;
