Take bytes whose status is that of no final response for no response

Cause: the HTTP library parses any three digits from 100 on and returns 101 to who sent the request; nobody checked.

Change: services::http::check_status where a response enters a process: the pool's connections and single exchanges.

--- a/crates/services/src/http.rs
+++ b/crates/services/src/http.rs
@@ -2,8 +2,11 @@
 //!
 //! Errors state whether the request may have taken effect, so that callers know
 //! when a retry is safe.
+//!
+//! Invariant: a response has a final status, 200 to 599 (RFC 9110, section 15). Bytes with another
+//! one are no response, and nothing that they say is read.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, ops::Range, time::Duration};
 
 use async_net::TcpStream;
 use bytes::Bytes;
@@ -24,6 +27,10 @@
 /// Largest buffer for bytes that a connection has received and nobody has read.
 pub(crate) const MAX_READ_BUFFER: usize = 64 * 1024;
 
+/// Status codes of final responses. The HTTP library skips interim ones, but for 101, which ends the
+/// protocol; no request asks for that.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// Failure of a request to a service.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
@@ -73,7 +80,8 @@
 ///
 /// # Errors
 ///
-/// [`Error::Connect`] before the connection is established, [`Error::Exchange`] afterwards.
+/// [`Error::Connect`] before the connection is established, [`Error::Exchange`] or
+/// [`Error::Unreadable`] afterwards.
 pub async fn send(
     kernel: &Kernel,
     address: SocketAddr,
@@ -94,6 +102,7 @@
     set_host(&mut request, address);
     let response = sender.send_request(request).await.context(ExchangeSnafu)?;
     head_budget.end();
+    check_status(&response)?;
     Ok(Body::of(response))
 }
 
@@ -101,7 +110,7 @@
 ///
 /// # Errors
 ///
-/// Those of [`send`], [`Error::Timeout`], [`Error::Unreadable`], and [`Error::Status`] for a status
+/// Those of [`send`], [`Error::Timeout`], and [`Error::Status`] for a status
 /// other than 2xx or 304.
 pub async fn fetch(
     kernel: &Kernel,
@@ -129,6 +138,19 @@
     request.headers_mut().insert(HOST, host);
 }
 
+/// Checks that a response has a final status.
+///
+/// # Errors
+///
+/// [`Error::Unreadable`] if not.
+pub(crate) fn check_status<B>(response: &Response<B>) -> Result<(), Error> {
+    let status = response.status().as_u16();
+    if FINAL_STATUSES.contains(&status) {
+        return Ok(());
+    }
+    Err(Error::Unreadable { reason: format!("{status} is the status of no final response") })
+}
+
 /// Reads the whole body of a response.
 ///
 /// # Errors
--- a/crates/services/src/pool.rs
+++ b/crates/services/src/pool.rs
@@ -78,8 +78,8 @@
 pub enum SendError {
     /// The connection closed before anything was written; holds the request for a retry.
     NotSent(Box<Request<Full<Bytes>>>),
-    /// The connection failed afterwards; the request may have taken effect.
-    Broken(hyper::Error),
+    /// The connection failed afterwards, or what came is no response; the request may have taken effect.
+    Broken(Error),
 }
 
 impl Pool {
@@ -178,7 +178,7 @@
             };
             let response = match connection.send(request).await {
                 Ok(response) => response,
-                Err(SendError::Broken(source)) => return Err(Error::Exchange { source }),
+                Err(SendError::Broken(error)) => return Err(error),
                 Err(SendError::NotSent(request)) => {
                     connection = self.connect(address, timeout).await?;
                     connection.send(*request).await.map_err(SendError::into_error)?
@@ -239,10 +239,12 @@
         self.head_budget.start();
         let sent = self.sender.try_send_request(request).await;
         self.head_budget.end();
-        sent.map(Body::of).map_err(|mut error| match error.take_message() {
+        let response = sent.map_err(|mut error| match error.take_message() {
             Some(request) => SendError::NotSent(Box::new(request)),
-            None => SendError::Broken(error.into_error()),
-        })
+            None => SendError::Broken(Error::Exchange { source: error.into_error() }),
+        })?;
+        http::check_status(&response).map_err(SendError::Broken)?;
+        Ok(Body::of(response))
     }
 }
 
@@ -252,7 +254,7 @@
             SendError::NotSent(_) => Error::Unreadable {
                 reason: "the connection closed before the request was written".to_owned(),
             },
-            SendError::Broken(source) => Error::Exchange { source },
+            SendError::Broken(error) => error,
         }
     }
 }
--- a/crates/services/tests/pool.rs
+++ b/crates/services/tests/pool.rs
@@ -1,6 +1,6 @@
 //! Tests of the pool of idle connections.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_net::TcpListener;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -120,3 +120,42 @@
         assert_eq!(kernel.memory.used(), 0);
     });
 }
+
+/// Starts a server that writes `response` to each request.
+async fn start_fixed_server(kernel: &Kernel, response: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (spawner, response) = (kernel.clone(), Arc::new(response));
+    kernel.spawn_detached(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let response = Arc::clone(&response);
+            spawner.spawn_detached(async move {
+                let mut request = [0; 1024];
+                while stream.read(&mut request).await.is_ok_and(|length| 0 < length) {
+                    stream.write_all(response.as_bytes()).await.unwrap();
+                }
+            });
+        }
+    });
+    address
+}
+
+// Guards against bytes that are no response and that a client of any service gets as one.
+#[test]
+fn returns_no_response_without_a_final_status() {
+    for status in [101, 600, 777, 999] {
+        kernel::run(1, |kernel| async move {
+            let response = format!("HTTP/1.1 {status} None\r\nContent-Length: 3\r\n\r\nodd");
+            let address = start_fixed_server(&kernel, response).await;
+            let pool = Pool::new(&kernel);
+
+            let pooled = pool.fetch(address, http::get("/"), TIMEOUT, MAX_BYTES).await;
+            let single = http::send(&kernel, address, http::get("/")).await;
+
+            for error in [pooled.map(|_| ()).unwrap_err(), single.map(|_| ()).unwrap_err()] {
+                assert!(matches!(error, http::Error::Unreadable { .. }), "{status}: {error}");
+                assert!(!error.is_without_effect(), "{status}");
+            }
+        });
+    }
+}
