--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -327,8 +327,8 @@
             None if !self.progress.has_begun() => {
                 rejection::first_event_limit(route, route.urgency, remaining)
             }
-            // A request that already waits, or a stream that has begun, is rejected only if the first event is not expected
-            // within the time that the callers of the route wait for it.
+            // A request that already waits, or a stream that has begun, is rejected only if the first event is
+            // not expected within the time that the callers of the route wait for it.
             _ => rejection::first_event_budget(route, remaining + context.waited),
         };
         let expected = choice.expected + context.waited;
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -4,8 +4,9 @@
 //! retry budget and the servers allow it. One that may have run is sent again
 //! only if its route's retry policy and number of attempts allow that, too.
 
-pub mod attempt;
+mod attempt;
 mod failure;
+pub mod held;
 mod rejection;
 mod take_up;
 
@@ -35,7 +36,10 @@
     entry::Entry,
     exchange::SentFlag,
     in_flight::InFlight,
-    job::attempt::{Held, Unanswered, Whole},
+    job::{
+        attempt::{Unanswered, Whole},
+        held::Held,
+    },
     ports::{self, RequestMeta, ResponseMeta, ServerNames},
     quarantine::{self, HeldTrial},
 };
--- a/crates/gateway/src/job/attempt.rs
+++ b/crates/gateway/src/job/attempt.rs
@@ -24,8 +24,7 @@
     gate::Pass,
     hedge::race,
     in_flight::InFlight,
-    job::{Job, Upstream},
-    quarantine::HeldTrial,
+    job::{Job, Upstream, held::HedgeEnd},
     serve::DEFAULT_RETRY_AFTER,
 };
 
@@ -69,12 +68,6 @@
     pub server: Listing,
 }
 
-/// Attempt that is open while another one is opened beside it.
-pub struct Held {
-    pub server: Listing,
-    pub(super) trial: Option<HeldTrial>,
-}
-
 /// Reason why no attempt yields a usable answer.
 pub(super) enum Unanswered<T> {
     /// The server's own failure.
@@ -82,19 +75,6 @@
     Rejected(Rejection),
 }
 
-/// End of the race between a silent attempt and the one opened beside it.
-#[derive(Clone, Copy, Debug)]
-pub enum HedgeEnd {
-    /// The silent one goes on.
-    First,
-    /// The other one has taken over.
-    Second,
-    /// The other one was not opened, for this reason. The silent one is still open.
-    ReadOn(&'static str),
-    /// The silent one was lost, and the other one was not opened.
-    Neither(&'static str),
-}
-
 /// Attempt that is under way.
 struct Attempt<T> {
     server: Listing,
@@ -174,12 +154,12 @@
         reading: &'static Reading<T>,
         failed: &mut Option<T>,
     ) -> Result<T, Failure> {
-        let mut is_suspected = false;
+        let mut is_failure_recorded = false;
         loop {
             if let Some(outcome) = self.outcome_before_silence(entry, &mut attempt).await {
                 return outcome;
             }
-            if !std::mem::replace(&mut is_suspected, true) {
+            if !std::mem::replace(&mut is_failure_recorded, true) {
                 entry.record_failure(&attempt.server.id);
             }
             let depth = self.begin_hedge(&attempt.server);
@@ -228,59 +208,6 @@
         entry.kernel.clock.timeout(limit, attempt.outcome.as_mut()).await.ok()
     }
 
-    /// Sets the current attempt, whose server is silent, aside while another one is opened. Returns how many
-    /// were set aside before.
-    pub fn begin_hedge(&mut self, server: &Listing) -> usize {
-        log::info!(
-            event = Event::Hedge, request = &*self.meta.id, server = &*server.id, outcome = "begun";
-            "the server is silent; opening another attempt"
-        );
-        self.server = None;
-        self.held.push(Held { server: server.clone(), trial: self.trial.take() });
-        self.held.len() - 1
-    }
-
-    /// Returns to the attempt that was set aside. One that was opened beside it is dropped.
-    pub fn end_hedge(&mut self, depth: usize, end: HedgeEnd) {
-        if self.server.is_some() && !self.sent.get() {
-            self.runs -= 1;
-        }
-        let Some(Held { server, trial }) = self.take_held(depth, end) else { return };
-        self.server = Some(server);
-        self.trial = trial;
-        // They may be tried again at the next silence.
-        self.excluded.clear();
-    }
-
-    /// Returns the attempt that was set aside, since another one has taken over.
-    pub fn leave_held(&mut self, depth: usize) -> Option<Held> {
-        self.take_held(depth, HedgeEnd::Second)
-    }
-
-    fn take_held(&mut self, depth: usize, end: HedgeEnd) -> Option<Held> {
-        let (outcome, reason) = (end.name(), end.reason());
-        metrics::counter!("chivelatch_hedges_total", "outcome" => outcome).increment(1);
-        let held = self.held.drain(depth..).next()?;
-        log::info!(
-            event = Event::Hedge, request = &*self.meta.id, server = &*held.server.id, outcome,
-            reason;
-            "the race with the silent server has ended"
-        );
-        Some(held)
-    }
-
-    /// Returns whether an attempt is being opened beside a silent one.
-    pub fn is_hedging(&self) -> bool {
-        !self.held.is_empty()
-    }
-
-    /// Returns whether an attempt is open at a server while another one is opened.
-    pub fn is_held_by(&self, server: &Listing) -> bool {
-        let is_same =
-            |held: &Held| (&held.server.id, held.server.born_ms) == (&server.id, server.born_ms);
-        self.held.iter().any(is_same)
-    }
-
     /// Excludes a server that failed the request, which is sent to another one.
     fn exclude_failing(&mut self, entry: &Entry, server: &Listing, status: StatusCode) {
         log::info!(
@@ -371,26 +298,6 @@
     }
 }
 
-impl HedgeEnd {
-    /// Returns the name for logs and metrics.
-    fn name(self) -> &'static str {
-        match self {
-            HedgeEnd::First => "first",
-            HedgeEnd::Second => "second",
-            HedgeEnd::ReadOn(_) => "not_opened",
-            HedgeEnd::Neither(_) => "neither",
-        }
-    }
-
-    /// Returns why the other attempt was not opened, for logs.
-    fn reason(self) -> &'static str {
-        match self {
-            HedgeEnd::First | HedgeEnd::Second => "",
-            HedgeEnd::ReadOn(reason) | HedgeEnd::Neither(reason) => reason,
-        }
-    }
-}
-
 /// Waits for the first chunk of a stream. The body of an error response may be empty.
 async fn read_first_chunk(
     entry: Arc<Entry>,
--- a/crates/gateway/src/job/failure.rs
+++ b/crates/gateway/src/job/failure.rs
@@ -14,7 +14,7 @@
     answer::Rejection,
     entry::Entry,
     exchange::{Failure, NotRunReason},
-    job::{Job, attempt::Held},
+    job::{Job, held::Held},
     quarantine::HeldTrial,
     serve::DEFAULT_RETRY_AFTER,
 };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -32,7 +32,7 @@
     entry::Entry,
     hedge::race,
     in_flight::InFlight,
-    job::{Job, Upstream, attempt::HedgeEnd},
+    job::{Job, Upstream, held::HedgeEnd},
     ports::ResponseMeta,
 };
 
@@ -138,12 +138,12 @@
     /// Reads from the source. While it is silent, opens the stream at another server, which may become the
     /// source.
     async fn read(&mut self) -> Result<Step, Loss> {
-        let mut is_suspected = false;
+        let mut is_failure_recorded = false;
         loop {
             if let Some(step) = self.read_before_silence().await {
                 return step;
             }
-            if !std::mem::replace(&mut is_suspected, true) {
+            if !std::mem::replace(&mut is_failure_recorded, true) {
                 self.entry.record_failure(&self.source.server.id);
             }
             self.name_last_event();
--- a/crates/serving/src/origin.rs
+++ b/crates/serving/src/origin.rs
@@ -3,9 +3,9 @@
 //! takes it up in another attempt.
 //!
 //! The instance that sends the first event of a stream to its caller records its [`Origin`] and tells
-//! a few other processes, its holders, which are chosen by [`holders`]. Whoever gets the caller's next attempt
-//! asks them. A record is never guessed: what contradicts itself, or is not known, lets nothing go
-//! on.
+//! a few other processes, its holders, which are chosen by [`holders`]. Whoever gets the caller's next
+//! attempt asks them. A record is never guessed: what contradicts itself, or is not known, lets nothing
+//! go on.
 
 use std::{
     collections::{BTreeSet, HashMap},
