--- a/review/rig-3/src/cases/broken_failure.rs
+++ b/review/rig-3/src/cases/broken_failure.rs
@@ -29,6 +29,7 @@
         }],
         idle_routes: 0,
         services: vec![("aide", true)],
+        models: vec!["base"],
         keys: vec![KEY],
     };
     system.store.put("keyed.op", "config", &manifest.text());
--- a/review/rig-3/src/cases/slow_clients.rs
+++ b/review/rig-3/src/cases/slow_clients.rs
@@ -140,6 +140,7 @@
         routes: vec![route("page", "pages"), route("file", "files")],
         idle_routes: 8,
         services: vec![("pages", false), ("files", false)],
+        models: vec!["base"],
         keys: vec![KEY],
     };
     manifest.text()
--- a/review/rig-3/src/cases/starved_config.rs
+++ b/review/rig-3/src/cases/starved_config.rs
@@ -133,6 +133,7 @@
         ],
         idle_routes: 350,
         services: vec![("desk-old", false), ("desk-new", false), ("files", false)],
+        models: vec!["base"],
         keys: keys.to_vec(),
     };
     manifest.text()
--- a/review/rig-3/src/replica.rs
+++ b/review/rig-3/src/replica.rs
@@ -1,6 +1,7 @@
 //! Stand-in for a replica: answers as its case says, and as a sound one does where the case says nothing.
 
 use std::{
+    collections::HashMap,
     io::{self, Write},
     net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -27,8 +28,11 @@
     pub zone: String,
     pub record: Record,
     process: Arc<Mutex<Process>>,
+    /// Versions that the weight store has.
+    pub newest: Versions,
     channels: Arc<Mutex<Vec<TcpStream>>>,
     is_down: Arc<AtomicBool>,
+    has_overflowed: Arc<AtomicBool>,
 }
 
 /// The running process of a replica.
@@ -37,14 +41,32 @@
     pub born_ms: u64,
     /// Version of its software.
     pub version: String,
-    /// Time from which it holds the base model; `None` before the order to load it.
-    loaded_at: Option<Instant>,
+    /// Base models, with the time from which it holds each.
+    models: Vec<(String, Instant)>,
+    /// Adapters that it holds or loads.
+    adapters: Vec<Adapter>,
     /// Orders that it has accepted.
     orders: u64,
 }
 
+#[derive(Clone)]
+struct Adapter {
+    model: String,
+    name: String,
+    version: u64,
+    /// Time from which it is held.
+    held_at: Instant,
+}
+
+/// Newest versions of adapters, by base model and name; 1 if there is none.
+pub type Versions = Arc<Mutex<HashMap<(String, String), u64>>>;
+
 /// Time in which the base model is loaded from the replica's own disk.
 const LOAD_TIME: Duration = Duration::from_millis(720);
+/// Time in which an adapter is loaded.
+const ADAPTER_TIME: Duration = Duration::from_millis(250);
+/// Adapters that a replica holds, those on their way included; an order for more crashes it.
+pub const LORA_SLOTS: usize = 6;
 
 impl Replica {
     pub fn start(
@@ -65,11 +87,14 @@
             process: Arc::new(Mutex::new(Process {
                 born_ms: 1_780_000_000_000,
                 version: "v1".to_owned(),
-                loaded_at: Some(Instant::now()),
+                models: vec![("base".to_owned(), Instant::now())],
+                adapters: Vec::new(),
                 orders: 0,
             })),
+            newest: Versions::default(),
             channels: Arc::default(),
             is_down: Arc::default(),
+            has_overflowed: Arc::default(),
         };
         let (shared, handler): (_, Arc<Handler>) = (replica.clone(), Arc::new(handler));
         thread::spawn(move || shared.accept(listener, &handler));
@@ -113,12 +138,13 @@
                 continue;
             }
             if target.starts_with("/chivelatch/order") {
-                let status = self.take_order(&request);
+                let Some(status) = self.take_order(&request) else { return Ok(()) };
                 write(stream, &format!("HTTP/1.1 {status}\r\nContent-Length: 2\r\n\r\n{{}}"))?;
                 continue;
             }
             let expected = request.head.get("x-chivelatch-expect-replica");
-            let lacks_model = request.head.get("x-chivelatch-model").is_some() && !self.has_model();
+            let lacks_model =
+                request.head.get("x-chivelatch-model").is_some_and(|model| !self.holds(model));
             if lacks_model || expected.is_some_and(|expected| expected != self.id) {
                 let id = request.head.id();
                 write(
@@ -160,7 +186,8 @@
         *process = Process {
             born_ms: process.born_ms + 60_000,
             version: version.to_owned(),
-            loaded_at: None,
+            models: Vec::new(),
+            adapters: Vec::new(),
             orders: 0,
         };
         drop(process);
@@ -168,33 +195,95 @@
         self.note(&format!("starts again under its name, with software {version}"));
     }
 
-    fn has_model(&self) -> bool {
-        self.process().loaded_at.is_some_and(|at| at <= Instant::now())
+    /// Returns whether an order has ever named more adapters than there are places.
+    pub fn has_overflowed(&self) -> bool {
+        self.has_overflowed.load(Ordering::Relaxed)
+    }
+
+    /// Makes the process hold another base model from now on.
+    pub fn add_model(&self, name: &str) {
+        self.process.lock().unwrap().models.push((name.to_owned(), Instant::now()));
+    }
+
+    /// Returns whether it holds a base model, or an adapter that is named after its base model and a slash.
+    fn holds(&self, model: &str) -> bool {
+        let (process, now) = (self.process(), Instant::now());
+        let (base, adapter) = model.split_once('/').unwrap_or((model, ""));
+        let has_model = process.models.iter().any(|(name, at)| name == base && *at <= now);
+        has_model && (adapter.is_empty() || self.version_of(model).is_some())
+    }
+
+    /// Returns the version of an adapter that it holds.
+    pub fn version_of(&self, model: &str) -> Option<u64> {
+        let (base, adapter) = model.split_once('/')?;
+        let (process, now) = (self.process(), Instant::now());
+        let held = process.adapters.iter().filter(|it| it.model == base && it.name == adapter);
+        held.filter(|it| it.held_at <= now).map(|it| it.version).max()
     }
 
-    /// Takes an order to load the base model. Returns the status of the answer.
-    fn take_order(&self, request: &Request) -> &'static str {
+    /// Takes an order. Returns the status of the answer, or `None` if the order crashes the replica.
+    fn take_order(&self, request: &Request) -> Option<&'static str> {
         let body = String::from_utf8_lossy(&request.body).into_owned();
+        let field = |name: &str| {
+            let (_, rest) = body.split_once(&format!("\"{name}\":\""))?;
+            Some(rest.split('"').next()?.to_owned())
+        };
+        let (op, model) = (field("op")?, field("model")?);
+        let now = Instant::now();
         let mut process = self.process.lock().unwrap();
         let is_expected = body.contains(&format!("\"expect\":{},", process.orders));
-        if !is_expected || !body.contains("\"load\"") || process.loaded_at.is_some() {
-            return "409 Conflict";
+        if !is_expected || process.models.iter().any(|(_, at)| now < *at) {
+            return Some("409 Conflict");
         }
-        process.loaded_at = Some(Instant::now() + LOAD_TIME);
         process.orders += 1;
-        drop(process);
-        self.note(&format!("takes the order {body}"));
-        "202 Accepted"
+        self.note(&format!("accepts the order {body}"));
+        match (op.as_str(), field("lora")) {
+            ("load", Some(lora)) => {
+                let key = (model, lora);
+                let version = self.newest.lock().unwrap().get(&key).copied().unwrap_or(1);
+                let (model, name) = key;
+                // A new version replaces the one before, which is held until then.
+                let is_other = |it: &&Adapter| (&it.model, &it.name) != (&model, &name);
+                let count = 1 + process.adapters.iter().filter(is_other).count();
+                process.adapters.push(Adapter {
+                    model,
+                    name,
+                    version,
+                    held_at: now + ADAPTER_TIME,
+                });
+                drop(process);
+                if LORA_SLOTS < count {
+                    self.note(&format!(
+                        "has {LORA_SLOTS} places, and was ordered to hold {count} adapters"
+                    ));
+                    self.has_overflowed.store(true, Ordering::Relaxed);
+                    self.crash();
+                    return None;
+                }
+            }
+            ("load", None) => process.models.push((model, now + LOAD_TIME)),
+            (_, Some(lora)) => {
+                process.adapters.retain(|it| (&it.model, &it.name) != (&model, &lora))
+            }
+            _ => return Some("400 Bad Request"),
+        }
+        Some("202 Accepted")
     }
 
     fn report(&self) -> String {
-        let Process { born_ms, loaded_at, orders, .. } = self.process();
-        let (has_model, is_busy) = (self.has_model(), loaded_at.is_some() && !self.has_model());
-        let models = if has_model { "{\"name\":\"base\",\"cfg_ver\":1,\"loras\":[]}" } else { "" };
+        let (Process { born_ms, models, adapters, orders, .. }, now) =
+            (self.process(), Instant::now());
+        let is_busy = models.iter().any(|(_, at)| now < *at);
+        let pending = adapters.iter().filter(|it| now < it.held_at);
+        let pending: Vec<String> =
+            pending.map(|it| format!("\"{}/{}@{}\"", it.model, it.name, it.version)).collect();
         let body = format!(
-            "{{\"stage\":\"mixed\",\"born\":{born_ms},\"models\":[{models}],\"busy\":{is_busy},\
-             \"seq\":{orders},\"queued\":0,\"active\":0,\"kv_used\":0,\"kv_total\":90000,\
-             \"handles\":0,\"available\":{{\"resident\":[],\"on_disk\":[\"base\"]}}}}"
+            "{{\"stage\":\"mixed\",\"born\":{born_ms},\"models\":[{}],\"busy\":{is_busy},\
+             \"pending\":[{}],\"seq\":{orders},\"queued\":0,\"active\":0,\"kv_used\":0,\
+             \"kv_total\":90000,\"handles\":0,\
+             \"available\":{{\"resident\":[],\"on_disk\":[\"base\"]}}}}",
+            self.models(),
+            pending.join(",")
         );
         let length = body.len();
         format!(
@@ -203,11 +292,30 @@
         )
     }
 
+    /// Returns what the replica says of its models.
+    fn models(&self) -> String {
+        let (process, now) = (self.process(), Instant::now());
+        let held = process.models.iter().filter(|(_, at)| *at <= now);
+        let models = held.map(|(model, _)| {
+            let adapters = process.adapters.iter();
+            let mut names: Vec<&String> =
+                adapters.filter(|it| it.model == *model).map(|it| &it.name).collect();
+            names.sort();
+            names.dedup();
+            let held = names.into_iter().filter_map(|name| {
+                let version = self.version_of(&format!("{model}/{name}"))?;
+                Some(format!("\"{name}@{version}\""))
+            });
+            let adapters: Vec<String> = held.collect();
+            format!("{{\"name\":\"{model}\",\"cfg_ver\":1,\"loras\":[{}]}}", adapters.join(","))
+        });
+        models.collect::<Vec<String>>().join(",")
+    }
+
     /// Returns the entry that the replica writes to the store.
     pub fn entry(&self, state: &str) -> String {
         let Process { born_ms, version, .. } = self.process();
-        let models =
-            if self.has_model() { "{\"name\":\"base\",\"cfg_ver\":1,\"loras\":[]}" } else { "" };
+        let models = self.models();
         format!(
             "{{\"svc\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"cfg_ver\":\"{version}\",\
              \"slots\":64,\"state\":\"{state}\",\"cold_left_ms\":0,\"seq\":1,\"born\":{born_ms},\
--- a/review/rig-3/src/system.rs
+++ b/review/rig-3/src/system.rs
@@ -13,7 +13,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{http, store::Store};
+use crate::{http, replica::LORA_SLOTS, store::Store};
 
 /// A process of the system, which is killed when this is dropped.
 pub struct Process {
@@ -203,6 +203,8 @@
     pub idle_routes: usize,
     /// Services, and whether their replicas are model replicas.
     pub services: Vec<(&'a str, bool)>,
+    /// Base models of the model replicas, each with the same names of adapters: a1, a2, and so on.
+    pub models: Vec<&'a str>,
     pub keys: Vec<&'a str>,
 }
 
@@ -221,12 +223,19 @@
         for number in 0..self.idle_routes {
             routes.push(route(&format!("idle-{number}"), &self.routes[0]));
         }
+        let models = self.models.iter().map(|name| {
+            format!(
+                "{{\"name\":\"{name}\",\"size_mb\":16100,\"load_s\":0.72,\"loras\":3000,\"lora_mb\":12}}"
+            )
+        });
+        let models = models.collect::<Vec<String>>().join(",");
         let services = self.services.iter().map(|(name, is_engine)| {
             let engine = if *is_engine {
-                ",\"engine\":{\"models\":[{\"name\":\"base\",\"size_mb\":65100,\"load_s\":0.72,\
-                 \"loras\":3000,\"lora_mb\":12}],\"size_mb\":66000,\"lora_slots\":6}"
+                format!(
+                    ",\"engine\":{{\"models\":[{models}],\"size_mb\":66000,\"lora_slots\":{LORA_SLOTS}}}"
+                )
             } else {
-                ""
+                String::new()
             };
             let health = "\"health_path\":\"/healthz\",\"max_conns\":360";
             format!("{{\"name\":\"{name}\",{health}{engine}}}")
