review: case 11 within the share that the site has

Cause: as before, an old status report is believed about a later process. One of six replicas crashes now (0.167; the site file has 0.17), where it was one of two.

--- a/review/rig-3/src/cases/joined_versions.rs
+++ b/review/rig-3/src/cases/joined_versions.rs
@@ -17,7 +17,9 @@
 };
 
 const KEY: &str = "key-of-the-council";
-const STREAMS: usize = 24;
+/// Model replicas, one of which crashes: a share of 0.167, where the site file has 0.17.
+const REPLICAS: usize = 6;
+const STREAMS: usize = 48;
 const EVENTS: usize = 8;
 /// Length of the cut.
 const CUT: Duration = Duration::from_millis(5500);
@@ -43,7 +45,8 @@
     system.store.put("keyed.op", "config", &manifest.text());
     let cut = Cut::default();
     let (mut replicas, mut sides) = (Vec::new(), Vec::new());
-    for id in ["i-1", "i-2"] {
+    for id in (1..=REPLICAS).map(|number| format!("i-{number}")) {
+        let id = id.as_str();
         let (ip, side_ip) = (system.ip(), system.ip());
         let replica =
             Replica::start(ip, id, "aide", "a", record, move |replica, request, stream| {
