Give an answer to a stream's request one kind, from its head on

Cause: whether an answer consists of events that another server may continue was decided by the route alone, and whether its body is scanned for events by its type alone. So a failure was resumed, raced, split into events and had an origin, and a whole failure whose type announces events counted as broken off.

Change: gateway::job::opened tells Events, which may be continued, from a Response that belongs to its server; each has its own relay. Only the first can be resumed or raced, or has an origin. services::body scans successes only. Whole failures of streams count as errors of their server, as on other routes. The product's own path keeps failures until they are whole.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -208,7 +208,7 @@
 }
 
 /// Waits until the answer has started: for the first chunk of a stream, or for the end of
-/// any other answer.
+/// any other answer. A failure is no stream, whatever its type.
 async fn receive_start(
     frames: Receiver<Frame>,
     isolation: Isolation,
@@ -220,7 +220,7 @@
             Ok(Frame::Head(received)) => head = Some(received),
             Ok(Frame::Chunk(bytes)) => {
                 let Some(head) = &head else { return Err(Failure::Lost) };
-                if head.content_type.starts_with(EVENT_STREAM) {
+                if is_success(head.status) && head.content_type.starts_with(EVENT_STREAM) {
                     let (status, content_type) = (head.status, Arc::clone(&head.content_type));
                     let stream = Stream { status, content_type, first: bytes, frames, isolation };
                     return Ok(ServerAnswer::Stream(stream));
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod failure;
 pub mod held;
+pub mod opened;
 mod rejection;
 mod take_up;
 
@@ -39,6 +40,7 @@
     job::{
         attempt::{Unanswered, Whole},
         held::Held,
+        opened::{Events, Opened},
     },
     ports::{self, RequestMeta, ResponseMeta, ServerNames},
     quarantine::{self, HeldTrial},
@@ -51,6 +53,9 @@
 /// Typical latency of a plain service, as a share of the route's objective.
 const TYPICAL_OBJECTIVE_SHARE: f64 = 0.25;
 
+/// Why a stream does not go on at a server that answered.
+const NO_EVENTS: &str = "the other server failed the request, or had no event";
+
 /// An authorized request with the state of its attempts.
 pub struct Job {
     entry: Arc<Entry>,
@@ -170,16 +175,13 @@
         self.can_retry() && self.progress != Progress::Unknown
     }
 
-    /// Sends a stream's request until a server sends the first event, or its own failure; of a stream that
-    /// cannot be resumed, the first chunk.
+    /// Sends a stream's request until a server sends the first event, or a response of another kind; of a
+    /// stream that cannot be resumed, the first chunk.
     ///
     /// # Errors
     ///
     /// Returns the rejection if no further attempt is possible.
-    pub async fn open_stream(
-        &mut self,
-        entry: &Arc<Entry>,
-    ) -> Result<(Upstream, Bytes), Rejection> {
+    pub async fn open_stream(&mut self, entry: &Arc<Entry>) -> Result<Opened, Rejection> {
         let reading = if self.can_rerun() { &attempt::RESUMABLE_STREAM } else { &attempt::STREAM };
         match self.run(entry, reading).await {
             Ok(opened) | Err(Unanswered::Failed(opened)) => Ok(opened),
@@ -187,22 +189,36 @@
         }
     }
 
+    /// Sends the request of a stream whose server was lost until another one sends the next event, or ends
+    /// the stream, since there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if none does.
+    pub async fn continue_stream(&mut self, entry: &Arc<Entry>) -> Result<Events, &'static str> {
+        match self.open_stream(entry).await {
+            Ok(Opened::Events(events)) => Ok(events),
+            Ok(Opened::Response(_)) => Err(NO_EVENTS),
+            Err(rejection) => Err(rejection.reason),
+        }
+    }
+
     /// Sends the request of a stream that has begun, and that a silent server still holds, until another
-    /// server sends the first event.
+    /// server sends the next event.
     ///
     /// # Errors
     ///
     /// Returns the reason if none does.
-    pub async fn open_beside(
-        &mut self,
-        entry: &Arc<Entry>,
-    ) -> Result<(Upstream, Bytes), &'static str> {
+    pub async fn open_beside(&mut self, entry: &Arc<Entry>) -> Result<Events, &'static str> {
         self.review_progress(entry, false).await;
         if !self.can_resume() {
             return Err("the version that began the stream is in doubt");
         }
-        let opened = self.run(entry, &attempt::RESUMABLE_STREAM).await;
-        opened.map_err(|unanswered| unanswered.reason())
+        match self.run(entry, &attempt::RESUMABLE_STREAM).await {
+            Ok(Opened::Events(events)) => Ok(events),
+            Ok(Opened::Response(_)) => Err(NO_EVENTS),
+            Err(unanswered) => Err(unanswered.reason()),
+        }
     }
 
     /// Sends a plain request until a server sends a whole response. If no further attempt is
--- a/crates/gateway/src/job/attempt.rs
+++ b/crates/gateway/src/job/attempt.rs
@@ -24,7 +24,11 @@
     gate::Pass,
     hedge::race,
     in_flight::InFlight,
-    job::{Job, Upstream, held::HedgeEnd},
+    job::{
+        Job, NO_EVENTS, Upstream,
+        held::HedgeEnd,
+        opened::{self, Events, Opened, Response},
+    },
     serve::DEFAULT_RETRY_AFTER,
 };
 
@@ -47,18 +51,21 @@
 }
 
 /// Streams that cannot be resumed, up to the first chunk.
-pub(super) static STREAM: Reading<(Upstream, Bytes)> = Reading {
+pub(super) static STREAM: Reading<Opened> = Reading {
     read: |entry, upstream, deadline| Box::pin(read_first_chunk(entry, upstream, deadline)),
-    status: |(upstream, _)| upstream.head.status,
-    is_failure: |(upstream, _)| !upstream.head.status.is_success(),
+    status: Opened::status,
+    is_failure: |opened| !opened.status().is_success(),
     retries_failures: false,
 };
 
-/// Resumable streams, up to the first whole event.
-pub(super) static RESUMABLE_STREAM: Reading<(Upstream, Bytes)> = Reading {
-    read: |entry, upstream, deadline| Box::pin(read_first_event(entry, upstream, deadline)),
-    status: |(upstream, _)| upstream.head.status,
-    is_failure: |(upstream, _)| !upstream.head.status.is_success() || !upstream.body.has_events(),
+/// Resumable streams, up to the first whole event; other responses to their requests, up to the first chunk.
+pub(super) static RESUMABLE_STREAM: Reading<Opened> = Reading {
+    read: |entry, upstream, deadline| match opened::is_of_events(&upstream.head) {
+        true => Box::pin(read_first_event(entry, upstream, deadline)),
+        false => Box::pin(read_first_chunk(entry, upstream, deadline)),
+    },
+    status: Opened::status,
+    is_failure: |opened| !opened.has_events(),
     retries_failures: false,
 };
 
@@ -265,7 +272,7 @@
             let reply = exchange::send(&entry.kernel, &entry.pool, outbound, read_head).await?;
             let Reply { head, meta, mut body, connection } = reply;
             entry.record_sign_of_life(&server, entry.moment(connection.opened_at), sent_at);
-            if is_stream && head.status.is_success() {
+            if is_stream && opened::is_of_events(&head) {
                 body.expect_events();
             }
             Ok(Upstream { head, meta, body, connection, in_flight, server })
@@ -307,34 +314,31 @@
 
     pub(super) fn reason(&self) -> &'static str {
         match self {
-            Unanswered::Failed(_) => "the other server failed the request, or had no event",
+            Unanswered::Failed(_) => NO_EVENTS,
             Unanswered::Rejected(rejection) => rejection.reason,
         }
     }
 }
 
-/// Waits for the first chunk of a stream. The body of an error response may be empty.
+/// Waits for the first chunk of a response that belongs to its server. It may have none.
 async fn read_first_chunk(
     entry: Arc<Entry>,
     mut upstream: Upstream,
     deadline: Moment,
-) -> Result<(Upstream, Bytes), Failure> {
+) -> Result<Opened, Failure> {
     check_head(&upstream.head, &upstream.meta)?;
     let chunk = next_chunk(&entry, &mut upstream, deadline).await?;
     upstream.in_flight.record_first_event();
-    Ok((upstream, chunk.unwrap_or_default()))
+    let first = chunk.unwrap_or_default();
+    Ok(Opened::Response(Response { upstream, first }))
 }
 
-/// Waits for the first whole event of a stream, or the end of one without events; of an error response, for
-/// the first chunk.
+/// Waits for the first whole event of a stream, or the end of one without events.
 async fn read_first_event(
     entry: Arc<Entry>,
     mut upstream: Upstream,
     deadline: Moment,
-) -> Result<(Upstream, Bytes), Failure> {
-    if !upstream.head.status.is_success() {
-        return read_first_chunk(entry, upstream, deadline).await;
-    }
+) -> Result<Opened, Failure> {
     check_head(&upstream.head, &upstream.meta)?;
     let mut start = entry.kernel.memory.buffer(MAX_START_BYTES);
     while !upstream.body.has_events() {
@@ -343,7 +347,7 @@
         pushed.map_err(|error| Failure::Broken { reason: error.to_string() })?;
     }
     upstream.in_flight.record_first_event();
-    Ok((upstream, start.into_bytes()))
+    Ok(Opened::Events(Events { upstream, first: start.into_bytes() }))
 }
 
 /// Reads the next chunk of a stream. Returns `None` at its end.
--- a/crates/gateway/src/job/failure.rs
+++ b/crates/gateway/src/job/failure.rs
@@ -109,6 +109,13 @@
         }
     }
 
+    /// Finds out whether a server has crashed under this request, which is not sent again.
+    pub fn examine_final_break(&mut self, entry: &Arc<Entry>, server: &Listing) {
+        let trial = self.trial.take();
+        self.server = None;
+        let _examined = self.start_examination(entry, server.clone(), trial);
+    }
+
     /// Finds out whether a server has crashed under an attempt that another one has replaced.
     pub fn examine_detached(&self, entry: &Arc<Entry>, held: Option<Held>) {
         let Some(Held { server, trial, .. }) = held else { return };
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -2,7 +2,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use front::body::{self, Body, BodyError};
 use hyper::{
     Request, Response, StatusCode,
@@ -20,7 +19,7 @@
 use crate::{
     answer::{self, Rejection, end_to_end},
     entry::Entry,
-    job::{Job, Upstream},
+    job::{Job, opened::Opened},
     ports::RequestMeta,
     relay::Relay,
     stop,
@@ -127,7 +126,7 @@
     }
     if job.grant.route.retry_policy.is_stream() {
         return match job.open_stream(entry).await {
-            Ok((upstream, first)) => stream_response(entry, job, upstream, first).await,
+            Ok(opened) => stream_response(entry, job, opened),
             Err(rejection) => job.reject(entry, &rejection),
         };
     }
@@ -137,18 +136,14 @@
     }
 }
 
-/// Returns the response that relays a stream.
-async fn stream_response(
-    entry: &Arc<Entry>,
-    job: Job,
-    upstream: Upstream,
-    first: Bytes,
-) -> Response<Body> {
+/// Returns the response that relays the answer to a stream's request.
+fn stream_response(entry: &Arc<Entry>, job: Job, opened: Opened) -> Response<Body> {
     let mut response = Response::new(Body::default());
-    *response.status_mut() = upstream.head.status;
-    *response.headers_mut() = end_to_end(&upstream.head.headers);
+    let head = &opened.upstream().head;
+    *response.status_mut() = head.status;
+    *response.headers_mut() = end_to_end(&head.headers);
     response.headers_mut().remove(CONTENT_LENGTH);
-    *response.body_mut() = Relay::new(entry, job, upstream, first).into_body();
+    *response.body_mut() = Relay::new(entry, job, opened).into_body();
     response
 }
 
--- a/crates/services/src/body.rs
+++ b/crates/services/src/body.rs
@@ -65,12 +65,13 @@
 }
 
 impl Body {
-    /// Returns a response with the body to be read. It is read as an event stream if its content
-    /// type says so.
+    /// Returns a response with the body to be read. That of a success is read as an event stream if its
+    /// content type says so; a failure may say so with a text that is none.
     pub fn of(response: Response<Incoming>) -> Response<Body> {
         let (head, incoming) = response.into_parts();
         let framing = Framing::of(&head.headers, &incoming);
-        let events = is_event_stream(&head.headers).then(Scanner::default);
+        let has_events = head.status.is_success() && is_event_stream(&head.headers);
+        let events = has_events.then(Scanner::default);
         Response::from_parts(
             head,
             Body { incoming, framing, events, is_strict: false, has_ended: false },
@@ -146,10 +147,16 @@
     }
 }
 
+/// Returns whether the headers of a response announce an event stream, or nothing.
+pub fn may_be_event_stream(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_TYPE) || is_event_stream(headers)
+}
+
 /// Returns whether the headers of a response announce an event stream.
 pub fn is_event_stream(headers: &HeaderMap) -> bool {
     let content_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
-    content_type.is_some_and(|value| value.starts_with(EVENT_STREAM))
+    let media_type = content_type.and_then(|value| value.split(';').next());
+    media_type.is_some_and(|value| value.trim().eq_ignore_ascii_case(EVENT_STREAM))
 }
 
 impl HttpBody for Body {
--- a/crates/services/tests/body.rs
+++ b/crates/services/tests/body.rs
@@ -53,7 +53,12 @@
 
 /// Returns the bodies that a single exchange and a pooled one read; `None` for an error.
 fn bodies(framing: &str, body: &str, end: End) -> [Option<String>; 2] {
-    let written = format!("HTTP/1.1 200 OK\r\n{framing}{body}");
+    bodies_of("200 OK", framing, body, end)
+}
+
+/// Returns the same for a response with this status.
+fn bodies_of(status: &str, framing: &str, body: &str, end: End) -> [Option<String>; 2] {
+    let written = format!("HTTP/1.1 {status}\r\n{framing}{body}");
     kernel::run(1, |kernel| async move {
         let address = start_server(&kernel, written, end).await;
 
@@ -114,3 +119,16 @@
     assert_eq!(bodies(&chunks, "6\r\nid:1\n\n\r\n0\r\n\r\n", End::Close), whole);
     assert_eq!(bodies(&until_close, "id:1\n\n", End::Close), whole);
 }
+
+// Guards against a failure that counts as broken off, since its type announces events and its text is none.
+#[test]
+fn returns_whole_failure_whatever_its_type() {
+    let status = "500 Internal Server Error";
+    let framing = format!("{EVENTS}{LENGTH}");
+
+    // A single exchange takes no failure for an answer.
+    let [_, whole] = bodies_of(status, &framing, "failed", End::Close);
+    let [_, broken_off] = bodies_of(status, &framing, "fail", End::Close);
+
+    assert_eq!((whole, broken_off), (Some("failed".to_owned()), None));
+}
