Know an adapter by its base model and its name

The same omission ordered adapters beyond the places of an engine (LIMIT).

Cause: statuses, demand reports, use counts, requests in flight, popularity and preferred servers had an adapter's name as their key, which adapters of several base models share.

Change: serving::adapter::Adapter is the key everywhere. On the wire the base models stand at the end of a message, each once, where earlier builds do not look; of an earlier build's status only the lowest version under a name is believed.

Adapters get other preferred servers, once.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -12,7 +12,7 @@
 use fleet::suspect::Decision;
 use kernel::event::Event;
 use serving::{
-    Moment, Name,
+    Moment, Name, adapter,
     directory::Listing,
     manifest::EngineConfig,
     origin::Progress,
@@ -454,7 +454,7 @@
 
     /// Returns the names of the servers that this instance prefers for a model's adapter.
     fn preferred_servers(&self, model: &Model) -> SmallVec<[Name; 2]> {
-        let Some(adapter) = &model.adapter else { return SmallVec::new() };
+        let Some(adapter) = model.adapter() else { return SmallVec::new() };
         let (roster, servers) = (self.roster, self.roster.servers(self.service));
         let is_popular =
             ZONE_PREFERENCE_RATE <= self.entry.popularity.lock().rate(self.now, adapter);
@@ -543,16 +543,15 @@
     now: Moment,
 ) -> AdapterState {
     let Some(StatusReport { received_at, status, .. }) = report else {
-        let is_listed = model.adapter.is_none() && listing.models.contains(&model.base);
+        let is_listed = model.adapter().is_none() && listing.models.contains(model.base());
         return if is_listed { AdapterState::Present } else { AdapterState::Unreachable };
     };
-    if !status.models.contains(&model.base) {
+    if !status.models.contains(model.base()) {
         return AdapterState::Unreachable;
     }
-    let Some(adapter) = &model.adapter else { return AdapterState::Present };
-    let holds = |list: &[(Name, u64)]| {
-        list.iter().any(|(name, known)| name == adapter && min_version <= *known)
-    };
+    let Some(adapter) = model.adapter() else { return AdapterState::Present };
+    let wanted = adapter::Version { adapter: adapter.clone(), number: min_version };
+    let holds = |list: &[adapter::Version]| list.iter().any(|known| known.satisfies(&wanted));
     if holds(&status.adapters) {
         return AdapterState::Present;
     }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -22,6 +22,7 @@
 use services::pool::Pool;
 use serving::{
     Moment, Name,
+    adapter::Adapter,
     directory::Listing,
     limit::Statement,
     manifest::Manifest,
@@ -92,7 +93,7 @@
     pub retry_budgets: shard::Map<Name, Budget>,
     pub limiter: Mutex<Limiter>,
     /// Request rates by adapter at this instance.
-    pub popularity: Mutex<Popularity<Name>>,
+    pub popularity: Mutex<Popularity<Adapter>>,
     pub peers: Mutex<Peers>,
     /// Instances of the own zone that read the store.
     pub readers: Mutex<reader::Zone>,
@@ -403,8 +404,8 @@
 
     /// Returns the oldest version of a model's adapter that may run, or 0 for a base model.
     pub fn min_version(&self, model: &Model) -> u64 {
-        let Some(adapter) = &model.adapter else { return 0 };
-        self.mirror.read().min_version(&model.base, adapter)
+        let Some(adapter) = model.adapter() else { return 0 };
+        self.mirror.read().min_version(adapter)
     }
 
     /// Runs `update` with the state of a server.
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -4,15 +4,23 @@
 use std::{sync::Arc, time::Duration};
 
 use kernel::event::Event;
-use serving::{Moment, Name, directory::Listing};
+use serving::{
+    Moment, Name,
+    adapter::{self, Adapter},
+    directory::Listing,
+};
 
-use crate::{entry::Entry, job::Job, ports::RequestMeta};
+use crate::{
+    entry::Entry,
+    job::Job,
+    ports::{Model, RequestMeta},
+};
 
 /// Guard of a request in flight at a server.
 pub struct InFlight {
     entry: Arc<Entry>,
     server: Name,
-    adapter: Option<Name>,
+    adapter: Option<Adapter>,
     /// Prompt tokens.
     tokens: u64,
     sent_at: Moment,
@@ -26,15 +34,15 @@
 pub struct LoadRequest {
     pub server: Name,
     entry: Arc<Entry>,
-    /// Base model, adapter and oldest version that may run.
-    key: (Name, Name, u64),
+    /// The adapter in the oldest version that may run.
+    wanted: adapter::Version,
 }
 
 impl InFlight {
     /// Records that a request is sent to a server with this many prompt tokens outstanding.
     pub fn new(entry: &Arc<Entry>, server: &Listing, job: &Job, tokens_ahead: u64) -> InFlight {
         let tokens = job.meta.model.as_ref().map_or(0, |_| job.prompt_tokens());
-        let adapter = job.meta.model.as_ref().and_then(|model| model.adapter.clone());
+        let adapter = job.meta.model.as_ref().and_then(Model::adapter).cloned();
         let now = entry.now();
         entry.with_server(&server.id, |state| {
             state.backlog.record_send(tokens);
@@ -109,25 +117,25 @@
     /// Records that a request waits for its adapter. Returns `None` for one without an adapter.
     pub fn new(entry: &Arc<Entry>, server: &Listing, meta: &RequestMeta) -> Option<LoadRequest> {
         let model = meta.model.as_ref()?;
-        let adapter = model.adapter.clone()?;
-        let key = (model.base.clone(), adapter, entry.min_version(model));
+        let adapter = model.adapter()?.clone();
+        let wanted = adapter::Version { adapter, number: entry.min_version(model) };
         entry.with_server(&server.id, |state| {
-            *state.load_requests.entry(key.clone()).or_default() += 1;
+            *state.load_requests.entry(wanted.clone()).or_default() += 1;
         });
         log::info!(
             event = Event::Want, request = &*meta.id, server = &*server.id,
-            adapter = &*key.1, version = key.2;
+            adapter:% = wanted.adapter, version = wanted.number;
             "requesting the load of an adapter"
         );
         entry.load_requested.notify(usize::MAX);
-        Some(LoadRequest { entry: Arc::clone(entry), server: server.id.clone(), key })
+        Some(LoadRequest { entry: Arc::clone(entry), server: server.id.clone(), wanted })
     }
 }
 
 impl Drop for LoadRequest {
     fn drop(&mut self) {
         self.entry.with_server(&self.server, |state| {
-            if let Some(count) = state.load_requests.get_mut(&self.key) {
+            if let Some(count) = state.load_requests.get_mut(&self.wanted) {
                 *count = count.saturating_sub(1);
             }
             state.load_requests.retain(|_, count| 0 < *count);
--- a/crates/gateway/src/job/failure.rs
+++ b/crates/gateway/src/job/failure.rs
@@ -15,6 +15,7 @@
     entry::Entry,
     exchange::{Failure, NotRunReason},
     job::{Job, held::Held},
+    ports::Model,
     quarantine::HeldTrial,
     serve::DEFAULT_RETRY_AFTER,
 };
@@ -152,15 +153,12 @@
 
     /// Removes the adapter from the server's status report, since it is no longer resident there.
     fn forget_adapter(&self, entry: &Entry, server: &Listing) {
-        let Some(adapter) = self.meta.model.as_ref().and_then(|model| model.adapter.as_ref())
-        else {
-            return;
-        };
+        let Some(adapter) = self.meta.model.as_ref().and_then(Model::adapter) else { return };
         let host = server.address.ip();
         entry.status_reports.with(&host, |reports| {
             if let Some(report) = reports.get_mut(&host) {
                 let status = Arc::make_mut(&mut report.status);
-                status.adapters.retain(|(name, _)| name != adapter);
+                status.adapters.retain(|resident| resident.adapter != *adapter);
             }
         });
     }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -4,6 +4,8 @@
 //! up for by the next. A field that was added later stands at the end of a datagram
 //! and is read as its default from earlier builds ([`or_default`]).
 
+mod adapters;
+
 use std::{net::SocketAddr, time::Duration};
 
 use fleet::suspect::{Record, trial::Spans};
@@ -11,7 +13,9 @@
 use smallvec::SmallVec;
 
 use serving::{
-    Name, limit,
+    Name,
+    adapter::{self, Adapter},
+    limit,
     mirror::Positions,
     origin,
     rate_limit::UsageReport,
@@ -260,6 +264,7 @@
 
 /// Demand of an entry instance for a model engine.
 #[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(from = "adapters::WireDemand", into = "adapters::WireDemand")]
 pub struct Demand {
     pub server: Name,
     /// Start of the server's process, in milliseconds since the Unix epoch.
@@ -271,26 +276,24 @@
     /// Base model that the engine should load.
     pub model: Option<Name>,
     /// Adapter slots of the engine.
-    #[serde(rename = "places")]
     pub adapter_slots: usize,
     /// Prompt tokens of requests that wait for their first event.
     pub tokens: u64,
     /// Requests in flight.
     pub requests: u32,
     /// Requests in flight by adapter.
-    pub in_flight: Vec<(Name, u32)>,
+    pub in_flight: Vec<(Adapter, u32)>,
     /// Adapters used since the previous demand report, once for each use.
-    pub used: Vec<Name>,
-    /// Adapters that requests wait for: base model, adapter and the oldest version that may run.
-    #[serde(rename = "wants")]
-    pub load_requests: Vec<(Name, Name, u64)>,
+    pub used: Vec<Adapter>,
+    /// Adapters that requests wait for, in the oldest version that may run.
+    pub load_requests: Vec<adapter::Version>,
     /// Whether the entry instance understands [`Residents`].
-    #[serde(deserialize_with = "or_default")]
     pub takes_residents: bool,
 }
 
 /// Resident adapters of a model engine, and the work of entry instances in flight there.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "adapters::WireStatus", into = "adapters::WireStatus")]
 pub struct Status {
     /// Name of the engine, if it is known.
     pub server: Option<Name>,
@@ -298,31 +301,30 @@
     pub born_ms: u64,
     /// Loaded base models.
     pub models: Vec<Name>,
-    #[serde(rename = "places")]
     pub slot_usage: SlotUsage,
     /// Time for which a base model has been loading, in milliseconds.
     pub loading_ms: Option<u64>,
-    /// Resident adapters with their versions.
-    pub adapters: Vec<(Name, u64)>,
+    /// Resident adapters.
+    pub adapters: Vec<adapter::Version>,
     /// Adapters that are being loaded.
-    pub pending: Vec<(Name, u64)>,
+    pub pending: Vec<adapter::Version>,
     /// Adapters that were resident recently and load quickly.
-    pub recent: Vec<(Name, u64)>,
+    pub recent: Vec<adapter::Version>,
     pub work: Work,
     /// Number of changes of the engine's name, process and base models.
-    #[serde(deserialize_with = "or_default")]
     pub revision: u64,
 }
 
 /// Part of a status: the adapters and the work in flight.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "adapters::WireResidents", into = "adapters::WireResidents")]
 pub struct Residents {
     pub born_ms: u64,
     /// Revision of the status that this is a part of.
     pub revision: u64,
     pub slot_usage: SlotUsage,
-    pub adapters: Vec<(Name, u64)>,
-    pub pending: Vec<(Name, u64)>,
+    pub adapters: Vec<adapter::Version>,
+    pub pending: Vec<adapter::Version>,
     pub work: Work,
 }
 
@@ -333,7 +335,7 @@
         if (self.born_ms, self.revision) != (residents.born_ms, residents.revision) {
             return false;
         }
-        let is_listed = |adapter: &(Name, u64)| residents.adapters.contains(adapter);
+        let is_listed = |adapter: &adapter::Version| residents.adapters.contains(adapter);
         self.recent.retain(|adapter| !is_listed(adapter));
         self.recent.extend(self.adapters.drain(..).filter(|adapter| !is_listed(adapter)));
         let surplus = self.recent.len().saturating_sub(MAX_RECENT_ADAPTERS);
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -20,6 +20,7 @@
 use services::{BoxFuture, http::Error};
 use serving::{
     Name,
+    adapter::Adapter,
     cursor::Position,
     limit,
     mirror::{Change, Topic},
@@ -119,9 +120,26 @@
 
 /// A base model or one of its adapters.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Model {
-    pub base: Name,
-    pub adapter: Option<Name>,
+pub enum Model {
+    Base(Name),
+    Adapter(Adapter),
+}
+
+impl Model {
+    /// Returns the base model.
+    pub fn base(&self) -> &Name {
+        match self {
+            Model::Base(base) => base,
+            Model::Adapter(adapter) => &adapter.model,
+        }
+    }
+
+    pub fn adapter(&self) -> Option<&Adapter> {
+        match self {
+            Model::Base(_) => None,
+            Model::Adapter(adapter) => Some(adapter),
+        }
+    }
 }
 
 /// Parameters of one attempt, passed to the backend server in headers.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -27,7 +27,12 @@
 
 use serving::{Moment, Name, breakage::Breakage, directory::Listing, manifest::Grant};
 
-use crate::{entry::Entry, message::TrialReply, ports::RequestMeta, replies::Replies};
+use crate::{
+    entry::Entry,
+    message::TrialReply,
+    ports::{Model, RequestMeta},
+    replies::Replies,
+};
 
 pub use trial::HeldTrial;
 
@@ -85,10 +90,8 @@
     if MAX_PARTS < meta.prompt_parts.len() {
         attributes.push(Attribute::new("parts", "further"));
     }
-    if let Some(model) = &meta.model
-        && let Some(adapter) = &model.adapter
-    {
-        attributes.push(Attribute::new("adapter", &format!("{}/{adapter}", model.base)));
+    if let Some(adapter) = meta.model.as_ref().and_then(Model::adapter) {
+        attributes.push(Attribute::new("adapter", &adapter.to_string()));
     }
     Identity { fingerprint, account, attributes }
 }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -13,6 +13,7 @@
 use placement::rendezvous;
 use serving::{
     Moment, Name,
+    adapter::{self, Adapter},
     backlog::Backlog,
     directory::{Directory, Listing, Phase},
     evacuation::Evacuation,
@@ -106,7 +107,7 @@
     pub fn preferred_server(
         &self,
         service: &str,
-        adapter: &str,
+        adapter: &Adapter,
         takes_loads: impl Fn(&Listing) -> bool,
     ) -> Option<usize> {
         let service = self.services.get(service)?;
@@ -118,7 +119,7 @@
     pub fn preferred_in_zone(
         &self,
         service: &str,
-        adapter: &str,
+        adapter: &Adapter,
         zone: &str,
         takes_loads: impl Fn(&Listing) -> bool,
     ) -> Option<usize> {
@@ -162,11 +163,11 @@
 }
 
 fn preferred(
-    adapter: &str,
+    adapter: &Adapter,
     nodes: &[rendezvous::Server],
     is_eligible: impl Fn(usize) -> bool,
 ) -> Option<usize> {
-    let hash = rendezvous::hash(adapter);
+    let hash = rendezvous::hash(&adapter.to_string());
     let first = rendezvous::preferred(hash, nodes, 1).first().copied()?;
     if is_eligible(first) {
         return Some(first);
@@ -185,12 +186,12 @@
 #[derive(Debug, Default)]
 pub struct Server {
     pub backlog: Backlog,
-    /// Number of requests that wait for an adapter, by base model, adapter and version.
-    pub load_requests: HashMap<(Name, Name, u64), u32>,
+    /// Number of requests that wait for an adapter, by the oldest version that may run.
+    pub load_requests: HashMap<adapter::Version, u32>,
     /// Number of this instance's requests in flight, by adapter.
-    pub in_flight: HashMap<Name, u32>,
+    pub in_flight: HashMap<Adapter, u32>,
     /// Adapters used since the last demand report, once for each use.
-    pub used: Vec<Name>,
+    pub used: Vec<Adapter>,
     /// What the latest demand report told.
     pub told: Told,
     pub consecutive_failures: u32,
@@ -207,7 +208,7 @@
     /// Prompt tokens outstanding and requests in flight.
     pub work: (u64, u32),
     /// Requests in flight, by adapter.
-    pub in_flight: HashMap<Name, u32>,
+    pub in_flight: HashMap<Adapter, u32>,
     /// Whether requests were waiting for an adapter.
     pub has_load_requests: bool,
 }
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -17,8 +17,8 @@
 
 use kernel::{Kernel, drain, event::Event};
 use serving::{
-    Moment, Name, limit,
-    residency::{AdapterVersion, EngineState, Order, Planner, Report, SlotUsage},
+    Moment, Name, adapter, limit,
+    residency::{EngineState, Order, Planner, Report, SlotUsage},
     subscription::{Due, Subscription},
 };
 
@@ -162,15 +162,12 @@
     if demand.born_ms == state.born_ms {
         state.engine_id = Some(demand.server);
     }
-    let load_requests = demand.load_requests.into_iter();
     let report = Report {
         model: demand.model,
         adapter_slots: demand.adapter_slots,
         in_flight: demand.in_flight,
         used: demand.used,
-        load_requests: load_requests
-            .map(|(model, adapter, version)| AdapterVersion { model, adapter, version })
-            .collect(),
+        load_requests: demand.load_requests,
     };
     state.planner.record_report(now, from, report);
     drop(state);
@@ -398,9 +395,8 @@
     /// Returns the status of the engine without the work in flight. Its lists are sorted, so that
     /// another order is no change.
     fn status(&self, engine: &EngineState) -> Status {
-        let versions = |list: &[AdapterVersion]| {
-            let mut versions: Vec<(Name, u64)> =
-                list.iter().map(|it| (it.adapter.clone(), it.version)).collect();
+        let sorted = |list: &[adapter::Version]| {
+            let mut versions = list.to_vec();
             versions.sort_unstable();
             versions
         };
@@ -410,8 +406,8 @@
             models: engine.models.clone(),
             slot_usage: SlotUsage::default(),
             loading_ms: None,
-            adapters: versions(&engine.adapters),
-            pending: versions(&engine.pending),
+            adapters: sorted(&engine.adapters),
+            pending: sorted(&engine.pending),
             recent: self.evicted(engine),
             work: Work::new(),
             revision: 0,
@@ -419,9 +415,8 @@
     }
 
     /// Returns the adapters that were resident recently and are not now, the most recent last.
-    fn evicted(&self, engine: &EngineState) -> Vec<(Name, u64)> {
+    fn evicted(&self, engine: &EngineState) -> Vec<adapter::Version> {
         let recent = self.planner.recent_adapters().iter();
-        let evicted = recent.filter(|it| !engine.adapters.contains(it));
-        evicted.map(|it| (it.adapter.clone(), it.version)).collect()
+        recent.filter(|it| !engine.adapters.contains(it)).cloned().collect()
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,6 +6,7 @@
 //! random number. Time and messages are arguments, so that tests run the same code
 //! as the processes.
 
+pub mod adapter;
 pub mod archive;
 pub mod backlog;
 pub mod breakage;
--- a/crates/serving/src/mirror.rs
+++ b/crates/serving/src/mirror.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     Moment, Name,
+    adapter::{self, Adapter},
     cursor::Position,
     directory::{Directory, Effect, Listing},
     evacuation::{self, Evacuation},
@@ -27,11 +28,7 @@
 pub enum Change {
     Manifest(Arc<Manifest>),
     /// An announced adapter version.
-    Version {
-        model: Name,
-        adapter: Name,
-        version: u64,
-    },
+    Version(adapter::Version),
     /// An availability zone that is emptied or taken back.
     Zone {
         zone: Name,
@@ -94,8 +91,8 @@
     pub positions: Positions,
     /// Software versions of services that have ever served, as the store has them.
     pub software: BTreeSet<Origin>,
-    /// Newest announced version by base model and adapter.
-    versions: HashMap<(Name, Name), u64>,
+    /// Newest announced version of each adapter.
+    versions: HashMap<Adapter, u64>,
     /// Number of changes of the manifest, the versions, the emptied zones and the software.
     generation: u64,
 }
@@ -126,12 +123,12 @@
     pub fn apply(&mut self, now: Moment, change: Change) -> Outcome {
         match change {
             Change::Manifest(manifest) => self.apply_manifest(manifest),
-            Change::Version { model, adapter, version } => {
-                let known = self.versions.entry((model, adapter)).or_default();
-                if version <= *known {
+            Change::Version(adapter::Version { adapter, number }) => {
+                let known = self.versions.entry(adapter).or_default();
+                if number <= *known {
                     return Outcome::Unchanged;
                 }
-                *known = version;
+                *known = number;
                 self.generation += 1;
                 Outcome::NewVersion
             }
@@ -181,8 +178,8 @@
 
     /// Returns the oldest version of an adapter that may run: the newest announced one, or 0 if
     /// none was announced.
-    pub fn min_version(&self, model: &Name, adapter: &Name) -> u64 {
-        self.versions.get(&(model.clone(), adapter.clone())).copied().unwrap_or(0)
+    pub fn min_version(&self, adapter: &Adapter) -> u64 {
+        self.versions.get(adapter).copied().unwrap_or(0)
     }
 
     /// Removes the servers that are missing from `present`, the ids of all servers in the store.
@@ -198,7 +195,7 @@
             positions: self.positions,
             manifest: self.manifest.clone(),
             versions: versions
-                .map(|((model, adapter), version)| (model.clone(), adapter.clone(), *version))
+                .map(|(Adapter { model, name }, number)| (model.clone(), name.clone(), *number))
                 .collect(),
             evacuation: self.evacuation.clone(),
             servers: self.directory.iter().cloned().collect(),
@@ -220,8 +217,9 @@
         if let Some(manifest) = copy.manifest {
             is_newer |= matches!(self.apply_manifest(manifest), Outcome::NewManifest(_));
         }
-        for (model, adapter, version) in copy.versions {
-            let change = Change::Version { model, adapter, version };
+        for (model, name, number) in copy.versions {
+            let adapter = Adapter { model, name };
+            let change = Change::Version(adapter::Version { adapter, number });
             is_newer |= self.apply(now, change) == Outcome::NewVersion;
         }
         self.register_software(copy.software);
--- a/crates/serving/src/residency.rs
+++ b/crates/serving/src/residency.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     Moment, Name,
+    adapter::{self, Adapter},
     limit::{OrderPace, Rate},
 };
 
@@ -60,22 +61,13 @@
     /// Base models of which the engine's machine has copies, loaded or not.
     pub local_models: Vec<Name>,
     /// Resident adapters.
-    pub adapters: Vec<AdapterVersion>,
+    pub adapters: Vec<adapter::Version>,
     /// Adapters that are being loaded.
-    pub pending: Vec<AdapterVersion>,
+    pub pending: Vec<adapter::Version>,
     /// Limit that the engine names for the requests of all instances together.
     pub limit: Option<Rate>,
 }
 
-/// One version of an adapter.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct AdapterVersion {
-    /// Base model.
-    pub model: Name,
-    pub adapter: Name,
-    pub version: u64,
-}
-
 /// Report of one entry instance.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
@@ -84,11 +76,11 @@
     /// Adapter slots of the engine.
     pub adapter_slots: usize,
     /// Requests in flight by adapter.
-    pub in_flight: Vec<(Name, u32)>,
+    pub in_flight: Vec<(Adapter, u32)>,
     /// Adapters used since the previous report, once for each use.
-    pub used: Vec<Name>,
+    pub used: Vec<Adapter>,
     /// Adapters that requests wait for, in the oldest version that may run.
-    pub load_requests: Vec<AdapterVersion>,
+    pub load_requests: Vec<adapter::Version>,
 }
 
 /// Occupancy of an engine's adapter slots.
@@ -117,8 +109,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Order {
     LoadModel { model: Name },
-    Load { model: Name, adapter: Name },
-    Unload { model: Name, adapter: Name },
+    Load(Adapter),
+    Unload(Adapter),
 }
 
 /// Planner of the orders to one engine.
@@ -126,10 +118,10 @@
 pub struct Planner {
     /// Latest report of each entry instance, with its arrival.
     reports: HashMap<SocketAddr, (Moment, Report)>,
-    load_requests: BTreeMap<AdapterVersion, LoadRequest>,
-    use_counts: HashMap<Name, UseCount>,
+    load_requests: BTreeMap<adapter::Version, LoadRequest>,
+    use_counts: HashMap<Adapter, UseCount>,
     /// Adapters that were resident since the engine started, the most recent last.
-    recent: Vec<AdapterVersion>,
+    recent: Vec<adapter::Version>,
     /// Start of the engine process that `recent` belongs to.
     born_ms: u64,
     paused_until: Moment,
@@ -217,10 +209,10 @@
             engine.adapters.iter().any(|resident| resident.adapter == requested.adapter);
         let occupied = engine.adapters.len() + engine.pending.len();
         if is_replacement || occupied < self.adapter_slots() {
-            return Some(Order::Load { model: requested.model, adapter: requested.adapter });
+            return Some(Order::Load(requested.adapter));
         }
         let victim = self.victim(now, engine)?;
-        Some(Order::Unload { model: victim.model.clone(), adapter: victim.adapter.clone() })
+        Some(Order::Unload(victim.adapter.clone()))
     }
 
     /// Records the resident adapters of the engine.
@@ -238,13 +230,13 @@
     }
 
     /// Returns the adapters that are or were recently resident. The engine loads them quickly.
-    pub fn recent_adapters(&self) -> &[AdapterVersion] {
+    pub fn recent_adapters(&self) -> &[adapter::Version] {
         &self.recent
     }
 
     /// Returns the free adapter slots and the number of load requests that need one.
     pub fn slot_usage(&self, now: Moment, engine: &EngineState) -> SlotUsage {
-        let is_free = |resident: &&AdapterVersion| self.is_evictable(now, &resident.adapter);
+        let is_free = |resident: &&adapter::Version| self.is_evictable(now, &resident.adapter);
         let in_use = engine.adapters.iter().filter(|resident| !is_free(resident)).count();
         SlotUsage {
             free: self.adapter_slots().saturating_sub(in_use + engine.pending.len()),
@@ -258,14 +250,14 @@
     }
 
     /// Returns whether the latest report of any entry instance requests a load.
-    fn is_requested(&self, requested: &AdapterVersion) -> bool {
+    fn is_requested(&self, requested: &adapter::Version) -> bool {
         self.reports.values().any(|(_, report)| report.load_requests.contains(requested))
     }
 
     /// Returns the requests in flight of all entry instances that use an adapter.
-    pub fn requests_in_flight(&self, adapter: &str) -> u32 {
+    pub fn requests_in_flight(&self, adapter: &Adapter) -> u32 {
         let reports = self.reports.values().flat_map(|(_, report)| &report.in_flight);
-        reports.filter(|(name, _)| &**name == adapter).map(|(_, count)| count).sum()
+        reports.filter(|(used, _)| used == adapter).map(|(_, count)| count).sum()
     }
 
     /// Returns the base model to load into an engine without one: the model in the latest
@@ -287,7 +279,7 @@
         newest.map_or(0, |(_, report)| report.adapter_slots)
     }
 
-    fn oldest_load_request(&self, engine: &EngineState) -> Option<&AdapterVersion> {
+    fn oldest_load_request(&self, engine: &EngineState) -> Option<&adapter::Version> {
         let unmet = self.unmet_load_requests(engine);
         unmet.min_by_key(|(_, request)| request.since).map(|(requested, _)| requested)
     }
@@ -296,21 +288,16 @@
     fn unmet_load_requests(
         &self,
         engine: &EngineState,
-    ) -> impl Iterator<Item = (&AdapterVersion, &LoadRequest)> {
+    ) -> impl Iterator<Item = (&adapter::Version, &LoadRequest)> {
         self.load_requests.iter().filter(|(requested, _)| {
-            let satisfies = |resident: &AdapterVersion| {
-                resident.model == requested.model
-                    && resident.adapter == requested.adapter
-                    && requested.version <= resident.version
-            };
-            engine.models.contains(&requested.model)
-                && !engine.adapters.iter().any(satisfies)
+            engine.models.contains(&requested.adapter.model)
+                && !engine.adapters.iter().any(|resident| resident.satisfies(requested))
                 && !engine.pending.iter().any(|pending| pending.adapter == requested.adapter)
         })
     }
 
     /// Returns the adapter to evict: the least used one that is not in use.
-    fn victim<'a>(&self, now: Moment, engine: &'a EngineState) -> Option<&'a AdapterVersion> {
+    fn victim<'a>(&self, now: Moment, engine: &'a EngineState) -> Option<&'a adapter::Version> {
         let evictable = engine.adapters.iter();
         let evictable = evictable.filter(|resident| self.is_evictable(now, &resident.adapter));
         evictable.min_by(|a, b| {
@@ -318,17 +305,17 @@
         })
     }
 
-    fn is_evictable(&self, now: Moment, adapter: &str) -> bool {
-        let is_requested = self.load_requests.keys().any(|request| &*request.adapter == adapter);
+    fn is_evictable(&self, now: Moment, adapter: &Adapter) -> bool {
+        let is_requested = self.load_requests.keys().any(|request| request.adapter == *adapter);
         let is_recent = self.use_counts.get(adapter).is_some_and(|uses| now <= uses.at + USE_GRACE);
         !is_requested && !is_recent && self.requests_in_flight(adapter) == 0
     }
 
-    fn use_count(&self, now: Moment, adapter: &str) -> f64 {
+    fn use_count(&self, now: Moment, adapter: &Adapter) -> f64 {
         self.use_counts.get(adapter).map_or(0.0, |uses| uses.decayed(now))
     }
 
-    fn record_use(&mut self, now: Moment, adapter: &Name) {
+    fn record_use(&mut self, now: Moment, adapter: &Adapter) {
         let uses =
             self.use_counts.entry(adapter.clone()).or_insert(UseCount { count: 0.0, at: now });
         *uses = UseCount { count: uses.decayed(now) + 1.0, at: now };
