Believe an engine again that an adapter is missing

What callers saw: 502 for a request that had not run, if its engine refused it twice with 421 for an adapter that is not resident.

Change: serving::refusal believes a second 421 for a missing adapter where the request may run more than once, so that a false one does no harm; the engine is not asked a third time.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -25,7 +25,7 @@
 };
 use serving::{
     directory::Listing,
-    refusal::{self, Past, Subject},
+    refusal::{self, Past, Refusal, Subject},
 };
 
 use crate::{gate::Pass, ports::ResponseMeta, stop::Stop};
@@ -45,6 +45,8 @@
     pub id: &'a str,
     /// Whether the server has refused this request before.
     pub is_refused_before: bool,
+    /// Whether the request may run more than once.
+    pub is_repeatable: bool,
     pub request: Request<Full<Bytes>>,
     /// Longest time until the head of the response arrives.
     pub limit: Duration,
@@ -158,6 +160,7 @@
     let server = &outbound.pass.server().clone();
     let (request_id, limit, stop) = (outbound.id, outbound.limit, outbound.stop);
     let (is_refused_again, is_checked) = (outbound.is_refused_before, outbound.check.is_some());
+    let is_repeatable = outbound.is_repeatable;
     let is_sent = outbound.is_sent;
     let response = send_request(kernel, pool, outbound);
     let outcome = stop.timeout(&kernel.clock, limit, response).await;
@@ -179,12 +182,11 @@
         // response to a later request there.
         let is_connection_used = connection.is_reused || is_checked;
         let past = Past { is_connection_used, is_refused_again };
-        return Err(refusal_failure(
-            server,
-            &meta,
-            head.status,
-            refusal::is_believed(subject, past),
-        ));
+        let reason = not_run_reason(server, &meta, head.status);
+        let is_adapter_missing = reason == NotRunReason::AdapterMissing;
+        let refusal = Refusal { is_adapter_missing, is_repeatable };
+        let is_believed = refusal::is_believed(subject, past, refusal);
+        return Err(refusal_failure(head.status, reason, is_believed));
     }
     if subject != Subject::Awaited {
         return Err(Failure::Broken {
@@ -204,30 +206,24 @@
 }
 
 /// Returns the failure for a response that states that a request did not run.
-fn refusal_failure(
-    server: &Listing,
-    meta: &ResponseMeta,
-    status: StatusCode,
-    is_believed: bool,
-) -> Failure {
+fn refusal_failure(status: StatusCode, reason: NotRunReason, is_believed: bool) -> Failure {
     if is_believed {
-        return not_run_failure(server, meta, status);
+        return Failure::NotRun { status: status.as_u16(), reason };
     }
     metrics::counter!("chivelatch_doubtful_refusals_total").increment(1);
     Failure::Broken { reason: "the refusal may be about another request or attempt".to_owned() }
 }
 
-/// Returns the failure for a response that states that the request did not run.
-fn not_run_failure(server: &Listing, meta: &ResponseMeta, status: StatusCode) -> Failure {
+/// Returns why a server states that it did not run a request.
+fn not_run_reason(server: &Listing, meta: &ResponseMeta, status: StatusCode) -> NotRunReason {
     let is_addressed_server = meta.server.as_ref().is_none_or(|id| *id == server.id);
-    let reason = match status {
+    match status {
         // The addressed server itself responds so if it lacks the adapter.
         StatusCode::MISDIRECTED_REQUEST if is_addressed_server => NotRunReason::AdapterMissing,
         StatusCode::MISDIRECTED_REQUEST => NotRunReason::WrongServer,
         _ if meta.pause.is_some() => NotRunReason::Pausing,
         _ => NotRunReason::Unavailable,
-    };
-    Failure::NotRun { status: status.as_u16(), reason }
+    }
 }
 
 /// Sends a request on a pooled or new connection. A pooled connection that was closed before the
--- a/crates/gateway/src/job/attempt.rs
+++ b/crates/gateway/src/job/attempt.rs
@@ -255,6 +255,7 @@
         self.sent = SentFlag::default();
         let (check, is_sent) = (self.process_check(entry, server), self.sent.clone());
         let is_refused_before = self.refused_by.contains(&server.id);
+        let is_repeatable = self.can_rerun();
         let is_stream = self.grant.route.retry_policy.is_stream();
         let (entry, server, id) = (Arc::clone(entry), server.clone(), self.meta.id.clone());
         async move {
@@ -263,6 +264,7 @@
                 check,
                 id: &id,
                 is_refused_before,
+                is_repeatable,
                 request,
                 limit: remaining,
                 stop: &entry.stop,
--- a/crates/gateway/src/job/failure.rs
+++ b/crates/gateway/src/job/failure.rs
@@ -42,12 +42,16 @@
             event = Event::NotRun, request = &*self.meta.id, server = &*server.id;
             "{failure}"
         );
-        if matches!(failure, Failure::NotRun { .. }) && !self.refused_by.contains(&server.id) {
+        let is_refused_again = self.refused_by.contains(&server.id);
+        if matches!(failure, Failure::NotRun { .. }) && !is_refused_again {
             self.refused_by.push(server.id.clone());
         }
         match failure {
             Failure::NotRun { reason: NotRunReason::AdapterMissing, .. } => {
                 self.forget_adapter(entry, server);
+                if is_refused_again {
+                    self.excluded.push(server.id.clone());
+                }
                 return Ok(());
             }
             Failure::NotRun { reason: NotRunReason::Pausing, .. } => return Ok(()),
--- a/crates/serving/src/refusal.rs
+++ b/crates/serving/src/refusal.rs
@@ -25,10 +25,20 @@
     pub is_refused_again: bool,
 }
 
+/// What a refusal says, and of which request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Refusal {
+    /// Whether the adapter is not resident, which the server states each time that it is asked for it.
+    pub is_adapter_missing: bool,
+    /// Whether the request may run more than once, so that a false refusal does no harm.
+    pub is_repeatable: bool,
+}
+
 /// Returns whether a refusal shows that the awaited request did not run.
-pub fn is_believed(subject: Subject, past: Past) -> bool {
+pub fn is_believed(subject: Subject, past: Past, refusal: Refusal) -> bool {
+    let may_come_again = refusal.is_adapter_missing && refusal.is_repeatable;
     match subject {
-        Subject::Awaited => !past.is_refused_again,
+        Subject::Awaited => !past.is_refused_again || may_come_again,
         Subject::Unnamed => !past.is_refused_again && !past.is_connection_used,
         Subject::Other => false,
     }
