Compare an adapter's name before its base model, and without copies

An instance looks an adapter up in the reports of all engines for each request. The pair was cloned for each engine, and the base model, which most adapters share, was compared first. Not measured by itself.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -550,8 +550,8 @@
         return AdapterState::Unreachable;
     }
     let Some(adapter) = model.adapter() else { return AdapterState::Present };
-    let wanted = adapter::Version { adapter: adapter.clone(), number: min_version };
-    let holds = |list: &[adapter::Version]| list.iter().any(|known| known.satisfies(&wanted));
+    let holds =
+        |list: &[adapter::Version]| list.iter().any(|known| known.satisfies(adapter, min_version));
     if holds(&status.adapters) {
         return AdapterState::Present;
     }
--- a/crates/gateway/src/relay/events.rs
+++ b/crates/gateway/src/relay/events.rs
@@ -80,14 +80,8 @@
                 Ok(Step::End) => return None,
                 Err(loss) => {
                     if !self.resume(loss).await {
-                        let (outcome, upstream) = (loss.name(), &self.source.upstream);
-                        log_end(
-                            &self.entry,
-                            &mut self.job,
-                            upstream,
-                            outcome,
-                            self.forwarded_bytes,
-                        );
+                        let (upstream, bytes) = (&self.source.upstream, self.forwarded_bytes);
+                        log_end(&self.entry, &mut self.job, upstream, loss.name(), bytes);
                         return Some(Err(Truncated));
                     }
                 }
--- a/crates/serving/src/adapter.rs
+++ b/crates/serving/src/adapter.rs
@@ -8,9 +8,10 @@
 /// Adapter of a base model.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Adapter {
+    /// Compared first, since it tells most adapters apart.
+    pub name: Name,
     /// Base model.
     pub model: Name,
-    pub name: Name,
 }
 
 /// One version of an adapter.
@@ -34,8 +35,8 @@
 }
 
 impl Version {
-    /// Returns whether this is the same adapter in this version or a newer one.
-    pub fn satisfies(&self, requested: &Version) -> bool {
-        self.adapter == requested.adapter && requested.number <= self.number
+    /// Returns whether this is the adapter in this version or a newer one.
+    pub fn satisfies(&self, adapter: &Adapter, oldest: u64) -> bool {
+        self.adapter == *adapter && oldest <= self.number
     }
 }
--- a/crates/serving/src/residency.rs
+++ b/crates/serving/src/residency.rs
@@ -289,10 +289,10 @@
         &self,
         engine: &EngineState,
     ) -> impl Iterator<Item = (&adapter::Version, &LoadRequest)> {
-        self.load_requests.iter().filter(|(requested, _)| {
-            engine.models.contains(&requested.adapter.model)
-                && !engine.adapters.iter().any(|resident| resident.satisfies(requested))
-                && !engine.pending.iter().any(|pending| pending.adapter == requested.adapter)
+        self.load_requests.iter().filter(|(adapter::Version { adapter, number }, _)| {
+            engine.models.contains(&adapter.model)
+                && !engine.adapters.iter().any(|resident| resident.satisfies(adapter, *number))
+                && !engine.pending.iter().any(|pending| pending.adapter == *adapter)
         })
     }
 
