Prefer the servers of an adapter by its name alone, as earlier builds do

Cause: with the base model in the hash, all adapters get other preferred servers once, and during a release the builds disagree on them.

Change: the name decides, as before. Namesakes share their preferred server, which decides where they are loaded first, not what runs.

--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -167,7 +167,8 @@
     nodes: &[rendezvous::Server],
     is_eligible: impl Fn(usize) -> bool,
 ) -> Option<usize> {
-    let hash = rendezvous::hash(&adapter.to_string());
+    // By the name alone, as in earlier builds: during a release all instances prefer the same servers.
+    let hash = rendezvous::hash(&adapter.name);
     let first = rendezvous::preferred(hash, nodes, 1).first().copied()?;
     if is_eligible(first) {
         return Some(first);
