Bound what a list without base models may stand for

Found by reading: each name of an earlier build's status stands for an adapter of each model that the engine holds, so a datagram of 8 KiB with a thousand of each became a million entries. A list beyond 4096 shows none; requests then wait for a load. Status messages of this build are not concerned.

The test presumes_no_adapters_beyond_a_limit failed before.

--- a/crates/gateway/src/message/adapters.rs
+++ b/crates/gateway/src/message/adapters.rs
@@ -19,6 +19,9 @@
 /// Names of adapters, with what a message says of each.
 type Named<T> = Vec<(Name, T)>;
 
+/// Limit of the adapters that one list of an earlier build may stand for.
+const MAX_PRESUMED: usize = 4096;
+
 /// Base models of the adapters that a message names, in their order. Earlier builds send none.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Bases {
@@ -136,13 +139,16 @@
 
 /// Returns what names without base models show of the adapters of `models`: each of them may be resident,
 /// and none in an older version than the lowest one that is named. The engine refuses a request for one
-/// that is not resident.
+/// that is not resident. A list that would stand for too many adapters shows none.
 fn presume(named: Named<u64>, models: &[Name]) -> Vec<adapter::Version> {
     let mut lowest: BTreeMap<Name, u64> = BTreeMap::new();
     for (name, number) in named {
         let known = lowest.entry(name).or_insert(number);
         *known = number.min(*known);
     }
+    if MAX_PRESUMED < lowest.len() * models.len() {
+        return Vec::new();
+    }
     let of_model = |model: &Name| {
         let model = model.clone();
         lowest.iter().map(move |(name, number)| adapter::Version {
--- a/crates/gateway/tests/messages.rs
+++ b/crates/gateway/tests/messages.rs
@@ -151,6 +151,29 @@
     assert_eq!(status.adapters, [of_model("base"), of_model("second")].concat());
 }
 
+// Guards against a small datagram that takes up much memory: each name stands for an adapter of each model.
+#[test]
+fn presumes_no_adapters_beyond_a_limit() {
+    let names = || (0..1000).map(|number| Name::from(format!("{number:x}")));
+    let earlier = EarlierMessage::Status(EarlierStatus {
+        server: None,
+        born_ms: 200,
+        models: names().collect(),
+        slot_usage: SlotUsage::default(),
+        loading_ms: None,
+        adapters: names().map(|name| (name, 1)).collect(),
+        pending: Vec::new(),
+        recent: Vec::new(),
+        work: Work::new(),
+        revision: 7,
+    });
+
+    let read: Message = from_bytes(&to_stdvec(&earlier).unwrap()).unwrap();
+
+    let Message::Status(status) = read else { panic!("{read:?}") };
+    assert_eq!(status.adapters, []);
+}
+
 // Guards against side processes that lose their subscribers during a rolling upgrade.
 #[test]
 fn reads_demand_of_an_earlier_build() {
